--- /dev/null
+++ b/crates/lease/src/lib.rs
@@ -0,0 +1,207 @@
+//! Leases on exclusive work, with fencing numbers.
+//!
+//! [`Tenure`] is one node's claim on one duty, e.g. the steps of a trainer. It decides when to
+//! ask for the lease, when to renew it and when to stop acting on it; the edge carries out the
+//! calls on the key-value service and reports what came back.
+//!
+//! Three things go wrong with leases, and each has its guard here:
+//!
+//! - *The holder is paused past its lease.* It would go on acting beside the new holder. So the
+//!   holder counts the time by its own clock from **before** the renewal was sent, stops
+//!   [`MARGIN_MS`] before the service would let the lease lapse, and [`Tenure::fence`] is asked
+//!   right before each act, not once at the start.
+//! - *A reply is lost.* The holder cannot know whether it holds the lease. After a lost reply it
+//!   reads the key and looks for its own life in it.
+//! - *A new holder starts while an order of the old one is on its way* to a target that does not
+//!   check fencing numbers. The new holder's orders wait [`ORDER_FLIGHT_MS`].
+//!
+//! The fencing number is the key-value service's version of the key, which only grows.
+
+use catkinmast_model::{Fence, Incarnation, Name, UnixMs};
+use serde::{Deserialize, Serialize};
+
+/// Time to live of a lease in the key-value service.
+pub const TTL_MS: u64 = 6_000;
+/// How long before the lapse the holder stops acting.
+pub const MARGIN_MS: u64 = 1_000;
+/// Time between two renewals.
+pub const RENEW_EVERY_MS: u64 = 2_000;
+/// Time between two tries to take a lease that seems free.
+pub const RETRY_EVERY_MS: u64 = 1_000;
+/// The longest that an order can be on its way to a target.
+pub const ORDER_FLIGHT_MS: u64 = 2_000;
+
+/// What the key of a lease holds.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct HolderRecord {
+    /// The holder's life.
+    pub incarnation: Incarnation,
+    /// The holder.
+    pub node: Name,
+}
+
+/// What the edge should do.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Action {
+    /// Open a lease of the service and create the key on it; report [`Report::Taken`],
+    /// [`Report::Refused`] or [`Report::Unknown`].
+    Take,
+    /// Read the key and report [`Report::Read`].
+    Read,
+    /// Renew the lease; report [`Report::Renewed`], [`Report::Refused`] or [`Report::Unknown`].
+    Renew,
+    /// End the lease; nothing is reported.
+    Release,
+}
+
+/// What came back from the service.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Report {
+    /// The key's holder and fencing number, none when the key is absent.
+    Read(Option<(HolderRecord, Fence)>),
+    /// Another holds the lease, or it has lapsed.
+    Refused,
+    /// The lease was renewed.
+    Renewed,
+    /// The key was created under this fencing number.
+    Taken(Fence),
+    /// The reply was lost, or the service does not answer.
+    Unknown,
+}
+
+/// A change that the duty must know.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Change {
+    /// The lease is held under this number.
+    Gained(Fence),
+    /// The lease is no longer held for certain: writes and orders must stop.
+    Lapsed,
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Phase {
+    Free,
+    Asking { sent_at: UnixMs },
+    Held { fence: Fence, safe_until: UnixMs, since: UnixMs },
+}
+
+/// One node's claim on one duty.
+#[derive(Clone, Debug)]
+pub struct Tenure {
+    in_flight: Option<(Action, UnixMs)>,
+    me: HolderRecord,
+    next_at: UnixMs,
+    phase: Phase,
+}
+
+impl Tenure {
+    /// Opens a claim that holds nothing.
+    pub const fn open(me: HolderRecord) -> Self {
+        Self { in_flight: None, me, next_at: UnixMs(0), phase: Phase::Free }
+    }
+
+    /// Returns the fencing number if the duty may be acted on at `now`.
+    pub fn fence(&self, now: UnixMs) -> Option<Fence> {
+        match self.phase {
+            Phase::Held { fence, safe_until, .. } if now < safe_until => Some(fence),
+            _ => None,
+        }
+    }
+
+    /// Returns the fencing number if orders to targets may be sent at `now`.
+    ///
+    /// A new holder waits until no order of the old one can still be on its way.
+    pub fn order_fence(&self, now: UnixMs) -> Option<Fence> {
+        match self.phase {
+            Phase::Held { since, .. } if now.since_ms(since) >= ORDER_FLIGHT_MS => self.fence(now),
+            _ => None,
+        }
+    }
+
+    /// Does what has become due. `wanted` tells whether this node should hold the duty.
+    pub fn tick(&mut self, now: UnixMs, wanted: bool) -> (Option<Action>, Option<Change>) {
+        let lapsed = self.check_lapse(now);
+        if lapsed.is_some() || self.in_flight.is_some() || now < self.next_at {
+            return (None, lapsed);
+        }
+        let action = match self.phase {
+            Phase::Free if wanted => {
+                self.phase = Phase::Asking { sent_at: now };
+                self.next_at = now.plus(RETRY_EVERY_MS);
+                Action::Take
+            }
+            Phase::Free => return (None, None),
+            Phase::Asking { .. } => {
+                self.next_at = now.plus(RETRY_EVERY_MS);
+                Action::Read
+            }
+            Phase::Held { .. } if !wanted => {
+                self.phase = Phase::Free;
+                self.next_at = now.plus(RETRY_EVERY_MS);
+                return (Some(Action::Release), Some(Change::Lapsed));
+            }
+            Phase::Held { .. } => {
+                self.next_at = now.plus(RENEW_EVERY_MS);
+                Action::Renew
+            }
+        };
+        self.in_flight = Some((action, now));
+        (Some(action), None)
+    }
+
+    /// Takes what came back from the service.
+    pub fn report(&mut self, now: UnixMs, report: &Report) -> Option<Change> {
+        let sent = self.in_flight.take();
+        match report {
+            Report::Taken(fence) => self.gain(now, *fence),
+            Report::Renewed => self.renewed(sent),
+            Report::Refused => self.lose(),
+            // A renewal whose reply is lost may still have worked; the next one tells. A lost
+            // reply to the taking is settled by reading the key.
+            Report::Unknown => None,
+            Report::Read(found) => self.read(now, found.as_ref()),
+        }
+    }
+
+    fn gain(&mut self, now: UnixMs, fence: Fence) -> Option<Change> {
+        let Phase::Asking { sent_at } = self.phase else { return None };
+        let safe_until = sent_at.plus(TTL_MS - MARGIN_MS);
+        if now >= safe_until {
+            self.phase = Phase::Free;
+            return None;
+        }
+        self.phase = Phase::Held { fence, safe_until, since: now };
+        self.next_at = now.plus(RENEW_EVERY_MS);
+        Some(Change::Gained(fence))
+    }
+
+    fn renewed(&mut self, sent: Option<(Action, UnixMs)>) -> Option<Change> {
+        if let (Phase::Held { safe_until, .. }, Some((Action::Renew, sent_at))) =
+            (&mut self.phase, sent)
+        {
+            *safe_until = sent_at.plus(TTL_MS - MARGIN_MS);
+        }
+        None
+    }
+
+    fn lose(&mut self) -> Option<Change> {
+        let held = matches!(self.phase, Phase::Held { .. });
+        self.phase = Phase::Free;
+        held.then_some(Change::Lapsed)
+    }
+
+    fn read(&mut self, now: UnixMs, found: Option<&(HolderRecord, Fence)>) -> Option<Change> {
+        match found {
+            Some((holder, fence)) if *holder == self.me => self.gain(now, *fence),
+            _ => self.lose(),
+        }
+    }
+
+    /// The lease is given up by our own clock, whether or not the service could be asked.
+    fn check_lapse(&mut self, now: UnixMs) -> Option<Change> {
+        match self.phase {
+            Phase::Held { safe_until, .. } if now >= safe_until => self.lose(),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/local/src/caller.rs
@@ -0,0 +1,177 @@
+//! Application callers: they ask for addresses, keep the answer until it expires, and call.
+
+use crate::Run;
+use crate::fleet::Fleet;
+use crate::judge::{CallOutcome, Judge};
+use catkinmast_config::{Call, Document};
+use catkinmast_standin::answer_of;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Callers that share the calls.
+const CALLERS: u64 = 6;
+/// Most sendings of one call.
+const SENDINGS_MAX: u32 = 8;
+/// Pause before a call is sent again.
+const PAUSE: Duration = Duration::from_millis(250);
+
+struct Caller {
+    addresses: Vec<(SocketAddr, String)>,
+    data_centre: String,
+    expires_at: u64,
+    fleet: Arc<Fleet>,
+    judge: Arc<Judge>,
+    rng: Pcg64Mcg,
+}
+
+/// What one sending of a call came to.
+enum Sending {
+    Answered(String),
+    Broken(SocketAddr),
+    Refused { may_have_run: bool },
+}
+
+pub(crate) fn spawn_all(
+    fleet: &Arc<Fleet>,
+    judge: &Arc<Judge>,
+    document: &Document,
+    run: &Run,
+) -> Vec<tokio::task::JoinHandle<()>> {
+    let calls: Vec<(String, Call)> = document
+        .services
+        .iter()
+        .flat_map(|s| s.calls.iter().map(|call| (s.name.to_string(), call.clone())))
+        .filter(|(_, call)| call.path != "/score")
+        .collect();
+    let every = Duration::from_secs_f64(CALLERS as f64 / run.calls_per_second.max(1) as f64);
+    let ends_at = Instant::now() + Duration::from_secs(run.duration_s);
+    let spawn = |number: u64| {
+        let places = &document.data_centres;
+        let caller = Caller {
+            addresses: Vec::new(),
+            data_centre: places[number as usize % places.len()].name.to_string(),
+            expires_at: 0,
+            fleet: Arc::clone(fleet),
+            judge: Arc::clone(judge),
+            rng: Pcg64Mcg::seed_from_u64(run.seed * 1_000 + number),
+        };
+        tokio::spawn(caller.run(number, calls.clone(), every, ends_at))
+    };
+    (0..CALLERS).map(spawn).collect()
+}
+
+fn now_ms() -> u64 {
+    catkinmast_model::UnixMs::from_wall_clock().0
+}
+
+impl Caller {
+    async fn run(
+        mut self,
+        caller: u64,
+        calls: Vec<(String, Call)>,
+        every: Duration,
+        ends_at: Instant,
+    ) {
+        let mut clock = tokio::time::interval(every);
+        let mut number = 0;
+        while Instant::now() < ends_at {
+            clock.tick().await;
+            number += 1;
+            let (service, call) = &calls[self.rng.random_range(0..calls.len())];
+            let body = format!("caller-{caller}-call-{number}");
+            self.call(service, call, &body).await;
+        }
+    }
+
+    /// Makes one call: it is sent again after a truthful `not_run`, and an idempotent one, or one
+    /// with a ticket, after any other failure as well.
+    async fn call(&mut self, service: &str, call: &Call, body: &str) {
+        self.judge.call_sent();
+        let mut ticket = None;
+        let mut may_have_run = false;
+        for _ in 0..SENDINGS_MAX {
+            let Some((address, prefix)) = self.address().await else { continue };
+            if !call.idempotent && ticket.is_none() {
+                ticket = Some(format!("{prefix}{body}"));
+            }
+            match self.send(address, service, call, body, ticket.as_deref()).await {
+                Sending::Answered(answer) => {
+                    let whole = answer == answer_of(&call.path, body);
+                    let outcome = if whole { CallOutcome::Whole } else { CallOutcome::Cut };
+                    return self.judge.call_ended(outcome, call, body);
+                }
+                Sending::Refused { may_have_run: maybe } => may_have_run |= maybe,
+                Sending::Broken(address) => {
+                    self.judge.connection_broke(address);
+                    self.expires_at = 0;
+                    may_have_run = true;
+                }
+            }
+            tokio::time::sleep(PAUSE).await;
+        }
+        let outcome =
+            if may_have_run { CallOutcome::MayHaveRun } else { CallOutcome::RefusedNotRun };
+        self.judge.call_ended(outcome, call, body);
+    }
+
+    async fn send(
+        &self,
+        address: SocketAddr,
+        service: &str,
+        call: &Call,
+        body: &str,
+        ticket: Option<&str>,
+    ) -> Sending {
+        let url = format!("http://{address}/v1/call/{service}{}", call.path);
+        let mut request = self.fleet.client.post(url).body(body.to_owned());
+        if let Some(ticket) = ticket {
+            request = request.header("Catkinmast-Ticket", ticket);
+        }
+        let response = match request.send().await {
+            Ok(response) => response,
+            // Nothing was sent on a connection that never came about.
+            Err(error) if error.is_connect() => return Sending::Refused { may_have_run: false },
+            Err(_) => return Sending::Broken(address),
+        };
+        let status = response.status();
+        match response.text().await {
+            Ok(answer) if status.is_success() => Sending::Answered(answer),
+            Ok(problem) => {
+                let problem: Value = serde_json::from_str(&problem).unwrap_or_default();
+                Sending::Refused { may_have_run: problem["verdict"] != "not_run" }
+            }
+            Err(_) => Sending::Broken(address),
+        }
+    }
+
+    /// Returns an address to use, asking anew when the last answer has expired.
+    async fn address(&mut self) -> Option<(SocketAddr, String)> {
+        if self.addresses.is_empty() || now_ms() >= self.expires_at {
+            self.refresh().await;
+        }
+        let near = self.addresses.len().min(3);
+        if near == 0 {
+            tokio::time::sleep(PAUSE).await;
+            return None;
+        }
+        Some(self.addresses[self.rng.random_range(0..near)].clone())
+    }
+
+    async fn refresh(&mut self) {
+        let address = self.fleet.any_address(&mut self.rng);
+        let url = format!("http://{address}/v1/addresses?data_centre={}", self.data_centre);
+        let Ok(response) = self.fleet.client.get(url).send().await else { return };
+        let Ok(answer) = response.json::<Value>().await else { return };
+        let entries = answer["addresses"].as_array().map_or(&[][..], Vec::as_slice);
+        let read = |entry: &Value| {
+            let address = entry["address"].as_str()?.parse().ok()?;
+            Some((address, entry["ticket_prefix"].as_str()?.to_owned()))
+        };
+        self.addresses = entries.iter().filter_map(read).collect();
+        self.expires_at = answer["expires_at_unix_ms"].as_u64().unwrap_or(0);
+    }
+}
--- /dev/null
+++ b/crates/local/src/fleet.rs
@@ -0,0 +1,250 @@
+//! The processes of a deployment: entry nodes, and stand-ins for everything else.
+
+use crate::Run;
+use catkinmast_config::{Document, Workers};
+use catkinmast_model::{Incarnation, Instance, InstanceKind, InstanceState, Name};
+use catkinmast_node::{Arguments, Node, Settings};
+use catkinmast_standin::{
+    Engine, EngineSettings, PlainService, Platform, PlatformSettings, ServiceSettings,
+};
+use indexmap::IndexMap;
+use rand::seq::IndexedRandom;
+use serde_json::{Value, json};
+use std::net::SocketAddr;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+use tokio::runtime::Runtime;
+
+/// The secret that the nodes of a local run share.
+const SHARED_KEY: &str = "only for a run on loopback";
+/// How far the stand-in's list of instances lags.
+const LIST_LAG_MS: u64 = 500;
+/// How long the nodes may take to become ready.
+const READY_MAX: Duration = Duration::from_secs(10);
+
+/// A node on a runtime of its own, so that it can be dropped like a process.
+#[derive(Debug)]
+struct NodeProcess {
+    node: Node,
+    runtime: Runtime,
+}
+
+/// Everything that runs.
+#[derive(Debug)]
+pub(crate) struct Fleet {
+    pub client: reqwest::Client,
+    pub engines: IndexMap<Name, Engine>,
+    nodes: Mutex<IndexMap<String, NodeProcess>>,
+    addresses: Mutex<Vec<SocketAddr>>,
+    pub platform: Platform,
+    pub services: IndexMap<Name, PlainService>,
+    instances: Mutex<IndexMap<Name, Instance>>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn loopback() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+impl Fleet {
+    pub(crate) async fn start(document: &Document, run: &Run) -> Result<Self, String> {
+        let settings = PlatformSettings { address: loopback(), list_lag_ms: LIST_LAG_MS };
+        let platform = Platform::spawn(settings).await.map_err(|error| error.to_string())?;
+        let client = reqwest::Client::builder()
+            .no_proxy()
+            .timeout(Duration::from_secs(15))
+            .build()
+            .map_err(|error| error.to_string())?;
+        let mut fleet = Self {
+            client,
+            engines: IndexMap::new(),
+            nodes: Mutex::default(),
+            addresses: Mutex::default(),
+            platform,
+            services: IndexMap::new(),
+            instances: Mutex::default(),
+        };
+        for workers in &document.workers {
+            fleet.start_workers(workers).await?;
+        }
+        fleet.start_nodes(document, run.nodes).await?;
+        Ok(fleet)
+    }
+
+    async fn start_workers(&mut self, workers: &Workers) -> Result<(), String> {
+        for place in &workers.data_centres {
+            for number in 1..=workers.per_data_centre {
+                let name = format!("{}-{place}-{number}", workers.name);
+                let name: Name = name.parse().map_err(|error| format!("{error}"))?;
+                let address = match workers.kind {
+                    InstanceKind::Engine => self.start_engine(&name, workers).await?,
+                    InstanceKind::Service | InstanceKind::Entry => {
+                        let settings = ServiceSettings { address: loopback(), answer_after_ms: 3 };
+                        let service = PlainService::spawn(settings).await;
+                        let service = service.map_err(|error| error.to_string())?;
+                        let address = service.address();
+                        self.services.insert(name.clone(), service);
+                        address
+                    }
+                };
+                let instance = Instance {
+                    address,
+                    data_centre: place.clone(),
+                    incarnation: Incarnation(1),
+                    kind: workers.kind,
+                    labels: workers.labels.clone(),
+                    name: name.clone(),
+                    state: InstanceState::Live,
+                };
+                self.platform.list_instance(instance.clone());
+                lock(&self.instances).insert(name, instance);
+            }
+        }
+        Ok(())
+    }
+
+    async fn start_engine(&mut self, name: &Name, workers: &Workers) -> Result<SocketAddr, String> {
+        let settings =
+            EngineSettings { checks_fence: workers.checks_fence, ..EngineSettings::default() };
+        let engine = Engine::spawn(settings).await.map_err(|error| error.to_string())?;
+        let address = engine.address();
+        self.engines.insert(name.clone(), engine);
+        Ok(address)
+    }
+
+    async fn start_nodes(&self, document: &Document, count: u32) -> Result<(), String> {
+        let places = &document.data_centres;
+        let mut peers: Vec<String> = Vec::new();
+        for number in 0..count {
+            let place = &places[number as usize % places.len()].name;
+            let arguments = Arguments {
+                name: Some(format!("entry-{number}")),
+                data_centre: Some(place.to_string()),
+                http: Some(loopback().to_string()),
+                control: Some(loopback().to_string()),
+                peers: Some(peers.join(",")),
+                platform: Some(self.platform.address().to_string()),
+                shared_key: Some(SHARED_KEY.to_owned()),
+                open_access: true,
+                ..Arguments::default()
+            };
+            let settings =
+                Settings::check(&arguments, |_| None).map_err(|faults| faults.to_string())?;
+            let runtime = Runtime::new().map_err(|error| error.to_string())?;
+            let node = runtime
+                .spawn(Node::spawn(settings))
+                .await
+                .map_err(|error| error.to_string())?
+                .map_err(|error| error.to_string())?;
+            if peers.len() < 3 {
+                peers.push(node.control_address().to_string());
+            }
+            lock(&self.addresses).push(node.http_address());
+            lock(&self.nodes).insert(format!("entry-{number}"), NodeProcess { node, runtime });
+        }
+        Ok(())
+    }
+
+    /// Returns the address of some node that a caller may have been told when it started.
+    pub(crate) fn any_address(&self, rng: &mut impl rand::Rng) -> SocketAddr {
+        let addresses = lock(&self.addresses);
+        addresses.choose(rng).copied().unwrap_or_else(loopback)
+    }
+
+    /// Puts a configuration in force through the first node.
+    pub(crate) async fn apply(&self, text: &str) -> Result<(), String> {
+        let address = lock(&self.addresses)[0];
+        let url = format!("http://{address}/v1/config");
+        let shown: Value = self.get(&url).await?;
+        let body = json!({
+            "base_revision": shown["revision"],
+            "operation_id": format!("local-{}", shown["revision"]),
+            "text": text,
+        });
+        let sent = self.client.put(&url).json(&body).send().await;
+        let answer: Value =
+            sent.map_err(|e| e.to_string())?.json().await.map_err(|e| e.to_string())?;
+        match answer["result"].as_str() {
+            Some("accepted") => Ok(()),
+            _ => Err(format!("the configuration was not accepted: {answer}")),
+        }
+    }
+
+    async fn get(&self, url: &str) -> Result<Value, String> {
+        let sent = self.client.get(url).send().await.map_err(|error| error.to_string())?;
+        sent.json().await.map_err(|error| error.to_string())
+    }
+
+    pub(crate) async fn wait_until_ready(&self) -> Result<(), String> {
+        let began = Instant::now();
+        let addresses = lock(&self.addresses).clone();
+        let targets = lock(&self.instances).len();
+        for address in addresses {
+            loop {
+                let status = self.get(&format!("http://{address}/v1/status")).await?;
+                let count = |list: &str| status[list].as_array().map_or(0, Vec::len);
+                let nodes = lock(&self.nodes).len();
+                if status["ready"] == true && count("targets") == targets && count("nodes") == nodes
+                {
+                    break;
+                }
+                if began.elapsed() > READY_MAX {
+                    return Err(format!("node {address} did not become ready: {status}"));
+                }
+                tokio::time::sleep(Duration::from_millis(100)).await;
+            }
+        }
+        Ok(())
+    }
+
+    /// Lets a node leave and returns how many requests it cut.
+    pub(crate) async fn drain_node(&self, name: &str) -> Option<u32> {
+        let process = lock(&self.nodes).shift_remove(name)?;
+        let address = process.node.http_address();
+        let report = process.runtime.spawn(process.node.drain()).await.ok()?;
+        lock(&self.addresses).retain(|known| *known != address);
+        process.runtime.shutdown_background();
+        Some(report.cut)
+    }
+
+    /// Drops a node without warning, and returns its address.
+    pub(crate) fn crash_node(&self, name: &str) -> Option<SocketAddr> {
+        let process = lock(&self.nodes).shift_remove(name)?;
+        let address = process.node.http_address();
+        process.runtime.shutdown_background();
+        process.node.crash();
+        lock(&self.addresses).retain(|known| *known != address);
+        Some(address)
+    }
+
+    /// Lets the platform list an instance as leaving or gone.
+    pub(crate) fn list_as(&self, name: &Name, state: InstanceState) {
+        let instance = lock(&self.instances).get(name).cloned();
+        if let Some(instance) = instance {
+            self.platform.list_instance(Instance { state, ..instance });
+        }
+    }
+
+    /// Returns the node that owns a trainer's steps, as some node sees it.
+    pub(crate) async fn owner_of(&self, trainer: &str) -> Option<String> {
+        let address = lock(&self.addresses).last().copied()?;
+        let status = self.get(&format!("http://{address}/v1/status")).await.ok()?;
+        let owners = status["owners"].as_array()?;
+        let owner = owners.iter().find(|owner| owner["trainer"] == trainer)?;
+        owner["node"].as_str().map(str::to_owned)
+    }
+
+    pub(crate) fn node_names(&self) -> Vec<String> {
+        lock(&self.nodes).keys().cloned().collect()
+    }
+
+    pub(crate) fn stop(&self) {
+        for (_, process) in lock(&self.nodes).drain(..) {
+            process.runtime.shutdown_background();
+            process.node.crash();
+        }
+    }
+}
--- /dev/null
+++ b/crates/local/src/lib.rs
@@ -0,0 +1,157 @@
+//! A whole deployment on loopback, in one process.
+//!
+//! Entry nodes and stand-ins are started by the same library calls as their binaries use. Trainer
+//! steps and application calls run beside each other while weights are swapped, a node leaves, a
+//! node is dropped, an engine crashes and the platform loses replies and has an outage. At the
+//! end the stand-ins' own records are compared with what callers and trainers received: a node's
+//! counters are never asked whether a promise held.
+
+mod caller;
+mod faults;
+mod fleet;
+mod judge;
+mod trainer;
+
+use argh::FromArgs;
+use catkinmast_config::Document;
+use fleet::Fleet;
+use judge::Summary;
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// The longest that a run may take in all.
+const RUN_MAX: Duration = Duration::from_secs(57);
+
+/// catkinmast-local: runs a whole deployment in one process on loopback.
+#[derive(Clone, Debug, FromArgs)]
+struct Arguments {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(Clone, Debug, FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Run(Run),
+}
+
+/// drives trainer steps and application calls through a deployment and judges the outcome
+#[derive(Clone, Debug, FromArgs)]
+#[argh(subcommand, name = "run")]
+pub(crate) struct Run {
+    /// the operators' configuration
+    #[argh(positional)]
+    file: String,
+    /// seed of the callers' and trainers' choices (default 1)
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// steps of each trainer (default 10)
+    #[argh(option, default = "10")]
+    steps: u64,
+    /// entry nodes (default 7)
+    #[argh(option, default = "7")]
+    nodes: u32,
+    /// application calls a second, over all callers (default 60)
+    #[argh(option, default = "60")]
+    calls_per_second: u64,
+    /// how long application calls go on (default 25)
+    #[argh(option, default = "25")]
+    duration_s: u64,
+    /// let nothing fail
+    #[argh(switch)]
+    no_faults: bool,
+}
+
+/// Runs the command line of this process.
+pub fn main() -> ExitCode {
+    let Command::Run(run) = argh::from_env::<Arguments>().command;
+    let text = match std::fs::read_to_string(&run.file) {
+        Ok(text) => text,
+        Err(error) => {
+            eprintln!("file '{}' cannot be read: {error}", run.file);
+            return ExitCode::from(2);
+        }
+    };
+    let document = match Document::parse(&text) {
+        Ok(document) => document,
+        Err(faults) => {
+            faults.0.iter().for_each(|fault| eprintln!("{}: {fault}", run.file));
+            return ExitCode::from(3);
+        }
+    };
+    if run.nodes == 0 {
+        eprintln!("--nodes: is 0; at least 1 is needed");
+        return ExitCode::from(2);
+    }
+    // Without a log of our own, the web framework would start one that prints to standard output.
+    let level = std::env::var("CATKINMAST_LOG_LEVEL").unwrap_or_else(|_unset| "off".to_owned());
+    let level = match level.parse() {
+        Ok(level) => level,
+        Err(error) => {
+            eprintln!("CATKINMAST_LOG_LEVEL: '{level}' cannot be read: {error}");
+            return ExitCode::from(2);
+        }
+    };
+    if let Err(error) = catkinmast_node::start_log(level) {
+        eprintln!("{error}");
+    }
+    let runtime = match tokio::runtime::Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("cannot start: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    let outcome = runtime.block_on(drive(run, document, text));
+    runtime.shutdown_background();
+    match outcome {
+        Ok(summary) => {
+            summary.print();
+            if summary.all_kept() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+        }
+        Err(message) => {
+            eprintln!("{message}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn drive(run: Run, document: Document, text: String) -> Result<Summary, String> {
+    let began = Instant::now();
+    println!(
+        "{}: {} entry nodes, {} trainer(s), seed {}",
+        document.deployment,
+        run.nodes,
+        document.trainers.len(),
+        run.seed
+    );
+    let fleet = Arc::new(Fleet::start(&document, &run).await?);
+    fleet.apply(&text).await?;
+    fleet.wait_until_ready().await?;
+    println!("{:5.1} s  all nodes are ready", began.elapsed().as_secs_f64());
+    let judge = Arc::new(judge::Judge::default());
+    let callers = caller::spawn_all(&fleet, &judge, &document, &run);
+    let trainers = trainer::spawn_all(&fleet, &judge, &document, &run);
+    let faults = (!run.no_faults)
+        .then(|| tokio::spawn(faults::cause(Arc::clone(&fleet), Arc::clone(&judge), text, began)));
+    let all = async {
+        for task in trainers.into_iter().chain(callers) {
+            if let Err(error) = task.await {
+                judge.note_broken(format!("a driver ended early: {error}"));
+            }
+        }
+        if let Some(faults) = faults
+            && let Err(error) = faults.await
+        {
+            judge.note_broken(format!("the faults ended early: {error}"));
+        }
+    };
+    if tokio::time::timeout(RUN_MAX.saturating_sub(began.elapsed()), all).await.is_err() {
+        judge.note_broken("the run did not end in time".to_owned());
+    }
+    println!("{:5.1} s  done", began.elapsed().as_secs_f64());
+    let summary = judge.judge(&fleet, run.seed);
+    fleet.stop();
+    Ok(summary)
+}
--- /dev/null
+++ b/crates/local/src/trainer.rs
@@ -0,0 +1,226 @@
+//! Trainers: they submit steps ahead, fetch and claim batches, train, and publish versions.
+
+use crate::Run;
+use crate::fleet::Fleet;
+use crate::judge::{Judge, SampleRecord};
+use catkinmast_config::{Document, Trainer};
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use serde_json::{Value, json};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Groups in each step.
+const GROUPS: u32 = 16;
+/// Most tokens of a sample.
+const MAX_TOKENS: u32 = 600;
+/// How long a trainer trains on a batch.
+const TRAIN_BATCH: Duration = Duration::from_millis(200);
+/// How many steps are submitted before the first of them is trained on.
+const SUBMITTED_AHEAD: u64 = 2;
+/// Pause before a request is sent again.
+const PAUSE: Duration = Duration::from_millis(100);
+
+struct Driver {
+    fleet: Arc<Fleet>,
+    group_size: u32,
+    judge: Arc<Judge>,
+    name: String,
+    rng: Pcg64Mcg,
+    seed: u64,
+    version: u64,
+}
+
+pub(crate) fn spawn_all(
+    fleet: &Arc<Fleet>,
+    judge: &Arc<Judge>,
+    document: &Document,
+    run: &Run,
+) -> Vec<tokio::task::JoinHandle<()>> {
+    let spawn = |trainer: &Trainer| {
+        let driver = Driver {
+            fleet: Arc::clone(fleet),
+            group_size: trainer.group_size,
+            judge: Arc::clone(judge),
+            name: trainer.name.to_string(),
+            rng: Pcg64Mcg::seed_from_u64(run.seed),
+            seed: run.seed,
+            version: 0,
+        };
+        tokio::spawn(driver.run(trainer.clone(), run.steps))
+    };
+    document.trainers.iter().map(spawn).collect()
+}
+
+impl Driver {
+    async fn run(mut self, trainer: Trainer, steps: u64) {
+        let registration = json!({
+            "batch_samples": trainer.batch_samples,
+            "group_size": trainer.group_size,
+            "idle_weight_percent": trainer.idle_weight_percent,
+            "staleness_bound_versions": trainer.staleness_bound_versions,
+        });
+        self.until_done(reqwest::Method::PUT, "", Some(&registration)).await;
+        let mut batch = 1;
+        let mut submitted = 0;
+        for step in 1..=steps {
+            while submitted < (step + SUBMITTED_AHEAD).min(steps) {
+                submitted += 1;
+                self.submit(submitted).await;
+            }
+            let mut left = GROUPS * self.group_size;
+            while left > 0 {
+                left -= self.train_batch(batch, trainer.staleness_bound_versions).await;
+                batch += 1;
+            }
+            self.version += 1;
+            let path = format!("/versions/{}", self.version);
+            self.until_done(reqwest::Method::PUT, &path, None).await;
+            println!("         {}: step {step} trained, version {}", self.name, self.version);
+        }
+    }
+
+    fn prompt(&self, step: u64, group: u32) -> String {
+        format!("{}: draft {group} of step {step}", self.name)
+    }
+
+    async fn submit(&self, step: u64) {
+        let groups: Vec<Value> =
+            (0..GROUPS).map(|group| json!({ "prompt": self.prompt(step, group) })).collect();
+        let deadline = catkinmast_model::UnixMs::from_wall_clock().plus(60_000);
+        let body = json!({
+            "deadline_unix_ms": deadline,
+            "groups": groups,
+            "max_tokens": MAX_TOKENS,
+            "seed": self.seed * 1_000 + step,
+        });
+        self.judge.samples_submitted(u64::from(GROUPS * self.group_size));
+        self.clone_for_send()
+            .until_done(reqwest::Method::PUT, &format!("/steps/{step}"), Some(&body))
+            .await;
+    }
+
+    fn clone_for_send(&self) -> Self {
+        Self {
+            fleet: Arc::clone(&self.fleet),
+            group_size: self.group_size,
+            judge: Arc::clone(&self.judge),
+            name: self.name.clone(),
+            rng: self.rng.clone(),
+            seed: self.seed,
+            version: self.version,
+        }
+    }
+
+    /// Fetches, claims and trains on a batch; returns how many samples were trained on, which is
+    /// 0 for a batch that is void.
+    async fn train_batch(&mut self, batch: u64, bound: u64) -> u32 {
+        let waiting_since = Instant::now();
+        let samples = loop {
+            match self.fetch(batch).await {
+                Fetched::Samples(samples) => {
+                    let body = json!({ "at_version": self.version });
+                    let path = format!("/batches/{batch}/claim");
+                    match self.send(reqwest::Method::POST, &path, Some(&body)).await {
+                        Some((200, _)) => break samples,
+                        Some((410, _)) => return 0,
+                        _ => {}
+                    }
+                }
+                Fetched::Void => return 0,
+                Fetched::NotYet => {}
+            }
+            tokio::time::sleep(PAUSE).await;
+        };
+        self.judge.trainer_waited(waiting_since.elapsed());
+        let count = samples.len() as u32;
+        for sample in samples {
+            self.judge.sample_claimed(sample, self.version, bound);
+        }
+        tokio::time::sleep(TRAIN_BATCH).await;
+        self.judge.trainer_trained(TRAIN_BATCH);
+        count
+    }
+
+    async fn fetch(&mut self, batch: u64) -> Fetched {
+        let path = format!("/batches/{batch}?wait_ms=2000");
+        match self.send(reqwest::Method::GET, &path, None).await {
+            Some((200, text)) => match self.read_samples(&text) {
+                Some(samples) => Fetched::Samples(samples),
+                None => Fetched::NotYet,
+            },
+            Some((410, _)) => Fetched::Void,
+            _ => Fetched::NotYet,
+        }
+    }
+
+    /// Reads the lines of a batch; one without its last line is not whole.
+    fn read_samples(&self, text: &str) -> Option<Vec<SampleRecord>> {
+        let mut samples = Vec::new();
+        for line in text.lines() {
+            let line: Value = serde_json::from_str(line).ok()?;
+            match line["kind"].as_str()? {
+                "sample" => {
+                    let step = line["id"]["step"].as_u64()?;
+                    let group = line["id"]["group"].as_u64()? as u32;
+                    let index = line["id"]["index"].as_u64()? as u32;
+                    samples.push(SampleRecord {
+                        attempt: line["attempt"].as_str()?.to_owned(),
+                        group,
+                        index,
+                        prompt: self.prompt(step, group),
+                        seed: (self.seed * 1_000 + step)
+                            .wrapping_mul(1_000_003)
+                            .wrapping_add(u64::from(group) << 16 | u64::from(index)),
+                        segments: serde_json::from_value(line["segments"].clone()).ok()?,
+                        step,
+                        tokens: serde_json::from_value(line["tokens"].clone()).ok()?,
+                        trainer: self.name.clone(),
+                    });
+                }
+                "end" => {
+                    let whole = line["samples"].as_u64() == Some(samples.len() as u64);
+                    return whole.then_some(samples);
+                }
+                _ => {}
+            }
+        }
+        None
+    }
+
+    /// Sends a request again and again until it is done; every trainer's request is idempotent.
+    async fn until_done(&mut self, method: reqwest::Method, path: &str, body: Option<&Value>) {
+        loop {
+            match self.send(method.clone(), path, body).await {
+                Some((status, _)) if (200..300).contains(&status) => return,
+                Some((status, text)) if status == 400 || status == 422 => {
+                    return self.judge.note_broken(format!("{path}: {status}: {text}"));
+                }
+                _ => tokio::time::sleep(PAUSE).await,
+            }
+        }
+    }
+
+    async fn send(
+        &mut self,
+        method: reqwest::Method,
+        path: &str,
+        body: Option<&Value>,
+    ) -> Option<(u16, String)> {
+        let address = self.fleet.any_address(&mut self.rng);
+        let url = format!("http://{address}/v1/trainers/{}{path}", self.name);
+        let mut request = self.fleet.client.request(method, url);
+        if let Some(body) = body {
+            request = request.json(body);
+        }
+        let response = request.send().await.ok()?;
+        let status = response.status().as_u16();
+        Some((status, response.text().await.ok()?))
+    }
+}
+
+enum Fetched {
+    NotYet,
+    Samples(Vec<SampleRecord>),
+    Void,
+}
--- /dev/null
+++ b/crates/member/src/membership.rs
@@ -0,0 +1,539 @@
+//! The failure detector, and how facts travel.
+//!
+//! Every second a node probes one other, in a shuffled order, so each node is probed about once a
+//! second whatever the fleet's size. No answer in half a second brings two indirect probes; none
+//! by the end of the period makes a suspicion, which the suspect can refute by raising its
+//! refutation number. An unrefuted suspicion becomes `Gone`.
+//!
+//! A process that was itself paused or starved must not accuse others: when a tick comes later
+//! than [`LATE_TICK_MS`], outstanding probes are dropped instead of being counted as failures,
+//! and open suspicions get their time again. This is the local-health idea of Lifeguard in its
+//! smallest form.
+
+use crate::board::{BUCKETS, Board, Merge, size_bytes};
+use crate::fact::{Fact, FactKey, NodeFact, NodeState};
+use catkinmast_model::{Name, UnixMs};
+use indexmap::IndexMap;
+use rand::seq::{IndexedRandom, SliceRandom};
+use rand_pcg::Pcg64Mcg;
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// Bytes of facts in one message; with the frame they stay below a datagram.
+const FACTS_BUDGET_BYTES: usize = 1_200;
+/// A tick that comes this late tells of our own pause.
+const LATE_TICK_MS: u64 = 400;
+/// To how many nodes a fresh fact is pushed at once.
+const PUSH_FANOUT: usize = 3;
+/// How long a fact rests before its digest counts in a comparison.
+const SETTLE_MS: u64 = 2_000;
+/// How long a gone node or target is remembered, so that a late message does not bring it back.
+const GONE_KEPT_MS: u64 = 600_000;
+
+/// How the failure detector works.
+#[derive(Clone, Copy, Debug)]
+pub struct MembershipSettings {
+    /// Time between two probes. Default: 1,000.
+    pub probe_every_ms: u64,
+    /// How long a direct probe may take before indirect ones are sent. Default: 400.
+    pub probe_timeout_ms: u64,
+    /// How long a suspect has to refute. Default: 4,000.
+    pub suspicion_ms: u64,
+}
+
+impl Default for MembershipSettings {
+    fn default() -> Self {
+        Self { probe_every_ms: 1_000, probe_timeout_ms: 400, suspicion_ms: 4_000 }
+    }
+}
+
+/// A datagram between nodes.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Message {
+    /// The answer to a probe.
+    Ack {
+        /// Digest of the sender's board.
+        digest: u64,
+        /// Facts to pass on.
+        facts: Vec<Fact>,
+        /// The probe that it answers.
+        sequence: u64,
+    },
+    /// Facts, unasked.
+    Facts {
+        /// The facts.
+        facts: Vec<Fact>,
+    },
+    /// A probe.
+    Ping {
+        /// Digest of the sender's board.
+        digest: u64,
+        /// Facts to pass on.
+        facts: Vec<Fact>,
+        /// Number of the probe.
+        sequence: u64,
+    },
+    /// Asks the receiver to probe a third node.
+    PingFor {
+        /// The node to probe.
+        control: SocketAddr,
+        /// The asker's number of the probe.
+        sequence: u64,
+    },
+    /// Asks for the facts in differing parts of the board.
+    Pull {
+        /// Digests of the asker's parts.
+        buckets: Vec<u64>,
+    },
+}
+
+/// What the failure detector wants done.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Output {
+    /// A fact was taken; the process may have to act on it.
+    Changed(Fact),
+    /// A datagram to send.
+    Send {
+        /// What to send.
+        message: Message,
+        /// Where to.
+        to: SocketAddr,
+    },
+}
+
+#[derive(Clone, Debug)]
+struct Probe {
+    acknowledged: bool,
+    ends_at: UnixMs,
+    indirect: bool,
+    indirect_at: UnixMs,
+    node: Name,
+    sequence: u64,
+}
+
+/// A probe that we make for another node.
+#[derive(Clone, Debug)]
+struct Relay {
+    asker: SocketAddr,
+    asker_sequence: u64,
+    expires_at: UnixMs,
+}
+
+/// A node's view of the fleet.
+#[derive(Clone, Debug)]
+pub struct Membership {
+    board: Board,
+    gone_until: IndexMap<FactKey, UnixMs>,
+    last_tick_at: Option<UnixMs>,
+    me: NodeFact,
+    next_probe_at: UnixMs,
+    order: Vec<Name>,
+    probe: Option<Probe>,
+    pull_after: UnixMs,
+    relays: IndexMap<u64, Relay>,
+    rng: Pcg64Mcg,
+    seeds: Vec<SocketAddr>,
+    sequence: u64,
+    settings: MembershipSettings,
+    suspects: IndexMap<Name, UnixMs>,
+}
+
+impl Membership {
+    /// Opens the view of node `me`, which knows `seeds` to begin with.
+    pub fn open(
+        me: NodeFact,
+        seeds: Vec<SocketAddr>,
+        settings: MembershipSettings,
+        rng: Pcg64Mcg,
+    ) -> Self {
+        let mut board = Board::default();
+        board.merge(Fact::Node(me.clone()), 2);
+        Self {
+            board,
+            gone_until: IndexMap::new(),
+            last_tick_at: None,
+            me,
+            next_probe_at: UnixMs(0),
+            order: Vec::new(),
+            probe: None,
+            pull_after: UnixMs(0),
+            relays: IndexMap::new(),
+            rng,
+            seeds,
+            sequence: 0,
+            settings,
+            suspects: IndexMap::new(),
+        }
+    }
+
+    /// Borrows the board.
+    pub const fn board(&self) -> &Board {
+        &self.board
+    }
+
+    /// Borrows this node's own fact.
+    pub const fn me(&self) -> &NodeFact {
+        &self.me
+    }
+
+    /// Walks through all nodes known, this one included.
+    pub fn nodes(&self) -> impl Iterator<Item = &NodeFact> {
+        self.board.iter().filter_map(|fact| match fact {
+            Fact::Node(node) => Some(node),
+            _ => None,
+        })
+    }
+
+    /// Walks through the other nodes that are not gone.
+    pub fn peers(&self) -> impl Iterator<Item = &NodeFact> {
+        self.nodes().filter(|node| node.name != self.me.name && node.state != NodeState::Gone)
+    }
+
+    /// Adds an address to ask while no peer is known.
+    pub fn add_seed(&mut self, seed: SocketAddr) {
+        if seed != self.me.control && !self.seeds.contains(&seed) {
+            self.seeds.push(seed);
+        }
+    }
+
+    /// Marks this node as leaving; that is told at once and never taken back in this life.
+    pub fn leave(&mut self, now: UnixMs) -> Vec<Output> {
+        self.me.state = NodeState::Leaving;
+        self.observe(now, Fact::Node(self.me.clone()))
+    }
+
+    /// Takes a fact that this node found out itself, and pushes it to some peers at once.
+    pub fn observe(&mut self, now: UnixMs, fact: Fact) -> Vec<Output> {
+        let mut outputs = Vec::new();
+        self.take(now, fact, &mut outputs);
+        self.push_fresh(&mut outputs);
+        outputs
+    }
+
+    /// Does what has become due.
+    pub fn tick(&mut self, now: UnixMs) -> Vec<Output> {
+        let mut outputs = Vec::new();
+        if self.is_late(now) {
+            self.forgive(now);
+        }
+        self.last_tick_at = Some(now);
+        self.check_probe(now, &mut outputs);
+        self.check_suspects(now, &mut outputs);
+        self.forget_gone(now);
+        self.relays.retain(|_, relay| relay.expires_at > now);
+        if now >= self.next_probe_at {
+            self.next_probe_at = now.plus(self.settings.probe_every_ms);
+            self.send_probe(now, &mut outputs);
+        }
+        self.push_fresh(&mut outputs);
+        outputs
+    }
+
+    /// Handles one datagram.
+    pub fn receive(&mut self, now: UnixMs, from: SocketAddr, message: Message) -> Vec<Output> {
+        let mut outputs = Vec::new();
+        match message {
+            Message::Ack { digest, facts, sequence } => {
+                self.take_all(now, facts, &mut outputs);
+                self.acknowledge(sequence, &mut outputs);
+                self.compare(now, from, digest, &mut outputs);
+            }
+            Message::Facts { facts } => self.take_all(now, facts, &mut outputs),
+            Message::Ping { digest, facts, sequence } => {
+                self.take_all(now, facts, &mut outputs);
+                let facts = self.board.take_fresh(FACTS_BUDGET_BYTES, 1);
+                let message = Message::Ack { digest: self.board.digest(), facts, sequence };
+                outputs.push(Output::Send { message, to: from });
+                self.compare(now, from, digest, &mut outputs);
+            }
+            Message::PingFor { control, sequence } => {
+                self.relay(now, from, control, sequence, &mut outputs);
+            }
+            Message::Pull { buckets } => self.answer_pull(from, &buckets, &mut outputs),
+        }
+        self.push_fresh(&mut outputs);
+        outputs
+    }
+
+    fn is_late(&self, now: UnixMs) -> bool {
+        self.last_tick_at.is_some_and(|last| now.since_ms(last) > LATE_TICK_MS)
+    }
+
+    fn forgive(&mut self, now: UnixMs) {
+        self.probe = None;
+        for deadline in self.suspects.values_mut() {
+            *deadline = now.plus(self.settings.suspicion_ms);
+        }
+    }
+
+    fn take_all(&mut self, now: UnixMs, facts: Vec<Fact>, outputs: &mut Vec<Output>) {
+        for fact in facts {
+            self.take(now, fact, outputs);
+        }
+    }
+
+    fn take(&mut self, now: UnixMs, fact: Fact, outputs: &mut Vec<Output>) {
+        if let Fact::Node(node) = &fact
+            && node.name == self.me.name
+            && self.refuted(node)
+        {
+            let mine = Fact::Node(self.me.clone());
+            self.pull_after = now.plus(SETTLE_MS);
+            self.board.merge(mine, self.sends());
+            return;
+        }
+        if self.board.merge(fact.clone(), self.sends()) == Merge::Known {
+            return;
+        }
+        self.pull_after = now.plus(SETTLE_MS);
+        if fact.is_gone() {
+            self.gone_until.insert(fact.key(), now.plus(GONE_KEPT_MS));
+        } else {
+            self.gone_until.swap_remove(&fact.key());
+        }
+        if let Fact::Node(node) = &fact {
+            self.note_node(now, node);
+        }
+        outputs.push(Output::Changed(fact));
+    }
+
+    /// Raises our refutation number when a peer believes worse of us than is true.
+    fn refuted(&mut self, claim: &NodeFact) -> bool {
+        let about_this_life = claim.incarnation == self.me.incarnation;
+        let worse = claim.state > self.me.state && claim.refutation >= self.me.refutation;
+        if about_this_life && worse {
+            self.me.refutation = claim.refutation + 1;
+        }
+        about_this_life && worse
+    }
+
+    fn note_node(&mut self, now: UnixMs, node: &NodeFact) {
+        match node.state {
+            NodeState::Suspect => {
+                let deadline = now.plus(self.settings.suspicion_ms);
+                self.suspects.entry(node.name.clone()).or_insert(deadline);
+            }
+            NodeState::Gone | NodeState::Live | NodeState::Leaving => {
+                self.suspects.swap_remove(&node.name);
+            }
+        }
+    }
+
+    /// How often each node passes a fresh fact on: enough for the fleet's size, and no more.
+    fn sends(&self) -> u8 {
+        let nodes = self.board.len().max(2);
+        (PUSH_FANOUT + nodes.ilog2() as usize / 2) as u8
+    }
+
+    fn node(&self, name: &Name) -> Option<&NodeFact> {
+        match self.board.get(&FactKey::Node(name.clone())) {
+            Some(Fact::Node(node)) => Some(node),
+            _ => None,
+        }
+    }
+
+    fn send_probe(&mut self, now: UnixMs, outputs: &mut Vec<Output>) {
+        if self.order.is_empty() {
+            self.order = self.peers().map(|node| node.name.clone()).collect();
+            self.order.shuffle(&mut self.rng);
+        }
+        let next = self.next_in_order();
+        self.sequence += 1;
+        let sequence = self.sequence;
+        match next {
+            Some((node, to)) => {
+                self.probe = Some(Probe {
+                    acknowledged: false,
+                    ends_at: now.plus(self.settings.probe_every_ms),
+                    indirect: false,
+                    indirect_at: now.plus(self.settings.probe_timeout_ms),
+                    node,
+                    sequence,
+                });
+                self.ping(to, sequence, outputs);
+            }
+            None => {
+                if let Some(seed) = self.seeds.choose(&mut self.rng).copied() {
+                    self.ping(seed, sequence, outputs);
+                }
+            }
+        }
+    }
+
+    fn next_in_order(&mut self) -> Option<(Name, SocketAddr)> {
+        while let Some(name) = self.order.pop() {
+            let found = self.node(&name).filter(|node| node.state != NodeState::Gone);
+            if let Some(control) = found.map(|node| node.control) {
+                return Some((name, control));
+            }
+        }
+        None
+    }
+
+    fn ping(&mut self, to: SocketAddr, sequence: u64, outputs: &mut Vec<Output>) {
+        let mut facts = self.board.take_fresh(FACTS_BUDGET_BYTES, 1);
+        if self.peers().next().is_none() && !facts.iter().any(|fact| self.is_me(fact)) {
+            // A seed that does not know us yet must learn where to answer.
+            facts.push(Fact::Node(self.me.clone()));
+        }
+        let message = Message::Ping { digest: self.board.digest(), facts, sequence };
+        outputs.push(Output::Send { message, to });
+    }
+
+    fn is_me(&self, fact: &Fact) -> bool {
+        matches!(fact, Fact::Node(node) if node.name == self.me.name)
+    }
+
+    fn check_probe(&mut self, now: UnixMs, outputs: &mut Vec<Output>) {
+        let Some(mut probe) = self.probe.take() else { return };
+        if probe.acknowledged {
+            return;
+        }
+        if now >= probe.ends_at {
+            self.suspect(now, &probe.node, outputs);
+            return;
+        }
+        if !probe.indirect && now >= probe.indirect_at {
+            probe.indirect = true;
+            self.probe_indirectly(&probe, outputs);
+        }
+        self.probe = Some(probe);
+    }
+
+    fn probe_indirectly(&mut self, probe: &Probe, outputs: &mut Vec<Output>) {
+        let Some(control) = self.node(&probe.node).map(|node| node.control) else { return };
+        let others: Vec<SocketAddr> = self
+            .peers()
+            .filter(|node| node.name != probe.node && node.state == NodeState::Live)
+            .map(|node| node.control)
+            .collect();
+        for to in others.choose_multiple(&mut self.rng, 2) {
+            let message = Message::PingFor { control, sequence: probe.sequence };
+            outputs.push(Output::Send { message, to: *to });
+        }
+    }
+
+    fn suspect(&mut self, now: UnixMs, name: &Name, outputs: &mut Vec<Output>) {
+        let Some(node) = self.node(name) else { return };
+        // A leaving node that falls silent has left: nothing is waited for.
+        let state = match node.state {
+            NodeState::Live => NodeState::Suspect,
+            NodeState::Leaving => NodeState::Gone,
+            NodeState::Suspect | NodeState::Gone => return,
+        };
+        let suspected = NodeFact { state, ..node.clone() };
+        self.take(now, Fact::Node(suspected), outputs);
+    }
+
+    fn check_suspects(&mut self, now: UnixMs, outputs: &mut Vec<Output>) {
+        let due: Vec<Name> = self
+            .suspects
+            .iter()
+            .filter(|(_, deadline)| **deadline <= now)
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in due {
+            self.suspects.swap_remove(&name);
+            if let Some(node) = self.node(&name) {
+                let gone = NodeFact { state: NodeState::Gone, ..node.clone() };
+                self.take(now, Fact::Node(gone), outputs);
+            }
+        }
+    }
+
+    fn forget_gone(&mut self, now: UnixMs) {
+        let due: Vec<FactKey> = self
+            .gone_until
+            .iter()
+            .filter(|(_, until)| **until <= now)
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in due {
+            self.gone_until.swap_remove(&key);
+            self.board.forget(&key);
+        }
+    }
+
+    fn acknowledge(&mut self, sequence: u64, outputs: &mut Vec<Output>) {
+        if let Some(probe) = &mut self.probe
+            && probe.sequence == sequence
+        {
+            probe.acknowledged = true;
+        }
+        if let Some(relay) = self.relays.swap_remove(&sequence) {
+            let message = Message::Ack {
+                digest: self.board.digest(),
+                facts: Vec::new(),
+                sequence: relay.asker_sequence,
+            };
+            outputs.push(Output::Send { message, to: relay.asker });
+        }
+    }
+
+    fn relay(
+        &mut self,
+        now: UnixMs,
+        asker: SocketAddr,
+        control: SocketAddr,
+        asker_sequence: u64,
+        outputs: &mut Vec<Output>,
+    ) {
+        self.sequence += 1;
+        let expires_at = now.plus(self.settings.probe_every_ms);
+        self.relays.insert(self.sequence, Relay { asker, asker_sequence, expires_at });
+        self.ping(control, self.sequence, outputs);
+    }
+
+    /// Pulls when the boards differ and nothing is on its way that would explain it.
+    fn compare(&mut self, now: UnixMs, from: SocketAddr, digest: u64, outputs: &mut Vec<Output>) {
+        let knows_nobody = self.peers().next().is_none();
+        if digest == self.board.digest() || (now < self.pull_after && !knows_nobody) {
+            return;
+        }
+        self.pull_after = now.plus(SETTLE_MS);
+        let buckets = self.board.buckets().to_vec();
+        outputs.push(Output::Send { message: Message::Pull { buckets }, to: from });
+    }
+
+    fn answer_pull(&self, to: SocketAddr, buckets: &[u64], outputs: &mut Vec<Output>) {
+        if buckets.len() != BUCKETS {
+            return;
+        }
+        let mut facts = Vec::new();
+        let mut spent_bytes = 0;
+        for fact in self.board.differing(buckets) {
+            let size = size_bytes(&fact);
+            if spent_bytes + size > FACTS_BUDGET_BYTES && !facts.is_empty() {
+                let message = Message::Facts { facts: std::mem::take(&mut facts) };
+                outputs.push(Output::Send { message, to });
+                spent_bytes = 0;
+            }
+            spent_bytes += size;
+            facts.push(fact);
+        }
+        if !facts.is_empty() {
+            outputs.push(Output::Send { message: Message::Facts { facts }, to });
+        }
+    }
+
+    fn push_fresh(&mut self, outputs: &mut Vec<Output>) {
+        if !self.board.has_fresh() {
+            return;
+        }
+        let peers: Vec<SocketAddr> = self
+            .peers()
+            .filter(|node| node.state != NodeState::Suspect)
+            .map(|node| node.control)
+            .collect();
+        let receivers: Vec<SocketAddr> =
+            peers.choose_multiple(&mut self.rng, PUSH_FANOUT).copied().collect();
+        if receivers.is_empty() {
+            return;
+        }
+        let facts = self.board.take_fresh(FACTS_BUDGET_BYTES, receivers.len() as u8);
+        for to in receivers {
+            let message = Message::Facts { facts: facts.clone() };
+            outputs.push(Output::Send { message, to });
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/api/generate.rs
@@ -0,0 +1,185 @@
+//! Generation for applications: tokens from an engine chosen by selector, streamed as JSON lines.
+//!
+//! A stream that breaks at its engine goes on at another one from the tokens already sent, so the
+//! caller receives the whole answer. The last line counts the tokens; without it the answer is
+//! not whole, and a caller must treat it so.
+
+use crate::api::answer::{Problem, read_json};
+use crate::api::guard::Asking;
+use crate::auth::Role;
+use crate::edge::calls::{Permit, admit, pick};
+use crate::shared::Shared;
+use catkinmast_config::CallClass;
+use catkinmast_model::{Name, Refusal, Segments, Selector, Verdict, Version};
+use catkinmast_platform::{EngineLine, Engines, GenerateRequest};
+use catkinmast_route::Outcome;
+use futures::StreamExt;
+use rocket::data::Data;
+use rocket::post;
+use rocket::response::stream::TextStream;
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Instant;
+use tokio::sync::mpsc;
+
+/// The largest request body, in bytes.
+const BODY_MAX_BYTES: u64 = 256 * 1024;
+/// Most engines tried for one answer.
+const TRIES_MAX: usize = 4;
+/// The priority of applications at an engine; samples for trainers are below it.
+const CALLER_PRIORITY: u8 = 100;
+/// How long a request waits for a place.
+const ADMISSION_WAIT_MS: u64 = 2_000;
+/// Lines that wait for a slow caller.
+const LINES_WAITING: usize = 64;
+
+/// What a caller asks for.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct GenerateBody {
+    max_tokens: u32,
+    prompt: String,
+    #[serde(default)]
+    seed: u64,
+}
+
+/// One line of the answer.
+#[derive(Debug, Serialize)]
+#[serde(rename_all = "snake_case", tag = "kind")]
+enum Line {
+    Chunk { start: u32, tokens: Vec<u32>, version: Version },
+    End { count: u32, segments: Segments },
+    Refused { message: String, verdict: Verdict },
+}
+
+/// Generates text on an engine of a model.
+#[post("/v1/generate/<model>?<selector>", data = "<data>")]
+pub(crate) async fn generate(
+    asking: Asking,
+    model: &str,
+    selector: Option<&str>,
+    data: Data<'_>,
+) -> Result<TextStream![String], Problem> {
+    let team = asking.as_role(Role::Caller)?;
+    let shared = Arc::clone(&asking.shared);
+    let model: Name =
+        model.parse().map_err(|error| Problem::invalid("model", format!("{error}")))?;
+    let selector: Selector = selector
+        .unwrap_or_default()
+        .parse()
+        .map_err(|error| Problem::invalid("selector", format!("{error}")))?;
+    let body: GenerateBody = read_json(data, BODY_MAX_BYTES).await?;
+    if body.max_tokens == 0 {
+        return Err(Problem::invalid("max_tokens", "is 0; at least 1 is needed"));
+    }
+    let deadline = shared.now().plus(ADMISSION_WAIT_MS);
+    let permit = admit(&shared, &team, CallClass::Lookup, deadline).await?;
+    let (sender, mut lines) = mpsc::channel(LINES_WAITING);
+    tokio::spawn(async move {
+        Generation { model, selector, body, sender, shared, _permit: permit }.run().await;
+    });
+    // The first line decides the status: a refusal before any token is no stream.
+    let first = match lines.recv().await {
+        Some(Line::Refused { message, verdict }) => {
+            let refusal = Refusal { message, retry_at_unix_ms: None, verdict };
+            return Err(refusal.retry_at(asking.shared.now().plus(500)).into());
+        }
+        first => first,
+    };
+    Ok(TextStream! {
+        let mut next = first;
+        while let Some(line) = next {
+            if let Ok(mut text) = serde_json::to_string(&line) {
+                text.push('\n');
+                yield text;
+            }
+            next = lines.recv().await;
+        }
+    })
+}
+
+struct Generation {
+    model: Name,
+    selector: Selector,
+    body: GenerateBody,
+    sender: mpsc::Sender<Line>,
+    shared: Arc<Shared>,
+    _permit: Permit,
+}
+
+/// Why one engine's part of an answer ended before the whole.
+enum Broken {
+    CallerLeft,
+    Engine(String),
+}
+
+impl Generation {
+    async fn run(self) {
+        let mut segments = Segments::default();
+        let mut tried = Vec::new();
+        let mut message = format!("no live engine of model '{}' fits", self.model);
+        while tried.len() < TRIES_MAX {
+            let engines = self.shared.snapshot().engines(&self.model, &self.selector);
+            let Some(flight) = pick(&self.shared, &engines, &tried) else { break };
+            let engine = flight.target().clone();
+            tried.push(engine.clone());
+            let began = Instant::now();
+            match self.stream_from(&engine, &mut segments).await {
+                Ok(()) => {
+                    let latency_us = began.elapsed().as_micros() as u64;
+                    return flight.finish(Outcome::Answered { latency_us });
+                }
+                Err(Broken::CallerLeft) => return,
+                Err(Broken::Engine(why)) => {
+                    flight.finish(Outcome::Failed);
+                    log::info!("engine {engine} broke an answer: {why}");
+                    message = format!("engine {engine}: {why}");
+                }
+            }
+        }
+        let verdict = if tried.is_empty() { Verdict::NotRun } else { Verdict::MayHaveRun };
+        // A caller that has left needs no refusal.
+        let _unheard = self.sender.send(Line::Refused { message, verdict }).await;
+    }
+
+    async fn stream_from(&self, engine: &Name, segments: &mut Segments) -> Result<(), Broken> {
+        let broken = |message: String| Broken::Engine(message);
+        let address = self.shared.snapshot().address(engine);
+        let address = address.ok_or_else(|| broken("it is gone".to_owned()))?;
+        let number = self.shared.next_request.fetch_add(1, Ordering::Relaxed);
+        let request = GenerateRequest {
+            max_tokens: self.body.max_tokens,
+            model: self.model.as_str().to_owned(),
+            priority: CALLER_PRIORITY,
+            prompt: self.body.prompt.clone(),
+            request_id: format!("call/{}/{}/{number}", self.shared.me(), self.shared.incarnation),
+            resume_from: segments.token_count(),
+            seed: self.body.seed,
+        };
+        let opened = self.shared.clients.engines.generate(address, &request).await;
+        let mut lines = opened.map_err(|error| broken(error.to_string()))?;
+        while let Some(line) = lines.next().await {
+            match line.map_err(|error| broken(error.to_string()))? {
+                EngineLine::Chunk { start, tokens, version, .. } => {
+                    if start != segments.token_count() {
+                        return Err(broken(format!("tokens from {start} were not expected")));
+                    }
+                    segments.push(version, tokens.len() as u32);
+                    self.send(Line::Chunk { start, tokens, version }).await?;
+                }
+                EngineLine::End { count, .. } if count == segments.token_count() => {
+                    return self.send(Line::End { count, segments: segments.clone() }).await;
+                }
+                EngineLine::End { count, .. } => {
+                    return Err(broken(format!("{count} tokens were announced")));
+                }
+            }
+        }
+        Err(broken("the stream ended without its end line".to_owned()))
+    }
+
+    async fn send(&self, line: Line) -> Result<(), Broken> {
+        self.sender.send(line).await.map_err(|_closed| Broken::CallerLeft)
+    }
+}
--- /dev/null
+++ b/crates/node/src/api/guard.rs
@@ -0,0 +1,56 @@
+//! Who is asking, found out before a handler runs.
+
+use crate::api::answer::Problem;
+use crate::auth::{Identity, Role};
+use crate::shared::Shared;
+use rocket::Request;
+use rocket::request::{FromRequest, Outcome};
+use std::convert::Infallible;
+use std::sync::Arc;
+
+/// The bearer of the request's token, none when there is no token that we know.
+#[derive(Debug)]
+pub(crate) struct Asking {
+    pub identity: Option<Identity>,
+    pub shared: Arc<Shared>,
+}
+
+#[rocket::async_trait]
+impl<'r> FromRequest<'r> for Asking {
+    type Error = Infallible;
+
+    async fn from_request(request: &'r Request<'_>) -> Outcome<Self, Infallible> {
+        let Some(shared) = request.rocket().state::<Arc<Shared>>() else {
+            return Outcome::Forward(rocket::http::Status::InternalServerError);
+        };
+        let identity = shared.identify(request.headers().get_one("Authorization"));
+        Outcome::Success(Self { identity, shared: Arc::clone(shared) })
+    }
+}
+
+impl Asking {
+    /// Checks that the bearer may act in a role, and returns the bearer's name.
+    pub(crate) fn as_role(&self, role: Role) -> Result<String, Problem> {
+        if self.shared.may(self.identity.as_ref(), role) {
+            let name = self.identity.as_ref().map_or("anybody", |identity| identity.name.as_str());
+            return Ok(name.to_owned());
+        }
+        Err(match &self.identity {
+            None => Problem::with_status(401, "no bearer token that is known here was sent"),
+            Some(identity) => Problem::with_status(
+                403,
+                format!("the token of '{}' is no {role:?} token", identity.name),
+            ),
+        })
+    }
+
+    /// Checks that the bearer is the trainer itself.
+    pub(crate) fn as_trainer(&self, trainer: &str) -> Result<(), Problem> {
+        let name = self.as_role(Role::Trainer)?;
+        if name == trainer || self.shared.is_open() {
+            return Ok(());
+        }
+        let message = format!("the token of trainer '{name}' does not speak for '{trainer}'");
+        Err(Problem::with_status(403, message))
+    }
+}
--- /dev/null
+++ b/crates/node/src/api/operator.rs
@@ -0,0 +1,260 @@
+//! Operators: the configuration, status, drains, and the audit trail.
+
+use crate::api::answer::{Problem, read_json};
+use crate::api::guard::Asking;
+use crate::auth::Role;
+use crate::control::Input;
+use crate::edge::peer::{PeerReply, PeerRequest, ask};
+use crate::edge::publish::{self, ApplyRequest, ApplyResult};
+use crate::edge::store::read_head;
+use crate::shared::Shared;
+use catkinmast_config::{Accepted, Change, diff};
+use catkinmast_member::{NodeFact, OwnerFact, TargetFact};
+use catkinmast_model::{Name, Refusal, UnixMs, Verdict};
+use catkinmast_platform::{Expect, KeyValue};
+use rocket::data::Data;
+use rocket::http::Status;
+use rocket::serde::json::Json;
+use rocket::{get, post, put};
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use tokio::sync::oneshot;
+
+/// The largest request of an operator, in bytes.
+const REQUEST_MAX_BYTES: u64 = 1 << 20;
+/// Entries of the audit trail shown without a number asked for.
+const AUDIT_SHOWN: usize = 100;
+/// How often the writing of an audit entry is tried.
+const AUDIT_TRIES: u32 = 20;
+/// Pause between two tries.
+const AUDIT_PAUSE: Duration = Duration::from_secs(3);
+
+/// The configuration in force at the node that was asked.
+#[derive(Debug, Serialize)]
+pub(crate) struct ConfigView {
+    revision: u64,
+    text: String,
+}
+
+/// Shows the configuration in force here.
+#[get("/v1/config")]
+pub(crate) fn show(asking: Asking) -> Result<Json<ConfigView>, Problem> {
+    asking.as_role(Role::Operator)?;
+    let snapshot = asking.shared.snapshot();
+    let view = snapshot.config.as_ref().map_or_else(
+        || ConfigView { revision: 0, text: String::new() },
+        |config| ConfigView { revision: config.revision.0, text: config.text.clone() },
+    );
+    Ok(Json(view))
+}
+
+/// Puts a configuration in force.
+#[put("/v1/config", data = "<data>")]
+pub(crate) async fn apply(
+    asking: Asking,
+    data: Data<'_>,
+) -> Result<(Status, Json<ApplyResult>), Problem> {
+    let author = asking.as_role(Role::Operator)?;
+    let request: ApplyRequest = read_json(data, REQUEST_MAX_BYTES).await?;
+    if request.operation_id.is_empty() || request.operation_id.len() > 128 {
+        return Err(Problem::invalid("operation_id", "is empty or longer than 128 bytes"));
+    }
+    let result = publish::apply(&asking.shared, &author, &request).await;
+    let (status, outcome, to) = match &result {
+        ApplyResult::Accepted { revision, .. } => (Status::Ok, "accepted", *revision),
+        ApplyResult::Conflict { in_force_revision, .. } => {
+            (Status::Conflict, "conflict", *in_force_revision)
+        }
+        ApplyResult::Faulty { .. } => {
+            (Status::UnprocessableEntity, "faulty", request.base_revision)
+        }
+        ApplyResult::Refused { refusal } if refusal.verdict == Verdict::NotRun => {
+            (Status::ServiceUnavailable, "not_run", request.base_revision)
+        }
+        ApplyResult::Refused { .. } => (Status::BadGateway, "may_have_run", request.base_revision),
+    };
+    let what = format!("config apply, operation {}", request.operation_id);
+    record(
+        &asking.shared,
+        AuditEntry::now(&author, what, outcome).revisions(request.base_revision, to),
+    );
+    Ok((status, Json(result)))
+}
+
+/// Lists the accepted operations, newest last.
+#[get("/v1/config/history")]
+pub(crate) async fn history(asking: Asking) -> Result<Json<Vec<Accepted>>, Problem> {
+    asking.as_role(Role::Operator)?;
+    let head = read_head(&asking.shared).await.map_err(|error| {
+        let refusal = Refusal::not_run(error.to_string());
+        Problem::from(refusal.retry_at(asking.shared.now().plus(1_000)))
+    })?;
+    Ok(Json(head.map_or_else(Vec::new, |(head, _)| head.operations().to_vec())))
+}
+
+/// A document to compare.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct DiffBody {
+    text: String,
+}
+
+/// Compares a document with the configuration in force here.
+#[post("/v1/config/diff", data = "<data>")]
+pub(crate) async fn diff_config(
+    asking: Asking,
+    data: Data<'_>,
+) -> Result<Json<Vec<Change>>, Problem> {
+    asking.as_role(Role::Operator)?;
+    let DiffBody { text } = read_json(data, REQUEST_MAX_BYTES).await?;
+    let snapshot = asking.shared.snapshot();
+    let in_force = snapshot.config.as_ref().map_or("", |config| config.text.as_str());
+    Ok(Json(diff(in_force, &text)))
+}
+
+/// What a node knows.
+#[derive(Debug, Serialize)]
+pub(crate) struct StatusView {
+    config_revision: u64,
+    held_bytes: usize,
+    leaving_until_unix_ms: Option<UnixMs>,
+    node: Name,
+    nodes: Vec<NodeFact>,
+    owners: Vec<OwnerFact>,
+    ready: bool,
+    requests_in_flight: u32,
+    requests_waiting: usize,
+    targets: Vec<TargetFact>,
+}
+
+/// Shows members, targets, owners and load, as this node sees them.
+#[get("/v1/status")]
+pub(crate) fn status(asking: Asking) -> Result<Json<StatusView>, Problem> {
+    asking.as_role(Role::Operator)?;
+    let shared = &asking.shared;
+    let snapshot = shared.snapshot();
+    let (in_flight, waiting) = {
+        let admission = crate::shared::lock(&shared.traffic.admission);
+        (admission.in_flight(), admission.queued())
+    };
+    Ok(Json(StatusView {
+        config_revision: snapshot.config.as_ref().map_or(0, |config| config.revision.0),
+        held_bytes: crate::shared::lock(&shared.holdings).held_bytes(),
+        leaving_until_unix_ms: snapshot.leaving_until,
+        node: shared.me().clone(),
+        nodes: snapshot.nodes.clone(),
+        owners: snapshot.owners.values().cloned().collect(),
+        ready: snapshot.ready,
+        requests_in_flight: in_flight,
+        requests_waiting: waiting,
+        targets: snapshot.targets.values().cloned().collect(),
+    }))
+}
+
+/// Lets a node leave: it serves what it has, and its process ends when it is done.
+#[post("/v1/nodes/<node>/drain")]
+pub(crate) async fn drain_node(asking: Asking, node: &str) -> Result<Status, Problem> {
+    let who = asking.as_role(Role::Operator)?;
+    let shared = &asking.shared;
+    let name: Name = node.parse().map_err(|error| Problem::invalid("node", format!("{error}")))?;
+    if name == *shared.me() {
+        shared.drain_wanted.notify_one();
+    } else {
+        let snapshot = shared.snapshot();
+        let Some(found) = snapshot.node(&name) else {
+            return Err(Problem::with_status(404, format!("node '{node}' is not known")));
+        };
+        match ask(shared, found.control, &PeerRequest::Drain).await {
+            Ok(PeerReply::Done) => {}
+            Ok(_) | Err(_) => {
+                let message = format!("node '{node}' did not answer");
+                return Err(Refusal::may_have_run(message).into());
+            }
+        }
+    }
+    record(shared, AuditEntry::now(&who, format!("drain node {node}"), "accepted"));
+    Ok(Status::Accepted)
+}
+
+/// Lets no new work go to a target, for as long as it keeps its life.
+#[post("/v1/targets/<target>/drain")]
+pub(crate) async fn drain_target(asking: Asking, target: &str) -> Result<Status, Problem> {
+    let who = asking.as_role(Role::Operator)?;
+    let name: Name =
+        target.parse().map_err(|error| Problem::invalid("target", format!("{error}")))?;
+    let (reply, known) = oneshot::channel();
+    asking.shared.tell(Input::DrainTarget { reply, target: name });
+    if known.await != Ok(true) {
+        return Err(Problem::with_status(404, format!("target '{target}' is not known")));
+    }
+    record(&asking.shared, AuditEntry::now(&who, format!("drain target {target}"), "accepted"));
+    Ok(Status::Accepted)
+}
+
+/// One operator's action.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(crate) struct AuditEntry {
+    at_unix_ms: UnixMs,
+    from_revision: Option<u64>,
+    result: String,
+    to_revision: Option<u64>,
+    what: String,
+    who: String,
+}
+
+impl AuditEntry {
+    fn now(who: &str, what: String, result: &str) -> Self {
+        Self {
+            at_unix_ms: UnixMs::from_wall_clock(),
+            from_revision: None,
+            result: result.to_owned(),
+            to_revision: None,
+            what,
+            who: who.to_owned(),
+        }
+    }
+
+    fn revisions(self, from: u64, to: u64) -> Self {
+        Self { from_revision: Some(from), to_revision: Some(to), ..self }
+    }
+}
+
+/// Writes an entry of the audit trail; while the service is away it is tried again, and the log
+/// has it in any case.
+fn record(shared: &Arc<Shared>, entry: AuditEntry) {
+    let shared = Arc::clone(shared);
+    let value = serde_json::to_string(&entry).unwrap_or_default();
+    log::info!("audit: {value}");
+    let number = shared.next_request.fetch_add(1, Ordering::Relaxed);
+    let key = format!("audit/{:014}-{}-{number}", entry.at_unix_ms.0, shared.me());
+    tokio::spawn(async move {
+        for _ in 0..AUDIT_TRIES {
+            shared.metrics.count_kv_call("audit");
+            // The key is ours alone, so writing it twice writes the same.
+            if shared.clients.store.put(&key, &value, Expect::Any, None).await.is_ok() {
+                return;
+            }
+            tokio::time::sleep(AUDIT_PAUSE).await;
+        }
+        log::error!("an audit entry is only in this log: {value}");
+    });
+}
+
+/// Reads the newest entries of the audit trail, oldest first.
+#[get("/v1/audit?<last>")]
+pub(crate) async fn audit(
+    asking: Asking,
+    last: Option<usize>,
+) -> Result<Json<Vec<AuditEntry>>, Problem> {
+    asking.as_role(Role::Operator)?;
+    asking.shared.metrics.count_kv_call("audit");
+    let entries = asking.shared.clients.store.list("audit/").await.map_err(|error| {
+        let refusal = Refusal::not_run(error.to_string());
+        Problem::from(refusal.retry_at(asking.shared.now().plus(1_000)))
+    })?;
+    let surplus = entries.len().saturating_sub(last.unwrap_or(AUDIT_SHOWN));
+    let read = |entry: &catkinmast_platform::Entry| serde_json::from_str(&entry.value).ok();
+    Ok(Json(entries[surplus..].iter().filter_map(read).collect()))
+}
--- /dev/null
+++ b/crates/node/src/api/public.rs
@@ -0,0 +1,72 @@
+//! What needs no token but the right to call: addresses, health, metrics.
+
+use crate::api::answer::Problem;
+use crate::api::guard::Asking;
+use crate::auth::Role;
+use catkinmast_model::{Name, Refusal};
+use catkinmast_route::{AddressAnswer, address_answer};
+use rocket::get;
+use rocket::serde::json::Json;
+
+/// Tells which addresses to use, those of the caller's data centre first.
+#[get("/v1/addresses?<data_centre>")]
+pub(crate) fn addresses(
+    asking: Asking,
+    data_centre: Option<&str>,
+) -> Result<Json<AddressAnswer>, Problem> {
+    if !asking.shared.is_open() && asking.identity.is_none() {
+        asking.as_role(Role::Caller)?;
+    }
+    let snapshot = asking.shared.snapshot();
+    let Some(document) = snapshot.document() else {
+        let retry_at = asking.shared.now().plus(500);
+        return Err(Refusal::not_run("this node knows no configuration yet")
+            .retry_at(retry_at)
+            .into());
+    };
+    let near: Name = match data_centre {
+        Some(text) => {
+            text.parse().map_err(|error| Problem::invalid("data_centre", format!("{error}")))?
+        }
+        None => asking.shared.settings.data_centre.clone(),
+    };
+    let region_of = |name: &Name| document.region(name).cloned();
+    Ok(Json(address_answer(
+        asking.shared.now(),
+        snapshot.nodes.iter(),
+        &near,
+        region_of,
+        document.limits.address_ttl_ms,
+        document.limits.ticket_memory_ms,
+    )))
+}
+
+/// Tells that the process runs.
+#[get("/healthz")]
+pub(crate) const fn healthz() -> &'static str {
+    "ok\n"
+}
+
+/// Tells whether new callers should come here.
+#[get("/readyz")]
+pub(crate) fn readyz(asking: Asking) -> Result<&'static str, Problem> {
+    let snapshot = asking.shared.snapshot();
+    if snapshot.leaving_until.is_some() {
+        return Err(Problem::with_status(503, "this node leaves"));
+    }
+    if !snapshot.ready {
+        return Err(Problem::with_status(
+            503,
+            "the configuration in force is not known for certain",
+        ));
+    }
+    Ok("ready\n")
+}
+
+/// Gives the counters as OpenMetrics text.
+#[get("/metrics")]
+pub(crate) fn metrics(asking: Asking) -> (rocket::http::ContentType, String) {
+    let kind = rocket::http::ContentType::new("application", "openmetrics-text")
+        .with_params([("version", "1.0.0"), ("charset", "utf-8")]);
+    (kind, asking.shared.metrics.text())
+}
--- /dev/null
+++ b/crates/node/src/api/ticket.rs
@@ -0,0 +1,181 @@
+//! Calls with a ticket: run at most once, by the node life that the ticket names.
+
+use crate::api::answer::Problem;
+use crate::api::call::SharedNode;
+use crate::edge::calls::{Answer, AnswerBody, CallRequest, admit, call_service};
+use crate::shared::lock;
+use bytes::Bytes;
+use catkinmast_config::CallClass;
+use catkinmast_model::{Refusal, Verdict};
+use catkinmast_route::{Begin, RecordedAnswer, Ticket};
+use rocket::Request;
+use std::time::Duration;
+
+/// The header in which a caller sends its ticket.
+pub(crate) const TICKET_HEADER: &str = "Catkinmast-Ticket";
+/// Marks a call that another node has passed on, so that it is not passed on again.
+const FORWARDED_HEADER: &str = "Catkinmast-Forwarded";
+/// The longest answer that is recorded for repetitions, in bytes.
+const RECORDED_MAX_BYTES: usize = 64 * 1024;
+/// When to ask again about a call that is running.
+const RUNNING_RETRY_MS: u64 = 200;
+/// How long a passed-on call may take.
+const FORWARD_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Runs a call whose ticket names this life, or passes it to the node that the ticket names.
+pub(crate) async fn call_once(
+    shared: &SharedNode,
+    call: CallRequest<'_>,
+    text: &str,
+    request: &Request<'_>,
+) -> Result<Answer, Problem> {
+    let ticket: Ticket =
+        text.parse().map_err(|error| Problem::invalid(TICKET_HEADER, format!("{error}")))?;
+    if ticket.node == *shared.me() && ticket.incarnation == shared.incarnation {
+        return run_once(shared, call, &ticket).await;
+    }
+    if request.headers().contains(FORWARDED_HEADER) {
+        return Err(Refusal::may_have_run("the ticket names an earlier life of this node").into());
+    }
+    forward(shared, call, &ticket, request).await
+}
+
+async fn run_once(
+    shared: &SharedNode,
+    call: CallRequest<'_>,
+    ticket: &Ticket,
+) -> Result<Answer, Problem> {
+    let retry_at = shared.now().plus(RUNNING_RETRY_MS);
+    let begin = lock(&shared.traffic.tickets).begin(shared.now(), ticket);
+    match begin {
+        Begin::Run => {}
+        Begin::Expired => {
+            let message = "the ticket has expired, so nobody remembers whether its call ran";
+            return Err(Refusal::may_have_run(message).into());
+        }
+        Begin::Full => {
+            let message = "no memory is left to remember one more call";
+            return Err(Refusal::not_run(message).retry_at(retry_at).into());
+        }
+        Begin::Recorded(recorded) => return replay(shared, call.team, recorded).await,
+        Begin::Running => {
+            let message = "the call with this ticket is running; ask again for its answer";
+            return Err(Refusal::may_have_run(message).retry_at(retry_at).into());
+        }
+        Begin::Unsettled => {
+            let message = "the call with this ticket may have run; its answer was lost";
+            return Err(Refusal::may_have_run(message).into());
+        }
+    }
+    let mut guard = TicketGuard { settled: false, shared, ticket };
+    let answer = match call_service(shared, call).await {
+        Ok(answer) => answer,
+        Err(refusal) => {
+            if refusal.verdict == Verdict::NotRun {
+                guard.settled = true;
+                lock(&shared.traffic.tickets).not_run(ticket);
+            }
+            return Err(refusal.into());
+        }
+    };
+    guard.settled = true;
+    lock(&shared.traffic.tickets).answered(ticket, record(&answer));
+    Ok(answer)
+}
+
+/// Marks a ticket as unsettled when its call ends in any way that is not an answer or `NotRun`:
+/// the handler may be dropped in the middle, and a repetition must not run then.
+struct TicketGuard<'a> {
+    settled: bool,
+    shared: &'a SharedNode,
+    ticket: &'a Ticket,
+}
+
+impl Drop for TicketGuard<'_> {
+    fn drop(&mut self) {
+        if !self.settled {
+            lock(&self.shared.traffic.tickets).unsettled(self.ticket);
+        }
+    }
+}
+
+fn record(answer: &Answer) -> RecordedAnswer {
+    let kind = |(name, _): &&(String, String)| name.eq_ignore_ascii_case("content-type");
+    let content_type = answer.headers.iter().find(kind).map(|(_, value)| value.clone());
+    let body = match &answer.body {
+        AnswerBody::Held(bytes) if bytes.len() <= RECORDED_MAX_BYTES => Some(bytes.to_vec()),
+        _ => None,
+    };
+    RecordedAnswer { body, content_type, status: answer.status }
+}
+
+async fn replay(
+    shared: &SharedNode,
+    team: &str,
+    recorded: RecordedAnswer,
+) -> Result<Answer, Problem> {
+    let Some(body) = recorded.body else {
+        let message = "the call ran; its answer was too long to be kept";
+        let refusal =
+            Refusal { message: message.to_owned(), retry_at_unix_ms: None, verdict: Verdict::Ran };
+        return Err(refusal.into());
+    };
+    let deadline = shared.now().plus(1_000);
+    let permit = admit(shared, team, CallClass::Act, deadline).await.map_err(|refusal| {
+        // Only the repetition was refused: the call itself ran.
+        Problem::from(Refusal { verdict: Verdict::Ran, ..refusal })
+    })?;
+    let mut headers = vec![("Catkinmast-Replayed".to_owned(), "true".to_owned())];
+    headers.extend(recorded.content_type.map(|kind| ("Content-Type".to_owned(), kind)));
+    let body = AnswerBody::Held(Bytes::from(body));
+    Ok(Answer { body, headers, permit, status: recorded.status })
+}
+
+/// Passes a call to the node that its ticket names.
+///
+/// Whatever goes wrong on the way is `MayHaveRun`: an earlier sending of the same ticket may have
+/// reached that node, even if this one did not.
+async fn forward(
+    shared: &SharedNode,
+    call: CallRequest<'_>,
+    ticket: &Ticket,
+    request: &Request<'_>,
+) -> Result<Answer, Problem> {
+    let snapshot = shared.snapshot();
+    let retry_at = shared.now().plus(1_000);
+    let node = snapshot.node(&ticket.node);
+    let Some(node) = node.filter(|node| node.incarnation == ticket.incarnation) else {
+        let message = format!("node {} of the ticket is gone in that life", ticket.node);
+        return Err(Refusal::may_have_run(message).into());
+    };
+    let permit = admit(shared, call.team, CallClass::Act, shared.now().plus(2_000)).await?;
+    let url = format!("http://{}{}", node.http, request.uri());
+    let mut sending = shared.clients.once.request(call.method.clone(), url);
+    for (name, value) in &call.headers {
+        let own = ["connection", "content-length", "host", "transfer-encoding"];
+        if !own.contains(&name.to_ascii_lowercase().as_str()) {
+            sending = sending.header(name, value);
+        }
+    }
+    let body = match call.body {
+        crate::edge::calls::CallBody::Held(bytes) => reqwest::Body::from(bytes),
+        crate::edge::calls::CallBody::Streamed(stream) => stream,
+    };
+    let sent = sending.header(FORWARDED_HEADER, "1").body(body).timeout(FORWARD_TIMEOUT);
+    let failed = |error: reqwest::Error| {
+        let message = format!("node {} of the ticket broke off: {error}", ticket.node);
+        Problem::from(Refusal::may_have_run(message).retry_at(retry_at))
+    };
+    let response = sent.send().await.map_err(failed)?;
+    let status = response.status().as_u16();
+    let headers = response
+        .headers()
+        .iter()
+        .filter(|(name, _)| {
+            !["connection", "transfer-encoding", "content-length"].contains(&name.as_str())
+        })
+        .filter_map(|(name, value)| Some((name.to_string(), value.to_str().ok()?.to_owned())))
+        .collect();
+    let body = AnswerBody::Held(response.bytes().await.map_err(failed)?);
+    Ok(Answer { body, headers, permit, status })
+}
--- /dev/null
+++ b/crates/node/src/edge/content.rs
@@ -0,0 +1,76 @@
+//! Moving samples' tokens between nodes: copies, and reads for a trainer.
+
+use crate::edge::holdings::{Content, ContentKey};
+use crate::edge::peer::{PeerReply, PeerRequest, ask};
+use crate::shared::{Shared, lock};
+use catkinmast_member::{NodeFact, NodeState};
+use catkinmast_model::Name;
+use std::net::SocketAddr;
+use xxhash::rank;
+
+/// How many nodes are tried as holders of a copy.
+const HOLDERS_TRIED: usize = 3;
+
+/// Ranks nodes for a key, so that copies spread evenly and nobody has to agree on it.
+mod xxhash {
+    use std::hash::{DefaultHasher, Hash, Hasher};
+
+    pub(super) fn rank(key: &impl Hash, node: &str) -> u64 {
+        let mut hasher = DefaultHasher::new();
+        key.hash(&mut hasher);
+        node.hash(&mut hasher);
+        hasher.finish()
+    }
+}
+
+/// Copies held content to one more node and returns that node.
+///
+/// A node with a data folder and in another data centre is preferred: a copy beside the original
+/// dies with it when a rack or a data centre goes.
+pub(crate) async fn copy_elsewhere(
+    shared: &Shared,
+    key: &ContentKey,
+    avoid: &[Name],
+) -> Option<Name> {
+    let content = lock(&shared.holdings).get(shared.now(), key).cloned()?;
+    let snapshot = shared.snapshot();
+    let home = &shared.settings.data_centre;
+    let mut takers: Vec<&NodeFact> = snapshot
+        .nodes
+        .iter()
+        .filter(|node| {
+            node.state == NodeState::Live
+                && node.name != *shared.me()
+                && !avoid.contains(&node.name)
+        })
+        .collect();
+    takers.sort_by_cached_key(|node| {
+        (node.data_centre == *home, !node.has_data_folder, rank(key, node.name.as_str()))
+    });
+    for taker in takers.into_iter().take(HOLDERS_TRIED) {
+        let request = PeerRequest::Store { content: content.clone(), key: key.clone() };
+        match ask(shared, taker.control, &request).await {
+            Ok(PeerReply::Stored(true)) => return Some(taker.name.clone()),
+            Ok(_) => log::warn!("node {} has no room for a copy of {}", taker.name, key.sample),
+            Err(error) => log::info!("no copy of {} at {}: {error}", key.sample, taker.name),
+        }
+    }
+    None
+}
+
+/// Reads a sample's tokens from whichever holder has them.
+pub(crate) async fn read(shared: &Shared, key: &ContentKey, holders: &[Name]) -> Option<Content> {
+    if let Some(content) = lock(&shared.holdings).get(shared.now(), key) {
+        return Some(content.clone());
+    }
+    let snapshot = shared.snapshot();
+    let addresses: Vec<SocketAddr> =
+        holders.iter().filter_map(|name| snapshot.node(name)).map(|node| node.control).collect();
+    for address in addresses {
+        let request = PeerRequest::Fetch { key: key.clone() };
+        if let Ok(PeerReply::Content(Some(content))) = ask(shared, address, &request).await {
+            return Some(content);
+        }
+    }
+    None
+}
--- /dev/null
+++ b/crates/node/src/edge/peer.rs
@@ -0,0 +1,324 @@
+//! Requests between nodes, over TCP with `postcard` frames.
+//!
+//! One connection for each request: they are few, and a connection that breaks says at once that
+//! its runner or owner is gone. A run's answer is a stream of frames that ends with the run.
+
+use crate::control::Input;
+use crate::edge::holdings::{Content, ContentKey};
+use crate::edge::runner::{RunEvent, RunJob, run_job};
+use crate::shared::{Shared, lock};
+use catkinmast_model::{Name, Refusal, SampleId};
+use catkinmast_rollout::{Attempt, Command, HoldingReport, Reply};
+use catkinmast_wire::{
+    FrameError, LENGTH_BYTES, STREAM_FRAME_MAX_BYTES, SharedKey, announced_length, length_prefix,
+    open, seal,
+};
+use displaydoc::Display;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, oneshot};
+
+/// How long a connection to a peer may take to come about.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long a peer may take to send its request once connected.
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(5);
+/// How long a peer may take to answer anything but a run or a waiting fetch.
+const REPLY_TIMEOUT: Duration = Duration::from_secs(5);
+/// How long a trainer's command may take; a fetch waits up to half of it.
+pub(crate) const COMMAND_TIMEOUT: Duration = Duration::from_secs(20);
+/// How long a runner may be silent; it tells every second that it lives.
+const RUN_SILENCE_MAX: Duration = Duration::from_secs(20);
+/// Frames of a run that wait for a slow owner.
+const RUN_FRAMES_WAITING: usize = 64;
+
+/// What one node asks of another.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(crate) enum PeerRequest {
+    Config { digest: String },
+    ContentLost { attempt: Attempt, sample: SampleId, trainer: Name },
+    CopyTo { avoid: Vec<Name>, key: ContentKey },
+    Drain,
+    Fetch { key: ContentKey },
+    Forget { keys: Vec<ContentKey> },
+    Holdings { trainer: Name },
+    InForce,
+    Run(Box<RunJob>),
+    Store { content: Content, key: ContentKey },
+    Trainer { command: Command, trainer: Name },
+}
+
+/// What the other node answers.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(crate) enum PeerReply {
+    Config(Option<String>),
+    Content(Option<Content>),
+    Copied(Option<Name>),
+    Done,
+    Holdings(Vec<HoldingReport>),
+    InForce(Option<(u64, String)>),
+    Run(RunEvent),
+    Stored(bool),
+    Trainer(Reply),
+}
+
+/// Why a peer could not be asked.
+#[derive(Debug, Display)]
+pub(crate) enum PeerError {
+    /// the peer cannot be reached: {0}
+    Unreachable(std::io::Error),
+    /// the connection to the peer broke: {0}
+    Broken(std::io::Error),
+    /// the peer did not answer in time
+    TimedOut,
+    /// the peer sent something else than a frame of ours: {0}
+    Frame(FrameError),
+    /// the peer answered another question
+    Unexpected,
+}
+
+impl std::error::Error for PeerError {}
+
+pub(crate) async fn write_frame(
+    stream: &mut TcpStream,
+    key: &SharedKey,
+    message: &impl Serialize,
+) -> Result<(), PeerError> {
+    let frame = seal(key, message, STREAM_FRAME_MAX_BYTES).map_err(PeerError::Frame)?;
+    let mut bytes = length_prefix(&frame).to_vec();
+    bytes.extend_from_slice(&frame);
+    stream.write_all(&bytes).await.map_err(PeerError::Broken)
+}
+
+pub(crate) async fn read_frame<M: DeserializeOwned>(
+    stream: &mut TcpStream,
+    key: &SharedKey,
+    timeout: Duration,
+) -> Result<M, PeerError> {
+    let read = async {
+        let mut prefix = [0; LENGTH_BYTES];
+        stream.read_exact(&mut prefix).await.map_err(PeerError::Broken)?;
+        let length = announced_length(prefix).map_err(PeerError::Frame)?;
+        // Memory grows with what arrives, not with what was announced.
+        let mut frame = Vec::new();
+        let mut limited = stream.take(length as u64);
+        limited.read_to_end(&mut frame).await.map_err(PeerError::Broken)?;
+        if frame.len() < length {
+            return Err(PeerError::Broken(std::io::ErrorKind::UnexpectedEof.into()));
+        }
+        open(key, &frame, STREAM_FRAME_MAX_BYTES).map_err(PeerError::Frame)
+    };
+    tokio::time::timeout(timeout, read).await.map_err(|_elapsed| PeerError::TimedOut)?
+}
+
+async fn connect(
+    shared: &Shared,
+    to: SocketAddr,
+    request: &PeerRequest,
+) -> Result<TcpStream, PeerError> {
+    let connecting = TcpStream::connect(to);
+    let mut stream = tokio::time::timeout(CONNECT_TIMEOUT, connecting)
+        .await
+        .map_err(|_elapsed| PeerError::TimedOut)?
+        .map_err(PeerError::Unreachable)?;
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!("no-delay could not be set towards {to}: {error}");
+    }
+    write_frame(&mut stream, &shared.settings.shared_key, request).await?;
+    Ok(stream)
+}
+
+/// Asks a peer one question.
+pub(crate) async fn ask(
+    shared: &Shared,
+    to: SocketAddr,
+    request: &PeerRequest,
+) -> Result<PeerReply, PeerError> {
+    let timeout = match request {
+        PeerRequest::Trainer { .. } => COMMAND_TIMEOUT,
+        _ => REPLY_TIMEOUT,
+    };
+    let mut stream = connect(shared, to, request).await?;
+    read_frame(&mut stream, &shared.settings.shared_key, timeout).await
+}
+
+/// Lets a peer run a sample, and passes its events on until the run ends.
+pub(crate) async fn run_remotely(
+    shared: &Shared,
+    to: SocketAddr,
+    job: RunJob,
+    events: &mpsc::Sender<RunEvent>,
+) -> Result<(), PeerError> {
+    let request = PeerRequest::Run(Box::new(job));
+    let mut stream = connect(shared, to, &request).await?;
+    loop {
+        let key = &shared.settings.shared_key;
+        match read_frame(&mut stream, key, RUN_SILENCE_MAX).await? {
+            PeerReply::Run(event) => {
+                let ends = event.ends_run();
+                if events.send(event).await.is_err() || ends {
+                    return Ok(());
+                }
+            }
+            _ => return Err(PeerError::Unexpected),
+        }
+    }
+}
+
+/// Serves the other nodes until the listener is dropped.
+pub(crate) async fn serve(shared: Arc<Shared>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, from)) => {
+                let shared = Arc::clone(&shared);
+                tokio::spawn(async move {
+                    if let Err(error) = serve_one(&shared, stream).await {
+                        if matches!(error, PeerError::Frame(_)) {
+                            shared.metrics.frames_refused.inc();
+                        }
+                        log::debug!("a request from node address {from} ended: {error}");
+                    }
+                });
+            }
+            Err(error) => {
+                // Out of descriptors, most likely: wait for some to be closed.
+                log::warn!("a connection of a node could not be accepted: {error}");
+                tokio::time::sleep(Duration::from_millis(100)).await;
+            }
+        }
+    }
+}
+
+async fn serve_one(shared: &Arc<Shared>, mut stream: TcpStream) -> Result<(), PeerError> {
+    let key = shared.settings.shared_key.clone();
+    let request = read_frame(&mut stream, &key, REQUEST_TIMEOUT).await?;
+    if let PeerRequest::Run(job) = request {
+        return serve_run(shared, stream, *job).await;
+    }
+    let reply = answer(shared, request).await;
+    write_frame(&mut stream, &key, &reply).await
+}
+
+/// Runs a sample for its owner; when the owner hangs up, the run is dropped and so cancelled.
+async fn serve_run(
+    shared: &Arc<Shared>,
+    mut stream: TcpStream,
+    job: RunJob,
+) -> Result<(), PeerError> {
+    let (sender, mut events) = mpsc::channel(RUN_FRAMES_WAITING);
+    let run = run_job(Arc::clone(shared), job, sender);
+    tokio::pin!(run);
+    let mut over = false;
+    let mut byte = [0; 1];
+    loop {
+        tokio::select! {
+            () = &mut run, if !over => over = true,
+            event = events.recv() => match event {
+                Some(event) => {
+                    let reply = PeerReply::Run(event);
+                    write_frame(&mut stream, &shared.settings.shared_key, &reply).await?;
+                }
+                None => return Ok(()),
+            },
+            read = stream.read(&mut byte) => {
+                // The owner sends nothing more: this is its end of the connection.
+                let reason = read.err().unwrap_or_else(|| std::io::ErrorKind::UnexpectedEof.into());
+                return Err(PeerError::Broken(reason));
+            }
+        }
+    }
+}
+
+async fn answer(shared: &Arc<Shared>, request: PeerRequest) -> PeerReply {
+    let now = shared.now();
+    match request {
+        PeerRequest::Config { digest } => {
+            let snapshot = shared.snapshot();
+            let held = snapshot.config.as_ref().filter(|in_force| {
+                catkinmast_config::Digest::of(&in_force.text).to_string() == digest
+            });
+            PeerReply::Config(held.map(|in_force| in_force.text.clone()))
+        }
+        PeerRequest::ContentLost { attempt, sample, trainer } => {
+            shared.tell(Input::Rollout {
+                event: catkinmast_rollout::Event::ContentLost { attempt, sample },
+                trainer,
+            });
+            PeerReply::Done
+        }
+        PeerRequest::CopyTo { avoid, key } => {
+            PeerReply::Copied(crate::edge::content::copy_elsewhere(shared, &key, &avoid).await)
+        }
+        PeerRequest::Drain => {
+            shared.drain_wanted.notify_one();
+            PeerReply::Done
+        }
+        PeerRequest::Fetch { key } => {
+            PeerReply::Content(lock(&shared.holdings).get(now, &key).cloned())
+        }
+        PeerRequest::Forget { keys } => {
+            let mut holdings = lock(&shared.holdings);
+            keys.iter().for_each(|key| holdings.remove(key));
+            PeerReply::Done
+        }
+        PeerRequest::Holdings { trainer } => {
+            PeerReply::Holdings(lock(&shared.holdings).report(&trainer, shared.me()))
+        }
+        PeerRequest::InForce => {
+            let snapshot = shared.snapshot();
+            let in_force = snapshot.config.as_ref();
+            PeerReply::InForce(in_force.map(|config| (config.revision.0, config.text.clone())))
+        }
+        PeerRequest::Store { content, key } => {
+            PeerReply::Stored(lock(&shared.holdings).store(now, key, content))
+        }
+        PeerRequest::Trainer { command, trainer } => {
+            PeerReply::Trainer(command_here(shared, trainer, command).await)
+        }
+        PeerRequest::Run(_) => PeerReply::Done,
+    }
+}
+
+/// Hands a trainer's command to the control thread of this node.
+pub(crate) async fn command_here(shared: &Shared, trainer: Name, command: Command) -> Reply {
+    let (reply, answered) = oneshot::channel();
+    shared.tell(Input::Command { command, reply, trainer });
+    match tokio::time::timeout(COMMAND_TIMEOUT, answered).await {
+        Ok(Ok(reply)) => reply,
+        _ => Reply::Refused(Refusal::may_have_run("the command was not answered in time")),
+    }
+}
+
+/// Hands a trainer's command to the node that owns the trainer's steps.
+pub(crate) async fn command_owner(shared: &Shared, trainer: &Name, command: Command) -> Reply {
+    let snapshot = shared.snapshot();
+    let retry_at = shared.now().plus(300);
+    let Some(owner) = snapshot.owners.get(trainer) else {
+        let refusal = Refusal::not_run("no node owns the trainer's steps yet");
+        return Reply::Refused(refusal.retry_at(retry_at));
+    };
+    if owner.node == *shared.me() && owner.incarnation == shared.incarnation {
+        return command_here(shared, trainer.clone(), command).await;
+    }
+    let Some(node) = snapshot.node(&owner.node) else {
+        let refusal = Refusal::not_run("the node that owned the trainer's steps is gone");
+        return Reply::Refused(refusal.retry_at(retry_at));
+    };
+    let request = PeerRequest::Trainer { command, trainer: trainer.clone() };
+    match ask(shared, node.control, &request).await {
+        Ok(PeerReply::Trainer(reply)) => reply,
+        Err(PeerError::Unreachable(error)) => {
+            let message = format!("node {} owns the trainer's steps: {error}", owner.node);
+            Reply::Refused(Refusal::not_run(message).retry_at(retry_at))
+        }
+        Ok(_) | Err(_) => {
+            // Every command is idempotent, so the trainer may simply ask again.
+            let message = format!("node {}, which owns the trainer's steps, broke off", owner.node);
+            Reply::Refused(Refusal::may_have_run(message).retry_at(retry_at))
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/edge/publish.rs
@@ -0,0 +1,172 @@
+//! Putting a new configuration in force.
+//!
+//! The body goes under its digest, then the head is changed by compare-and-swap. A lost reply is
+//! settled by reading the head and looking for the operation's own number. The operation either
+//! was accepted once, or was not, or its answer says that it may have been.
+
+use crate::edge::store::{read_body, read_head};
+use crate::shared::Shared;
+use catkinmast_config::{
+    Accepted, Change, Digest, Document, Faults, HEAD_KEY, Head, body_key, diff, merge,
+};
+use catkinmast_model::{Refusal, Revision};
+use catkinmast_platform::{Expect, KeyValue, StoreError};
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+/// How often an unanswered write of the head is looked up before the answer is `MayHaveRun`.
+const LOOK_UPS: u32 = 4;
+/// Pause between two look-ups.
+const LOOK_UP_PAUSE: Duration = Duration::from_millis(300);
+
+/// What an operator asks for.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct ApplyRequest {
+    /// The revision that the document was made from.
+    pub base_revision: u64,
+    /// The operator's own number of this operation; the same number is the same operation.
+    pub operation_id: String,
+    /// Whether edits that do not touch those of others are merged with them.
+    #[serde(default)]
+    pub rebase: bool,
+    /// The document.
+    pub text: String,
+}
+
+/// How it ended.
+#[derive(Clone, Debug, Serialize)]
+#[serde(rename_all = "snake_case", tag = "result")]
+pub(crate) enum ApplyResult {
+    Accepted { from_revision: u64, revision: u64 },
+    Conflict { changes: Vec<Change>, in_force_revision: u64 },
+    Faulty { faults: Faults },
+    Refused { refusal: Refusal },
+}
+
+fn unavailable(error: &StoreError) -> ApplyResult {
+    let refusal = Refusal {
+        message: format!("the configuration cannot be changed now: {error}"),
+        retry_at_unix_ms: Some(catkinmast_model::UnixMs::from_wall_clock().plus(1_000)),
+        verdict: error.verdict(),
+    };
+    ApplyResult::Refused { refusal }
+}
+
+/// Checks a document and puts it in force.
+pub(crate) async fn apply(shared: &Shared, author: &str, request: &ApplyRequest) -> ApplyResult {
+    if let Err(faults) = Document::parse(&request.text) {
+        return ApplyResult::Faulty { faults };
+    }
+    let read = match read_head(shared).await {
+        Ok(read) => read,
+        // Only reads so far: nothing was changed.
+        Err(error) => {
+            let message = error.to_string();
+            let verdict = catkinmast_model::Verdict::NotRun;
+            return unavailable(&StoreError::Unavailable { message, verdict });
+        }
+    };
+    let (head, version) = read.map_or_else(|| (Head::default(), None), |(h, v)| (h, Some(v)));
+    if let Some(found) = head.find(&request.operation_id) {
+        return accepted(found);
+    }
+    let text = match rebased(shared, &head, request).await {
+        Ok(text) => text,
+        Err(result) => return result,
+    };
+    write(shared, author, request, &head, version, &text).await
+}
+
+/// Returns the text to put in force: the request's own, or merged with what came since its base.
+async fn rebased(
+    shared: &Shared,
+    head: &Head,
+    request: &ApplyRequest,
+) -> Result<String, ApplyResult> {
+    let in_force_revision = head.revision().0;
+    if in_force_revision == request.base_revision {
+        return Ok(request.text.clone());
+    }
+    let conflict = |changes| ApplyResult::Conflict { changes, in_force_revision };
+    let of_revision = |revision: Revision| {
+        head.operations().iter().find(|accepted| accepted.revision == revision)
+    };
+    let base = of_revision(Revision(request.base_revision));
+    let (Some(base), Some(current)) = (base, head.in_force()) else {
+        return Err(conflict(Vec::new()));
+    };
+    let base = read_body(shared, base.digest).await;
+    let current = read_body(shared, current.digest).await;
+    let (Some(base), Some(current)) = (base, current) else { return Err(conflict(Vec::new())) };
+    if !request.rebase {
+        return Err(conflict(diff(&base, &current)));
+    }
+    let merged = merge(&base, &request.text, &current).map_err(&conflict)?;
+    match Document::parse(&merged) {
+        Ok(_) => Ok(merged),
+        Err(faults) => Err(ApplyResult::Faulty { faults }),
+    }
+}
+
+async fn write(
+    shared: &Shared,
+    author: &str,
+    request: &ApplyRequest,
+    head: &Head,
+    version: Option<u64>,
+    text: &str,
+) -> ApplyResult {
+    let digest = Digest::of(text);
+    shared.metrics.count_kv_call("config");
+    if let Err(error) = shared.clients.store.put(&body_key(digest), text, Expect::Any, None).await {
+        // A body that no head names changes nothing: the configuration did not change.
+        let message = error.to_string();
+        let verdict = catkinmast_model::Verdict::NotRun;
+        return unavailable(&StoreError::Unavailable { message, verdict });
+    }
+    let next = head.with(digest, author, &request.operation_id, shared.now());
+    let value = serde_json::to_string(&next).unwrap_or_default();
+    let expect = version.map_or(Expect::Absent, Expect::Version);
+    shared.metrics.count_kv_call("config");
+    match shared.clients.store.put(HEAD_KEY, &value, expect, None).await {
+        Ok(version) => {
+            shared.tell(crate::control::Input::Head(Some((next.clone(), version))));
+            next.in_force().map_or_else(|| unsettled(request), accepted)
+        }
+        Err(_) => settle(shared, request, head).await,
+    }
+}
+
+/// Finds out what became of a write of the head that was refused or not answered.
+async fn settle(shared: &Shared, request: &ApplyRequest, before: &Head) -> ApplyResult {
+    for _ in 0..LOOK_UPS {
+        if let Ok(Some((head, version))) = read_head(shared).await {
+            shared.tell(crate::control::Input::Head(Some((head.clone(), version))));
+            if let Some(found) = head.find(&request.operation_id) {
+                return accepted(found);
+            }
+            if head.revision() > before.revision() {
+                let in_force_revision = head.revision().0;
+                return ApplyResult::Conflict { changes: Vec::new(), in_force_revision };
+            }
+        }
+        tokio::time::sleep(LOOK_UP_PAUSE).await;
+    }
+    unsettled(request)
+}
+
+fn accepted(operation: &Accepted) -> ApplyResult {
+    let revision = operation.revision.0;
+    ApplyResult::Accepted { from_revision: revision.saturating_sub(1), revision }
+}
+
+fn unsettled(request: &ApplyRequest) -> ApplyResult {
+    let message = format!(
+        "nobody knows yet whether operation '{}' was accepted; ask again with the same \
+         operation_id, which cannot apply it twice",
+        request.operation_id
+    );
+    let retry_at = catkinmast_model::UnixMs::from_wall_clock().plus(1_000);
+    ApplyResult::Refused { refusal: Refusal::may_have_run(message).retry_at(retry_at) }
+}
--- /dev/null
+++ b/crates/node/src/shared.rs
@@ -0,0 +1,173 @@
+//! What all threads of a node share.
+
+use crate::auth::{Identity, Role};
+use crate::control::Input;
+use crate::edge::holdings::Holdings;
+use crate::metrics::Metrics;
+use crate::settings::Settings;
+use crate::snapshot::Snapshot;
+use arc_swap::ArcSwap;
+use catkinmast_model::{Incarnation, Name, Refusal, UnixMs};
+use catkinmast_platform::{HttpEngines, HttpPlatform};
+use catkinmast_route::{
+    Admission, AdmissionLimits, RetryBudget, TargetSettings, Targets, TicketBook, TicketLimits,
+    WaitId,
+};
+use indexmap::IndexMap;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use std::net::SocketAddr;
+use std::sync::atomic::AtomicU64;
+use std::sync::mpsc::Sender;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::sync::{Notify, oneshot};
+
+/// The adapter through which the platform is reached; another platform is another adapter.
+pub(crate) type Store = HttpPlatform;
+/// The adapter through which engines are reached.
+pub(crate) type EngineClient = HttpEngines;
+
+/// How long a connection to a target may take to come about.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Most bytes of recorded answers to tickets.
+const TICKET_ANSWERS_MAX_BYTES: usize = 8 << 20;
+/// Most tickets remembered.
+const TICKETS_MAX: usize = 100_000;
+
+/// The aggregates on the request path, each behind its own short lock.
+#[derive(Debug)]
+pub(crate) struct Traffic {
+    pub admission: Mutex<Admission>,
+    pub admission_waiting: Mutex<IndexMap<WaitId, oneshot::Sender<Option<Refusal>>>>,
+    pub budget: Mutex<RetryBudget>,
+    pub rng: Mutex<Pcg64Mcg>,
+    pub targets: Mutex<Targets>,
+    pub tickets: Mutex<TicketBook>,
+}
+
+/// Clients of targets.
+#[derive(Debug)]
+pub(crate) struct Clients {
+    pub engines: EngineClient,
+    /// Opens a new connection for each call and never sends anything twice: for calls that may
+    /// not be repeated. A pooled connection can die just as the request is written, and then
+    /// nobody can tell whether the target read it.
+    pub once: reqwest::Client,
+    /// Keeps connections: for calls that may be repeated.
+    pub pooled: reqwest::Client,
+    pub store: Store,
+}
+
+/// What all threads of a node share.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    pub clients: Clients,
+    pub control: SocketAddr,
+    pub drain_wanted: Notify,
+    pub holdings: Mutex<Holdings>,
+    pub incarnation: Incarnation,
+    pub inputs: Sender<Input>,
+    pub metrics: Metrics,
+    pub next_request: AtomicU64,
+    pub settings: Settings,
+    pub snapshot: ArcSwap<Snapshot>,
+    pub traffic: Traffic,
+}
+
+/// Locks a mutex; a panic of another holder leaves data that is still whole here, since every
+/// critical section is a call of one aggregate.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Clients {
+    pub(crate) fn open(platform: SocketAddr) -> Result<Self, String> {
+        let builder = || reqwest::Client::builder().no_proxy().connect_timeout(CONNECT_TIMEOUT);
+        let no_redirect = reqwest::redirect::Policy::none;
+        let once = builder()
+            .pool_max_idle_per_host(0)
+            .retry(reqwest::retry::never())
+            .redirect(no_redirect())
+            .build()
+            .map_err(|error| error.to_string())?;
+        let pooled =
+            builder().redirect(no_redirect()).build().map_err(|error| error.to_string())?;
+        let engines = EngineClient::open().map_err(|error| error.to_string())?;
+        let store = Store::open(platform).map_err(|error| error.to_string())?;
+        Ok(Self { engines, once, pooled, store })
+    }
+}
+
+impl Traffic {
+    pub(crate) fn open(seed: u64) -> Self {
+        let limits = catkinmast_config::Limits::default();
+        Self {
+            admission: Mutex::new(Admission::open(AdmissionLimits {
+                in_flight_max: limits.in_flight_max,
+                queue_max: limits.queue_max,
+            })),
+            admission_waiting: Mutex::default(),
+            budget: Mutex::new(RetryBudget::open(limits.retry_budget_percent)),
+            rng: Mutex::new(Pcg64Mcg::seed_from_u64(seed)),
+            targets: Mutex::new(Targets::open(TargetSettings::default())),
+            tickets: Mutex::new(TicketBook::open(TicketLimits {
+                answers_max_bytes: TICKET_ANSWERS_MAX_BYTES,
+                memory_ms: limits.ticket_memory_ms,
+                tickets_max: TICKETS_MAX,
+            })),
+        }
+    }
+
+    /// Puts a document's limits in force.
+    pub(crate) fn set_limits(&self, document: &catkinmast_config::Document) {
+        let limits = &document.limits;
+        let bounded = |team: &catkinmast_config::Team| {
+            team.in_flight_max.map(|limit| (team.name.as_str().to_owned(), limit))
+        };
+        let teams = document.teams.iter().filter_map(bounded).collect();
+        let admission =
+            AdmissionLimits { in_flight_max: limits.in_flight_max, queue_max: limits.queue_max };
+        lock(&self.admission).set_limits(admission, teams);
+        lock(&self.budget).set_percent(limits.retry_budget_percent);
+    }
+}
+
+impl Shared {
+    pub(crate) fn now(&self) -> UnixMs {
+        UnixMs::from_wall_clock()
+    }
+
+    pub(crate) fn snapshot(&self) -> Arc<Snapshot> {
+        self.snapshot.load_full()
+    }
+
+    pub(crate) fn me(&self) -> &Name {
+        &self.settings.name
+    }
+
+    /// Sends an input to the control thread; one that has stopped needs none.
+    pub(crate) fn tell(&self, input: Input) {
+        if self.inputs.send(input).is_err() {
+            log::debug!("the control thread has stopped; an input was dropped");
+        }
+    }
+
+    /// Finds out whose a bearer token is.
+    pub(crate) fn identify(&self, authorization: Option<&str>) -> Option<Identity> {
+        let secret = authorization.and_then(|value| value.strip_prefix("Bearer "));
+        let found = secret
+            .and_then(|secret| self.settings.tokens.iter().find(|token| token.fits(secret.trim())));
+        found.map(|token| token.identity.clone())
+    }
+
+    /// Tells whether everybody may act in every role.
+    pub(crate) const fn is_open(&self) -> bool {
+        self.settings.open_access
+    }
+
+    /// Tells whether an identity may act in a role.
+    pub(crate) fn may(&self, identity: Option<&Identity>, role: Role) -> bool {
+        self.is_open() || identity.is_some_and(|identity| identity.role == role)
+    }
+}
--- /dev/null
+++ b/crates/rollout/src/batches.rs
@@ -0,0 +1,578 @@
+//! Binding, claiming and voiding batches, and every other change of the ledger.
+//!
+//! A change waits as an [`Intent`] until a write of the ledger that contains it is confirmed;
+//! only then is it answered. One write is in flight at a time, and what arrives meanwhile goes
+//! with the next one, so the rate of writes does not grow with the rate of commands.
+//!
+//! When a reply is lost, the ledger is read: our own `write_id` in it means that the write took
+//! effect; the version we expected means that it did not and may be sent again; anything else
+//! means that another owner has written, and this one is no longer the owner.
+
+use crate::ledger::{BatchRecord, BatchState, BoundSample, Ledger, StepRecord};
+use crate::owner::{Effect, Rollout};
+use crate::sample::{Attempt, SampleState};
+use crate::spec::{BatchView, BoundView, Registration, Reply, invalid};
+use catkinmast_model::{Name, Refusal, SampleId, UnixMs, Version};
+use indexmap::IndexMap;
+
+/// How many bound batches may wait for their claim; one bound too early only grows older.
+const BOUND_AHEAD_MAX: usize = 4;
+/// Time between two tries to settle a write of the ledger.
+const LEDGER_RETRY_MS: u64 = 500;
+
+/// A change of the ledger that waits for its write.
+#[derive(Clone, Debug)]
+pub(crate) enum Intent {
+    AddStep { digest: String, group_size: u32, groups: u32, reply_to: Vec<u64>, step: u64 },
+    Bind { samples: Vec<BoundSample>, step: u64 },
+    Claim { batch: u64, reply_to: u64 },
+    Publish { reply_to: u64, version: Version },
+    Register { registration: Registration, reply_to: u64 },
+    TakeOver,
+    Void { at_version: Version, batch: u64, reply_to: Option<u64> },
+}
+
+/// A write of the ledger that is not confirmed yet.
+#[derive(Clone, Debug)]
+pub(crate) struct Pending {
+    /// Each change with the samples of the batch that it settles.
+    pub intents: Vec<(Intent, Settled)>,
+    pub ledger: Ledger,
+}
+
+/// The samples of a batch that a change settles; the ledger itself soon forgets them.
+pub(crate) type Settled = Vec<(SampleId, Attempt)>;
+
+/// The one writer of the ledger.
+#[derive(Clone, Debug)]
+pub(crate) struct Writer {
+    /// Whether a call of the key-value service is under way.
+    pub busy: bool,
+    pub intents: Vec<Intent>,
+    pub name: String,
+    pub pending: Option<Pending>,
+    pub retry_at: Option<UnixMs>,
+    pub sequence: u64,
+    /// The ledger's version as last confirmed.
+    pub version: Option<u64>,
+}
+
+impl Writer {
+    pub(crate) const fn open(name: String) -> Self {
+        Self {
+            busy: false,
+            intents: Vec::new(),
+            name,
+            pending: None,
+            retry_at: None,
+            sequence: 0,
+            version: None,
+        }
+    }
+
+    /// Tells whether a batch is already about to be settled.
+    fn settles(&self, batch: u64) -> bool {
+        self.waiting().any(|intent| {
+            matches!(intent, Intent::Claim { batch: b, .. } | Intent::Void { batch: b, .. } if *b == batch)
+        })
+    }
+
+    fn binds_waiting(&self) -> usize {
+        self.waiting().filter(|intent| matches!(intent, Intent::Bind { .. })).count()
+    }
+
+    fn waiting(&self) -> impl Iterator<Item = &Intent> {
+        let pending = self.pending.iter().flat_map(|pending| &pending.intents);
+        self.intents.iter().chain(pending.map(|(intent, _)| intent))
+    }
+}
+
+impl Rollout {
+    /// Writes the waiting changes, if no write is in flight and the lease is held.
+    pub(crate) fn flush(&mut self, _now: UnixMs) {
+        let Some(fence) = self.fence else { return };
+        let idle = !self.writer.busy && self.writer.pending.is_none();
+        if !idle || self.writer.intents.is_empty() {
+            return;
+        }
+        let intents = std::mem::take(&mut self.writer.intents);
+        let mut ledger = self.ledger.clone();
+        let mut applied = Vec::new();
+        for intent in intents {
+            let settled = settled_by(&ledger, &intent);
+            apply(&mut ledger, &intent);
+            applied.push((intent, settled));
+        }
+        self.writer.sequence += 1;
+        ledger.fence = fence;
+        ledger.write_id = format!("{}/{}", self.writer.name, self.writer.sequence);
+        self.writer.pending = Some(Pending { intents: applied, ledger });
+        self.send_pending();
+    }
+
+    pub(crate) fn send_pending(&mut self) {
+        let Some(pending) = &self.writer.pending else { return };
+        self.writer.busy = true;
+        let ledger = Box::new(pending.ledger.clone());
+        self.effects.push(Effect::WriteLedger { expect: self.writer.version, ledger });
+    }
+
+    pub(crate) fn ledger_written(&mut self, now: UnixMs, version: u64) {
+        self.writer.busy = false;
+        self.writer.retry_at = None;
+        self.writer.version = Some(version);
+        if let Some(pending) = self.writer.pending.take() {
+            self.ledger = pending.ledger;
+            for (intent, settled) in pending.intents {
+                self.committed(now, intent, &settled);
+            }
+        }
+    }
+
+    /// A lost reply or a conflict: what happened is read from the ledger itself.
+    pub(crate) fn ledger_unsettled(&mut self, now: UnixMs) {
+        self.writer.busy = false;
+        self.writer.retry_at = Some(now.plus(LEDGER_RETRY_MS));
+    }
+
+    pub(crate) fn retry_ledger(&mut self, now: UnixMs) {
+        let due = self.writer.retry_at.is_some_and(|at| at <= now);
+        if due && !self.writer.busy {
+            self.writer.retry_at = None;
+            self.writer.busy = true;
+            self.effects.push(Effect::ReadLedger);
+        }
+    }
+
+    /// Answers what a confirmed change was asked for by.
+    fn committed(&mut self, now: UnixMs, intent: Intent, settled: &[(SampleId, Attempt)]) {
+        match intent {
+            Intent::AddStep { group_size, groups, reply_to, step, .. } => {
+                self.add_samples(step, groups, group_size);
+                for receiver in reply_to {
+                    self.reply(receiver, Reply::Accepted { step });
+                }
+            }
+            Intent::Bind { .. } => self.answer_waiting(now),
+            Intent::Claim { batch, reply_to } => {
+                self.claimed(settled);
+                self.reply(reply_to, Reply::Claimed { batch });
+            }
+            Intent::Publish { reply_to, version } => {
+                self.reply(reply_to, Reply::Published { version });
+                self.drop_aged();
+            }
+            Intent::Register { registration, reply_to } => {
+                self.reply(reply_to, Reply::Registered(registration));
+            }
+            Intent::TakeOver => self.taken_over(now),
+            Intent::Void { batch, reply_to, .. } => {
+                self.voided(settled);
+                if let Some(receiver) = reply_to {
+                    self.reply(receiver, Reply::Void { batch });
+                }
+                self.answer_waiting(now);
+            }
+        }
+    }
+
+    pub(crate) fn register(&mut self, now: UnixMs, reply_to: u64, registration: Registration) {
+        if let Err(error) = registration.check() {
+            return self.reply(reply_to, Reply::Invalid(error));
+        }
+        if self.registration() == Some(&registration) {
+            return self.reply(reply_to, Reply::Registered(registration));
+        }
+        if !self.refuse_unless_held(now, reply_to) {
+            self.writer.intents.push(Intent::Register { registration, reply_to });
+        }
+    }
+
+    pub(crate) fn publish(&mut self, now: UnixMs, reply_to: u64, version: Version) {
+        if version <= self.ledger.trainer_version {
+            let version = self.ledger.trainer_version;
+            return self.reply(reply_to, Reply::Published { version });
+        }
+        if !self.refuse_unless_held(now, reply_to) {
+            self.writer.intents.push(Intent::Publish { reply_to, version });
+        }
+    }
+
+    pub(crate) fn step_stored(&mut self, now: UnixMs, step: u64, stored: bool) {
+        let Some(submission) = self.submitted.shift_remove(&step) else { return };
+        let registration = self.registration().map(|registration| registration.group_size);
+        let (true, Some(group_size)) = (stored, registration) else {
+            let refusal = Refusal::not_run("the step could not be stored");
+            let refusal = refusal.retry_at(now.plus(LEDGER_RETRY_MS));
+            for receiver in submission.reply_to {
+                self.reply(receiver, Reply::Refused(refusal.clone()));
+            }
+            return;
+        };
+        let groups = submission.spec.groups.len() as u32;
+        self.specs.insert(step, submission.spec);
+        let (digest, reply_to) = (submission.digest, submission.reply_to);
+        self.writer.intents.push(Intent::AddStep { digest, group_size, groups, reply_to, step });
+    }
+
+    /// Binds the next batch as soon as enough whole groups of the oldest step are safe.
+    pub(crate) fn bind_ready(&mut self, _now: UnixMs) {
+        if self.fence.is_none() {
+            return;
+        }
+        loop {
+            let bound = self.ledger.bound_batches() + self.writer.binds_waiting();
+            if bound >= BOUND_AHEAD_MAX {
+                return;
+            }
+            let Some((step, samples)) = self.next_batch() else { return };
+            for BoundSample(group, index, _) in &samples {
+                let id = SampleId { step, group: *group, index: *index };
+                if let Some(sample) = self.samples.get_mut(&id) {
+                    sample.state = SampleState::Bound;
+                }
+            }
+            self.writer.intents.push(Intent::Bind { samples, step });
+        }
+    }
+
+    /// Steps are bound in their order; a later one waits until the earlier is bound whole.
+    fn next_batch(&mut self) -> Option<(u64, Vec<BoundSample>)> {
+        let batch_samples = self.registration()?.batch_samples;
+        let open: Vec<(u64, u32)> =
+            self.ledger.open_steps().map(|(step, record)| (step, record.group_size)).collect();
+        for (step, group_size) in open {
+            let groups = self.unbound_groups(step);
+            if groups.is_empty() {
+                continue;
+            }
+            let wanted = ((batch_samples / group_size.max(1)).max(1) as usize).min(groups.len());
+            let ready: Vec<u32> =
+                groups.iter().filter(|(_, ready)| **ready).map(|(group, _)| *group).collect();
+            if ready.len() < wanted {
+                return None;
+            }
+            let samples = self.bound_samples(step, &ready[..wanted]);
+            return Some((step, samples));
+        }
+        None
+    }
+
+    /// Returns the step's groups that are in no batch, and whether all of a group is safe.
+    fn unbound_groups(&self, step: u64) -> IndexMap<u32, bool> {
+        let mut groups = IndexMap::new();
+        for sample in self.samples.values().filter(|sample| sample.id.step == step) {
+            if matches!(sample.state, SampleState::Bound | SampleState::Claimed) {
+                continue;
+            }
+            let ready = groups.entry(sample.id.group).or_insert(true);
+            *ready &= sample.state == SampleState::Safe;
+        }
+        groups
+    }
+
+    fn bound_samples(&self, step: u64, groups: &[u32]) -> Vec<BoundSample> {
+        let of_groups =
+            self.samples.values().filter(|s| s.id.step == step && groups.contains(&s.id.group));
+        of_groups
+            .filter_map(|sample| {
+                let (attempt, _) = sample.finished.as_ref()?;
+                Some(BoundSample(sample.id.group, sample.id.index, *attempt))
+            })
+            .collect()
+    }
+
+    pub(crate) fn fetch(&mut self, now: UnixMs, reply_to: u64, batch: u64, until: UnixMs) {
+        if batch == 0 {
+            return self.reply(reply_to, invalid("batch", "is 0; batches count from 1"));
+        }
+        if let Some(reply) = self.batch_reply(batch) {
+            return self.reply(reply_to, reply);
+        }
+        if until <= now {
+            return self.reply(reply_to, Reply::NotYet { retry_at: now.plus(LEDGER_RETRY_MS) });
+        }
+        self.waiting.push(crate::owner::Waiter { batch, reply_to, until });
+    }
+
+    /// Returns what can be said of a batch, none while its number is not bound.
+    fn batch_reply(&self, batch: u64) -> Option<Reply> {
+        if batch >= self.ledger.next_batch {
+            return None;
+        }
+        let Some(record) = self.ledger.batches.get(&batch) else {
+            return Some(Reply::Refused(Refusal::not_run(format!(
+                "batch {batch} was settled long ago and is no longer held"
+            ))));
+        };
+        if record.state == BatchState::Void {
+            return Some(Reply::Void { batch });
+        }
+        let step = record.step;
+        let views: Option<Vec<BoundView>> =
+            record.samples.iter().map(|bound| self.bound_view(step, *bound)).collect();
+        match views.filter(|views| !views.is_empty()) {
+            Some(samples) => Some(Reply::Batch(BatchView { batch, samples, step })),
+            None => Some(Reply::Refused(Refusal::not_run(format!(
+                "batch {batch} was claimed before, and its content is no longer held"
+            )))),
+        }
+    }
+
+    fn bound_view(&self, step: u64, bound: BoundSample) -> Option<BoundView> {
+        let BoundSample(group, index, attempt) = bound;
+        let id = SampleId { step, group, index };
+        let (held, finished) = self.samples.get(&id)?.finished.as_ref()?;
+        (*held == attempt).then(|| BoundView { attempt, finished: finished.clone(), id })
+    }
+
+    fn answer_waiting(&mut self, _now: UnixMs) {
+        for waiter in std::mem::take(&mut self.waiting) {
+            match self.batch_reply(waiter.batch) {
+                Some(reply) => self.reply(waiter.reply_to, reply),
+                None => self.waiting.push(waiter),
+            }
+        }
+    }
+
+    /// A claim is the right to use a batch; a batch that aged beyond the bound is refused here,
+    /// at the last moment before its use, whatever was true when it was made.
+    pub(crate) fn claim(&mut self, now: UnixMs, reply_to: u64, batch: u64, at_version: Version) {
+        let Some(record) = self.ledger.batches.get(&batch) else {
+            let message = format!("{batch} is not bound");
+            return self.reply(reply_to, invalid("batch", message));
+        };
+        match record.state {
+            BatchState::Claimed => return self.reply(reply_to, Reply::Claimed { batch }),
+            BatchState::Void => return self.reply(reply_to, Reply::Void { batch }),
+            BatchState::Bound => {}
+        }
+        if self.refuse_unless_held(now, reply_to) {
+            return;
+        }
+        let current = self.ledger.trainer_version.max(at_version);
+        let intent = if self.is_aged(batch, current) {
+            Intent::Void { at_version, batch, reply_to: Some(reply_to) }
+        } else {
+            Intent::Claim { batch, reply_to }
+        };
+        self.writer.intents.push(intent);
+    }
+
+    fn bound_ids(&self, batch: u64) -> Settled {
+        self.ledger.batches.get(&batch).map_or_else(Vec::new, BatchRecord::ids)
+    }
+
+    /// Tells whether the batch holds a sample over the trainer's bound, or one that is gone.
+    fn is_aged(&self, batch: u64, current: Version) -> bool {
+        let bound = self.registration().map_or(0, |r| r.staleness_bound_versions);
+        self.bound_ids(batch).iter().any(|(id, _)| {
+            self.samples.get(id).is_none_or(|sample| sample.age_versions(current) > bound)
+        })
+    }
+
+    /// A new version makes some samples too old: those start over before a batch is made of them.
+    fn drop_aged(&mut self) {
+        let current = self.ledger.trainer_version;
+        let Some(bound) = self.registration().map(|r| r.staleness_bound_versions) else { return };
+        let aged_batches: Vec<u64> = self
+            .ledger
+            .batches
+            .iter()
+            .filter(|(_, record)| record.state == BatchState::Bound)
+            .map(|(number, _)| *number)
+            .filter(|number| !self.writer.settles(*number) && self.is_aged(*number, current))
+            .collect();
+        for batch in aged_batches {
+            self.void(batch);
+        }
+        let ids: Vec<SampleId> = self.samples.keys().copied().collect();
+        for id in ids {
+            self.drop_if_aged(id, current, bound);
+        }
+    }
+
+    fn drop_if_aged(&mut self, id: SampleId, current: Version, bound: u64) {
+        let Some(sample) = self.samples.get(&id) else { return };
+        match sample.state {
+            SampleState::Safe if sample.age_versions(current) > bound => self.start_over(id),
+            SampleState::Running => {
+                let aged: Vec<Attempt> = sample
+                    .runs
+                    .iter()
+                    .filter(|(_, run)| !self.fits_bound(id, &run.segments))
+                    .map(|(attempt, _)| *attempt)
+                    .collect();
+                for attempt in aged {
+                    self.give_up_aged_run(id, attempt);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn give_up_aged_run(&mut self, id: SampleId, attempt: Attempt) {
+        let Some(sample) = self.samples.get_mut(&id) else { return };
+        let Some(run) = sample.runs.shift_remove(&attempt) else { return };
+        if sample.runs.is_empty() {
+            sample.state = SampleState::Queued;
+        }
+        self.give_up_run(id, attempt, &run);
+    }
+
+    /// Makes a sample again from nothing.
+    pub(crate) fn start_over(&mut self, id: SampleId) {
+        self.cancel_runs(id);
+        let Some(sample) = self.samples.get_mut(&id) else { return };
+        let held = sample.finished.as_ref().map(|(attempt, _)| *attempt);
+        self.tokens_wasted += sample.start_over();
+        if let Some(attempt) = held {
+            self.effects.push(Effect::Forget { samples: vec![(id, attempt)] });
+        }
+    }
+
+    fn claimed(&mut self, settled: &[(SampleId, Attempt)]) {
+        for (id, _) in settled {
+            if let Some(sample) = self.samples.get_mut(id) {
+                sample.state = SampleState::Claimed;
+            }
+        }
+        self.forget_settled();
+    }
+
+    fn voided(&mut self, settled: &[(SampleId, Attempt)]) {
+        let current = self.ledger.trainer_version;
+        let bound = self.registration().map_or(0, |r| r.staleness_bound_versions);
+        for (id, _) in settled {
+            let Some(sample) = self.samples.get_mut(id) else { continue };
+            if sample.state != SampleState::Bound {
+                continue;
+            }
+            sample.state = SampleState::Safe;
+            if sample.finished.is_none() || sample.age_versions(current) > bound {
+                self.start_over(*id);
+            }
+        }
+        self.forget_settled();
+    }
+
+    /// Drops claimed samples whose batch the ledger no longer lists, and finished steps.
+    fn forget_settled(&mut self) {
+        let listed: indexmap::IndexSet<SampleId> = self
+            .ledger
+            .batches
+            .keys()
+            .flat_map(|number| self.bound_ids(*number))
+            .map(|(id, _)| id)
+            .collect();
+        let dropped: Vec<SampleId> = self
+            .samples
+            .values()
+            .filter(|s| s.state == SampleState::Claimed && !listed.contains(&s.id))
+            .map(|sample| sample.id)
+            .collect();
+        let mut forgotten = Vec::new();
+        for id in dropped {
+            if let Some((attempt, _)) = self.samples.shift_remove(&id).and_then(|s| s.finished) {
+                forgotten.push((id, attempt));
+            }
+        }
+        if !forgotten.is_empty() {
+            self.effects.push(Effect::Forget { samples: forgotten });
+        }
+        let done: Vec<u64> =
+            self.specs.keys().copied().filter(|step| self.steps_ahead(*step).is_none()).collect();
+        for step in done {
+            if self.ledger.steps.contains_key(&step) {
+                self.specs.shift_remove(&step);
+                self.lengths.forget_step(step);
+            }
+        }
+    }
+
+    pub(crate) fn content_lost(&mut self, id: SampleId, attempt: Attempt) {
+        let Some(sample) = self.samples.get_mut(&id) else { return };
+        if sample.finished.as_ref().is_none_or(|(held, _)| *held != attempt) {
+            return;
+        }
+        match sample.state {
+            SampleState::Safe => self.start_over(id),
+            SampleState::Bound => {
+                sample.finished = None;
+                self.void_batch_of(id);
+            }
+            _ => {}
+        }
+    }
+
+    fn void_batch_of(&mut self, id: SampleId) {
+        let bound = self.ledger.batches.iter().filter(|(_, r)| r.state == BatchState::Bound);
+        let numbers: Vec<u64> = bound.map(|(number, _)| *number).collect();
+        for batch in numbers {
+            let holds = self.bound_ids(batch).iter().any(|(held, _)| *held == id);
+            if holds && !self.writer.settles(batch) {
+                self.void(batch);
+            }
+        }
+    }
+
+    pub(crate) fn void(&mut self, batch: u64) {
+        let at_version = self.ledger.trainer_version;
+        self.writer.intents.push(Intent::Void { at_version, batch, reply_to: None });
+    }
+
+    pub(crate) fn copied(&mut self, id: SampleId, attempt: Attempt, holder: Option<Name>) {
+        self.copying.shift_remove(&id);
+        if holder.is_none() {
+            self.recopy.push(id);
+        }
+        let Some(sample) = self.samples.get_mut(&id) else { return };
+        if let (Some((held, finished)), Some(holder)) = (&mut sample.finished, holder)
+            && *held == attempt
+            && !finished.holders.contains(&holder)
+        {
+            finished.holders.push(holder);
+        }
+    }
+}
+
+fn apply(ledger: &mut Ledger, intent: &Intent) {
+    match intent {
+        Intent::AddStep { digest, group_size, groups, step, .. } => {
+            let record = StepRecord {
+                claimed: crate::ledger::ClaimedSet::default(),
+                digest: digest.clone(),
+                group_size: *group_size,
+                groups: *groups,
+            };
+            ledger.steps.entry(*step).or_insert(record);
+        }
+        Intent::Bind { samples, step } => {
+            ledger.bind(*step, samples.clone());
+        }
+        Intent::Claim { batch, .. } => {
+            ledger.claim(*batch);
+        }
+        Intent::Publish { version, .. } => {
+            ledger.trainer_version = ledger.trainer_version.max(*version);
+        }
+        Intent::Register { registration, .. } => {
+            ledger.registration = Some(registration.clone());
+        }
+        Intent::TakeOver => {}
+        Intent::Void { at_version, batch, .. } => {
+            // A trainer that claims at a version has published it, even if we never heard so.
+            ledger.trainer_version = ledger.trainer_version.max(*at_version);
+            ledger.void(*batch);
+        }
+    }
+}
+
+fn settled_by(ledger: &Ledger, intent: &Intent) -> Settled {
+    match intent {
+        Intent::Claim { batch, .. } | Intent::Void { batch, .. } => {
+            ledger.batches.get(batch).map_or_else(Vec::new, BatchRecord::ids)
+        }
+        _ => Vec::new(),
+    }
+}
--- /dev/null
+++ b/crates/route/src/admission.rs
@@ -0,0 +1,212 @@
+//! Admission: who is served now, who waits, who is refused.
+//!
+//! A node serves a bounded number of requests at once. When it is full, requests wait in a
+//! bounded queue, the most urgent class first and the earliest deadline first within a class. A
+//! request that would miss its deadline in the queue is refused on arrival, and a less urgent one
+//! makes room for a more urgent one. Every refusal happens before a byte went to a target, so
+//! `NotRun` is true, and it comes at once with the time to come back.
+
+use catkinmast_config::CallClass;
+use catkinmast_model::{Refusal, UnixMs};
+use indexmap::IndexMap;
+
+/// The share of a new sample in the mean service time, as one part in this many.
+const MEAN_WEIGHT: u64 = 16;
+/// The shortest time after which a refused caller is asked back.
+const RETRY_FLOOR_MS: u64 = 50;
+
+/// Names a request that waits.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub struct WaitId(u64);
+
+/// Bounds of a node's admission.
+#[derive(Clone, Copy, Debug)]
+pub struct AdmissionLimits {
+    /// Requests served at once.
+    pub in_flight_max: u32,
+    /// Requests that wait.
+    pub queue_max: u32,
+}
+
+/// What happens to a request that arrives.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Admitted {
+    /// It is served now.
+    Now,
+    /// It is given up on.
+    Refused(Refusal),
+    /// It waits.
+    Waiting(WaitId),
+}
+
+/// What becomes of requests that waited.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Released {
+    /// They are served now.
+    pub admitted: Vec<WaitId>,
+    /// They are given up on.
+    pub refused: Vec<(WaitId, Refusal)>,
+}
+
+#[derive(Clone, Debug)]
+struct Waiting {
+    class: CallClass,
+    deadline: UnixMs,
+    id: WaitId,
+    team: String,
+}
+
+/// The admission of one node.
+#[derive(Clone, Debug)]
+pub struct Admission {
+    in_flight: u32,
+    limits: AdmissionLimits,
+    mean_service_us: u64,
+    next_id: u64,
+    queue: Vec<Waiting>,
+    team_in_flight: IndexMap<String, u32>,
+    team_limits: IndexMap<String, u32>,
+}
+
+impl Admission {
+    /// Opens an admission that nothing occupies.
+    pub fn open(limits: AdmissionLimits) -> Self {
+        Self {
+            in_flight: 0,
+            limits,
+            mean_service_us: 1_000,
+            next_id: 0,
+            queue: Vec::new(),
+            team_in_flight: IndexMap::new(),
+            team_limits: IndexMap::new(),
+        }
+    }
+
+    /// Puts new limits in force; requests already admitted stay.
+    pub fn set_limits(&mut self, limits: AdmissionLimits, teams: IndexMap<String, u32>) {
+        self.limits = limits;
+        self.team_limits = teams;
+    }
+
+    /// Returns how many requests are being served.
+    pub const fn in_flight(&self) -> u32 {
+        self.in_flight
+    }
+
+    /// Returns how many requests wait.
+    pub fn queued(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Decides on a request that arrives; a displaced one is returned beside the decision.
+    pub fn arrive(
+        &mut self,
+        now: UnixMs,
+        team: &str,
+        class: CallClass,
+        deadline: UnixMs,
+    ) -> (Admitted, Released) {
+        let mut released = Released::default();
+        if self.team_is_full(team) {
+            let message = format!("team '{team}' has as many requests in flight as it may");
+            return (Admitted::Refused(self.refusal(now, message, 1)), released);
+        }
+        if self.in_flight < self.limits.in_flight_max && self.queue.is_empty() {
+            self.occupy(team);
+            return (Admitted::Now, released);
+        }
+        let ahead = self.queue.iter().filter(|waiting| waiting.class <= class).count() as u64;
+        if now.plus(self.expected_wait_ms(ahead + 1)) > deadline {
+            let message = "the node is full: the request would miss its deadline in the queue";
+            return (Admitted::Refused(self.refusal(now, message, ahead + 1)), released);
+        }
+        if self.queue.len() as u64 >= u64::from(self.limits.queue_max) {
+            match self.displace(now, class) {
+                Some(displaced) => released.refused.push(displaced),
+                None => {
+                    let refusal = self.refusal(now, "the node's queue is full", ahead + 1);
+                    return (Admitted::Refused(refusal), released);
+                }
+            }
+        }
+        (Admitted::Waiting(self.enqueue(team, class, deadline)), released)
+    }
+
+    /// Counts a request as done after `service_us`, and lets waiting ones in.
+    pub fn finish(&mut self, now: UnixMs, team: &str, service_us: u64) -> Released {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        if let Some(count) = self.team_in_flight.get_mut(team) {
+            *count = count.saturating_sub(1);
+        }
+        let mean = self.mean_service_us * (MEAN_WEIGHT - 1) + service_us;
+        self.mean_service_us = (mean / MEAN_WEIGHT).max(1);
+        self.admit_waiting(now)
+    }
+
+    /// Gives up on a request whose caller has gone while it waited.
+    pub fn abandon(&mut self, id: WaitId) {
+        self.queue.retain(|waiting| waiting.id != id);
+    }
+
+    fn admit_waiting(&mut self, now: UnixMs) -> Released {
+        let mut released = self.expire(now);
+        while self.in_flight < self.limits.in_flight_max {
+            let next = self.queue.iter().position(|waiting| !self.team_is_full(&waiting.team));
+            let Some(place) = next else { break };
+            let waiting = self.queue.remove(place);
+            self.occupy(&waiting.team);
+            released.admitted.push(waiting.id);
+        }
+        released
+    }
+
+    /// Refuses what waited past its deadline.
+    pub fn expire(&mut self, now: UnixMs) -> Released {
+        let (late, kept): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.queue).into_iter().partition(|w| w.deadline <= now);
+        self.queue = kept;
+        let message = "the request waited past its deadline";
+        let refused = late.into_iter().map(|w| (w.id, self.refusal(now, message, 1))).collect();
+        Released { admitted: Vec::new(), refused }
+    }
+
+    fn team_is_full(&self, team: &str) -> bool {
+        let used = self.team_in_flight.get(team).copied().unwrap_or(0);
+        self.team_limits.get(team).is_some_and(|limit| used >= *limit)
+    }
+
+    fn occupy(&mut self, team: &str) {
+        self.in_flight += 1;
+        match self.team_in_flight.get_mut(team) {
+            Some(count) => *count += 1,
+            None => {
+                self.team_in_flight.insert(team.to_owned(), 1);
+            }
+        }
+    }
+
+    fn enqueue(&mut self, team: &str, class: CallClass, deadline: UnixMs) -> WaitId {
+        self.next_id += 1;
+        let id = WaitId(self.next_id);
+        let after = self.queue.partition_point(|w| (w.class, w.deadline) <= (class, deadline));
+        self.queue.insert(after, Waiting { class, deadline, id, team: team.to_owned() });
+        id
+    }
+
+    /// Makes room for a more urgent class by refusing the least urgent one that waits.
+    fn displace(&mut self, now: UnixMs, class: CallClass) -> Option<(WaitId, Refusal)> {
+        let last = self.queue.pop_if(|waiting| waiting.class > class)?;
+        let message = "the node's queue is full of more urgent requests";
+        Some((last.id, self.refusal(now, message, 1)))
+    }
+
+    fn expected_wait_ms(&self, ahead: u64) -> u64 {
+        let servers = u64::from(self.limits.in_flight_max.max(1));
+        ahead * self.mean_service_us / servers / 1_000
+    }
+
+    fn refusal(&self, now: UnixMs, message: impl Into<String>, ahead: u64) -> Refusal {
+        let wait_ms = self.expected_wait_ms(ahead).max(RETRY_FLOOR_MS);
+        Refusal::not_run(message).retry_at(now.plus(wait_ms))
+    }
+}
--- /dev/null
+++ b/crates/standin/src/forwarder.rs
@@ -0,0 +1,95 @@
+//! A forwarder between two processes that cuts and holds up connections.
+//!
+//! It stands in for the network: [`Forwarder::cut`] closes what is open and refuses what is new,
+//! [`Forwarder::hold`] lets connections stand half open with no byte passing.
+
+use crate::web::StandinError;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use tokio::io::copy_bidirectional;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+/// What the forwarder does with connections.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Mode {
+    Cut,
+    Hold,
+    Pass,
+}
+
+/// A running forwarder.
+#[derive(Debug)]
+pub struct Forwarder {
+    address: SocketAddr,
+    mode: Arc<watch::Sender<Mode>>,
+    task: tokio::task::JoinHandle<()>,
+}
+
+impl Forwarder {
+    /// Starts to forward from `address` to `to`.
+    ///
+    /// # Errors
+    /// When the address cannot be bound.
+    pub async fn spawn(address: SocketAddr, to: SocketAddr) -> Result<Self, StandinError> {
+        let failed = |error: std::io::Error| StandinError { message: error.to_string() };
+        let listener = TcpListener::bind(address).await.map_err(failed)?;
+        let address = listener.local_addr().map_err(failed)?;
+        let mode = Arc::new(watch::channel(Mode::Pass).0);
+        let task = tokio::spawn(accept(listener, to, Arc::clone(&mode)));
+        Ok(Self { address, mode, task })
+    }
+
+    /// Returns where it listens.
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Passes connections on.
+    pub fn pass(&self) {
+        self.mode.send_replace(Mode::Pass);
+    }
+
+    /// Closes all connections, and closes new ones at once.
+    pub fn cut(&self) {
+        self.mode.send_replace(Mode::Cut);
+    }
+
+    /// Lets connections stand, with no byte passing.
+    pub fn hold(&self) {
+        self.mode.send_replace(Mode::Hold);
+    }
+}
+
+impl Drop for Forwarder {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn accept(listener: TcpListener, to: SocketAddr, mode: Arc<watch::Sender<Mode>>) {
+    while let Ok((stream, _)) = listener.accept().await {
+        tokio::spawn(forward(stream, to, mode.subscribe()));
+    }
+}
+
+async fn forward(mut near: TcpStream, to: SocketAddr, mut mode: watch::Receiver<Mode>) {
+    let Ok(mut far) = TcpStream::connect(to).await else { return };
+    loop {
+        let now = *mode.borrow_and_update();
+        match now {
+            Mode::Cut => return,
+            Mode::Hold => {
+                if mode.changed().await.is_err() {
+                    return;
+                }
+            }
+            Mode::Pass => {
+                tokio::select! {
+                    _ = copy_bidirectional(&mut near, &mut far) => return,
+                    changed = mode.changed() => if changed.is_err() { return },
+                }
+            }
+        }
+    }
+}
