Process-level proofs of the promises under kills, freezes, outages and races

Cause: the whole path ran only in one process, where a crash is not a crash and a pause cannot be caused. Ruled out: mocks of nodes (they prove the mock). Change: tests/all/processes starts the shipped binaries and stand-ins; a clock that never goes back and notices a suspended machine; datagrams are authenticated on the receiving thread and bounded.

--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -1,5 +1,10 @@
 //! The commands.
 
+#![expect(
+    clippy::empty_structs_with_brackets,
+    reason = "argh derives subcommands of braced structs only"
+)]
+
 use crate::http::{Endpoint, problem};
 use crate::table;
 use argh::FromArgs;
--- a/crates/node/src/api/mod.rs
+++ b/crates/node/src/api/mod.rs
@@ -4,6 +4,8 @@
 //! control thread. Whatever is given up on is answered at once with its verdict and the time to
 //! come back ([`answer::Problem`]); nothing is held back to keep a client from asking again.
 
+#![expect(clippy::redundant_type_annotations, reason = "written by the framework's route macros")]
+
 mod answer;
 mod call;
 mod generate;
--- a/crates/node/src/api/operator.rs
+++ b/crates/node/src/api/operator.rs
@@ -1,5 +1,7 @@
 //! Operators: the configuration, status, drains, and the audit trail.
 
+#![expect(clippy::needless_pass_by_value, reason = "the framework hands guards over by value")]
+
 use crate::api::answer::{Problem, read_json};
 use crate::api::guard::Asking;
 use crate::auth::Role;
@@ -166,12 +168,10 @@
         let Some(found) = snapshot.node(&name) else {
             return Err(Problem::with_status(404, format!("node '{node}' is not known")));
         };
-        match ask(shared, found.control, &PeerRequest::Drain).await {
-            Ok(PeerReply::Done) => {}
-            Ok(_) | Err(_) => {
-                let message = format!("node '{node}' did not answer");
-                return Err(Refusal::may_have_run(message).into());
-            }
+        if let Ok(PeerReply::Done) = ask(shared, found.control, &PeerRequest::Drain).await {
+        } else {
+            let message = format!("node '{node}' did not answer");
+            return Err(Refusal::may_have_run(message).into());
         }
     }
     record(shared, AuditEntry::now(&who, format!("drain node {node}"), "accepted"));
--- a/crates/node/src/api/public.rs
+++ b/crates/node/src/api/public.rs
@@ -1,9 +1,11 @@
 //! What needs no token but the right to call: addresses, health, metrics.
 
+#![expect(clippy::needless_pass_by_value, reason = "the framework hands guards over by value")]
+
 use crate::api::answer::Problem;
 use crate::api::guard::Asking;
 use crate::auth::Role;
-use catkinmast_model::{Name, Refusal};
+use catkinmast_model::{Name, Refusal, UnixMs};
 use catkinmast_route::{AddressAnswer, address_answer};
 use rocket::get;
 use rocket::serde::json::Json;
@@ -32,7 +34,7 @@
     };
     let region_of = |name: &Name| document.region(name).cloned();
     Ok(Json(address_answer(
-        asking.shared.now(),
+        UnixMs::from_wall_clock(),
         snapshot.nodes.iter(),
         &near,
         region_of,
--- a/crates/node/src/api/ticket.rs
+++ b/crates/node/src/api/ticket.rs
@@ -6,7 +6,7 @@
 use crate::shared::lock;
 use bytes::Bytes;
 use catkinmast_config::CallClass;
-use catkinmast_model::{Refusal, Verdict};
+use catkinmast_model::{Refusal, UnixMs, Verdict};
 use catkinmast_route::{Begin, RecordedAnswer, Ticket};
 use rocket::Request;
 use std::time::Duration;
@@ -46,7 +46,7 @@
     ticket: &Ticket,
 ) -> Result<Answer, Problem> {
     let retry_at = shared.now().plus(RUNNING_RETRY_MS);
-    let begin = lock(&shared.traffic.tickets).begin(shared.now(), ticket);
+    let begin = lock(&shared.traffic.tickets).begin(UnixMs::from_wall_clock(), ticket);
     match begin {
         Begin::Run => {}
         Begin::Expired => {
--- a/crates/node/src/api/trainer.rs
+++ b/crates/node/src/api/trainer.rs
@@ -223,20 +223,19 @@
         content.segments == finished.segments
             && content.tokens.len() == finished.segments.token_count() as usize
     };
-    match content.filter(fits) {
-        Some(content) => Some(Line::Sample {
+    if let Some(content) = content.filter(fits) {
+        Some(Line::Sample {
             attempt: attempt.to_string(),
             id,
             score: finished.score_millis as f64 / 1_000.0,
             segments: content.segments,
             tokens: content.tokens,
-        }),
-        None => {
-            log::warn!("no holder has sample {id} of trainer {trainer}");
-            let lost = PeerRequest::ContentLost { attempt, sample: id, trainer: trainer.clone() };
-            report_lost(shared, trainer, lost).await;
-            None
-        }
+        })
+    } else {
+        log::warn!("no holder has sample {id} of trainer {trainer}");
+        let lost = PeerRequest::ContentLost { attempt, sample: id, trainer: trainer.clone() };
+        report_lost(shared, trainer, lost).await;
+        None
     }
 }
 
--- a/crates/node/src/control/configuration.rs
+++ b/crates/node/src/control/configuration.rs
@@ -30,6 +30,10 @@
 const WATCH_PAUSE_MS: u64 = 1_000;
 
 /// What this node knows of the configuration.
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each says whether one kind of task is under way"
+)]
 #[derive(Debug, Default)]
 pub(crate) struct Configuration {
     boot_at: UnixMs,
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -17,7 +17,7 @@
 use catkinmast_model::{Instance, InstanceState, Name, Revision, UnixMs};
 use catkinmast_platform::Lease;
 use catkinmast_rollout::{Command, Event, Reply};
-use catkinmast_wire::{DATAGRAM_MAX_BYTES, open, seal};
+use catkinmast_wire::{DATAGRAM_MAX_BYTES, seal};
 use configuration::Configuration;
 use duties::rank;
 use indexmap::IndexMap;
@@ -25,6 +25,7 @@
 use rand_pcg::Pcg64Mcg;
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::sync::mpsc::{Receiver, RecvTimeoutError};
 use std::time::{Duration, Instant};
 use tokio::runtime::Handle;
@@ -48,7 +49,7 @@
     Body { document: Box<Document>, revision: Revision, text: String },
     BodyMissing,
     Command { command: Command, reply: oneshot::Sender<Reply>, trainer: Name },
-    Datagram { bytes: Vec<u8>, from: SocketAddr },
+    Datagram { from: SocketAddr, message: Message },
     DrainTarget { reply: oneshot::Sender<bool>, target: Name },
     Head(Option<VersionedHead>),
     HeadUnavailable,
@@ -169,7 +170,11 @@
             Input::Command { command, reply, trainer } => {
                 self.trainer_command(now, &trainer, command, reply);
             }
-            Input::Datagram { bytes, from } => self.datagram(now, from, &bytes),
+            Input::Datagram { from, message } => {
+                self.shared.datagrams_waiting.fetch_sub(1, Ordering::Relaxed);
+                let outputs = self.membership.receive(now, from, message);
+                self.carry_out(now, outputs);
+            }
             Input::DrainTarget { reply, target } => {
                 let known = self.target_leaves(now, &target, TargetReport::Operator);
                 // The operator may have hung up; the drain stands.
@@ -192,21 +197,6 @@
         }
     }
 
-    fn datagram(&mut self, now: UnixMs, from: SocketAddr, bytes: &[u8]) {
-        self.shared.metrics.control_received_bytes.inc_by(bytes.len() as u64);
-        let key = &self.shared.settings.shared_key;
-        match open::<Message>(key, bytes, DATAGRAM_MAX_BYTES) {
-            Ok(message) => {
-                let outputs = self.membership.receive(now, from, message);
-                self.carry_out(now, outputs);
-            }
-            Err(error) => {
-                self.shared.metrics.frames_refused.inc();
-                log::debug!("a datagram from {from} was dropped: {error}");
-            }
-        }
-    }
-
     fn carry_out(&mut self, now: UnixMs, outputs: Vec<Output>) {
         for output in outputs {
             match output {
--- a/crates/node/src/control/trainers.rs
+++ b/crates/node/src/control/trainers.rs
@@ -202,23 +202,16 @@
         log::info!("the lease on trainer {trainer} is held under {fence}");
         let me = self.membership.me().clone();
         let Some(duty) = self.trainers.duties.get_mut(trainer) else { return };
-        let effects = match &mut duty.owned {
-            Some(owned) => {
-                owned.fence = fence;
-                owned.rollout.handle(now, Event::Lease { fence: Some(fence) })
-            }
-            None => {
-                let writer = format!("{}:{}", me.name, me.incarnation);
-                let (rollout, effects) = Rollout::open(
-                    writer,
-                    fence,
-                    ScheduleSettings::default(),
-                    OrderSettings::default(),
-                );
-                let (replies, runs) = (IndexMap::new(), IndexMap::new());
-                duty.owned = Some(Owned { fence, replies, rollout, runs });
-                effects
-            }
+        let effects = if let Some(owned) = &mut duty.owned {
+            owned.fence = fence;
+            owned.rollout.handle(now, Event::Lease { fence: Some(fence) })
+        } else {
+            let writer = format!("{}:{}", me.name, me.incarnation);
+            let (rollout, effects) =
+                Rollout::open(writer, fence, ScheduleSettings::default(), OrderSettings::default());
+            let (replies, runs) = (IndexMap::new(), IndexMap::new());
+            duty.owned = Some(Owned { fence, replies, rollout, runs });
+            effects
         };
         self.trainers.nodes_changed = true;
         self.trainers.targets_changed = true;
@@ -485,7 +478,9 @@
 }
 
 async fn forget(shared: Arc<Shared>, keys: Vec<ContentKey>) {
-    keys.iter().for_each(|key| lock(&shared.holdings).remove(key));
+    for key in &keys {
+        lock(&shared.holdings).remove(key);
+    }
     let snapshot = shared.snapshot();
     for node in &snapshot.nodes {
         if node.state == NodeState::Gone || node.name == *shared.me() {
--- a/crates/node/src/edge/peer.rs
+++ b/crates/node/src/edge/peer.rs
@@ -262,7 +262,9 @@
         }
         PeerRequest::Forget { keys } => {
             let mut holdings = lock(&shared.holdings);
-            keys.iter().for_each(|key| holdings.remove(key));
+            for key in &keys {
+                holdings.remove(key);
+            }
             PeerReply::Done
         }
         PeerRequest::Holdings { trainer } => {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -10,6 +10,7 @@
 
 mod api;
 mod auth;
+mod clock;
 mod control;
 mod edge;
 mod log_setup;
--- a/crates/node/src/log_setup.rs
+++ b/crates/node/src/log_setup.rs
@@ -27,7 +27,9 @@
             });
             out.finish(format_args!("{line}"));
         })
-        .level(log::LevelFilter::Warn)
+        .level(level.min(log::LevelFilter::Warn))
+        // The web framework warns of what the interface answers by itself.
+        .level_for("rocket", level.min(log::LevelFilter::Error))
         .level_for("catkinmast_node", level)
         .level_for("catkinmast_rollout", level)
         .level_for("catkinmast_platform", level)
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -1,6 +1,7 @@
 //! The running node: starting, draining, stopping.
 
 use crate::api::{self, WebServer};
+use crate::clock::Clock;
 use crate::control::{self, Input, Start};
 use crate::edge::holdings::Holdings;
 use crate::edge::peer;
@@ -13,7 +14,7 @@
 use catkinmast_model::{Incarnation, Name, UnixMs};
 use displaydoc::Display;
 use std::net::{SocketAddr, UdpSocket};
-use std::sync::atomic::AtomicU64;
+use std::sync::atomic::{AtomicU64, AtomicUsize};
 use std::sync::mpsc::Sender;
 use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Duration;
@@ -79,7 +80,9 @@
             .map_err(|message| NodeError { message, part: "HTTP client" })?;
         let shared = Arc::new(Shared {
             clients,
+            clock: Clock::start(),
             control,
+            datagrams_waiting: AtomicUsize::new(0),
             drain_wanted: Notify::new(),
             holdings: Mutex::new(Holdings::default()),
             incarnation,
@@ -105,7 +108,7 @@
         };
         let peers_task = tokio::spawn(peer::serve(Arc::clone(&shared), listener));
         let stopped = Arc::new(OnceLock::new());
-        receive_datagrams(&socket, &inputs, &stopped)?;
+        receive_datagrams(&socket, &shared, &stopped)?;
         let runtime = Handle::current();
         let start = Start { inputs: received, me, runtime, shared: Arc::clone(&shared), socket };
         let control_thread = control::spawn(start).map_err(failed("control thread"))?;
@@ -205,24 +208,18 @@
 /// Hands datagrams to the control thread, from a thread of its own.
 fn receive_datagrams(
     socket: &UdpSocket,
-    inputs: &Sender<Input>,
+    shared: &Arc<Shared>,
     stopped: &Arc<OnceLock<()>>,
 ) -> Result<(), NodeError> {
     let socket = socket.try_clone().map_err(failed("control address"))?;
     socket.set_read_timeout(Some(SOCKET_LOOK)).map_err(failed("control address"))?;
-    let (inputs, stopped) = (inputs.clone(), Arc::clone(stopped));
+    let (shared, stopped) = (Arc::clone(shared), Arc::clone(stopped));
     let receive = move || {
         let mut buffer = [0; DATAGRAM_READ_BYTES];
         while stopped.get().is_none() {
-            match socket.recv_from(&mut buffer) {
-                Ok((size, from)) => {
-                    let bytes = buffer[..size].to_vec();
-                    if inputs.send(Input::Datagram { bytes, from }).is_err() {
-                        return;
-                    }
-                }
-                // Nothing came, or a peer's port was closed: both are usual.
-                Err(_) => {}
+            // An error means that nothing came for a while: look again.
+            if let Ok((size, from)) = socket.recv_from(&mut buffer) {
+                shared.receive_datagram(from, &buffer[..size]);
             }
         }
     };
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -1,6 +1,7 @@
 //! What all threads of a node share.
 
 use crate::auth::{Identity, Role};
+use crate::clock::Clock;
 use crate::control::Input;
 use crate::edge::holdings::Holdings;
 use crate::metrics::Metrics;
@@ -13,11 +14,12 @@
     Admission, AdmissionLimits, RetryBudget, TargetSettings, Targets, TicketBook, TicketLimits,
     WaitId,
 };
+use catkinmast_wire::{DATAGRAM_MAX_BYTES, open};
 use indexmap::IndexMap;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use std::net::SocketAddr;
-use std::sync::atomic::AtomicU64;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::mpsc::Sender;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -32,6 +34,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Most bytes of recorded answers to tickets.
 const TICKET_ANSWERS_MAX_BYTES: usize = 8 << 20;
+/// Most datagrams that wait for the control thread; more are dropped, and gossip repairs that.
+const DATAGRAMS_WAITING_MAX: usize = 4_096;
 /// Most tickets remembered.
 const TICKETS_MAX: usize = 100_000;
 
@@ -63,7 +67,9 @@
 #[derive(Debug)]
 pub(crate) struct Shared {
     pub clients: Clients,
+    pub clock: Clock,
     pub control: SocketAddr,
+    pub datagrams_waiting: AtomicUsize,
     pub drain_wanted: Notify,
     pub holdings: Mutex<Holdings>,
     pub incarnation: Incarnation,
@@ -134,8 +140,11 @@
 }
 
 impl Shared {
+    /// Returns the time of this node's own clock, which never goes back.
+    ///
+    /// Points in time that others keep (expiry of addresses and tickets) come from the wall clock.
     pub(crate) fn now(&self) -> UnixMs {
-        UnixMs::from_wall_clock()
+        self.clock.now()
     }
 
     pub(crate) fn snapshot(&self) -> Arc<Snapshot> {
@@ -153,6 +162,27 @@
         }
     }
 
+    /// Reads a datagram and hands it to the control thread.
+    ///
+    /// Garbage is counted and dropped here, on the thread that received it, and what is whole
+    /// waits in a bounded number: a flood costs neither memory nor the control thread's time.
+    pub(crate) fn receive_datagram(&self, from: SocketAddr, bytes: &[u8]) {
+        self.metrics.control_received_bytes.inc_by(bytes.len() as u64);
+        let opened = open(&self.settings.shared_key, bytes, DATAGRAM_MAX_BYTES);
+        let waiting = self.datagrams_waiting.load(Ordering::Relaxed);
+        match opened {
+            Ok(message) if waiting < DATAGRAMS_WAITING_MAX => {
+                self.datagrams_waiting.fetch_add(1, Ordering::Relaxed);
+                self.tell(Input::Datagram { from, message });
+            }
+            Ok(_) => log::debug!("a datagram from {from} was dropped: too many wait"),
+            Err(error) => {
+                self.metrics.frames_refused.inc();
+                log::debug!("a datagram from {from} was dropped: {error}");
+            }
+        }
+    }
+
     /// Finds out whose a bearer token is.
     pub(crate) fn identify(&self, authorization: Option<&str>) -> Option<Identity> {
         let secret = authorization.and_then(|value| value.strip_prefix("Bearer "));
--- a/crates/platform/src/engine.rs
+++ b/crates/platform/src/engine.rs
@@ -170,7 +170,7 @@
     pub fn open() -> Result<Self, StoreError> {
         let client = reqwest::Client::builder()
             .no_proxy()
-            .connect_timeout(Duration::from_millis(1_000))
+            .connect_timeout(Duration::from_secs(1))
             .build()
             .map_err(|error| StoreError::Unavailable {
                 message: error.to_string(),
--- a/crates/rollout/src/batches.rs
+++ b/crates/rollout/src/batches.rs
@@ -17,6 +17,8 @@
 
 /// How many bound batches may wait for their claim; one bound too early only grows older.
 const BOUND_AHEAD_MAX: usize = 4;
+/// The longest that a fetch waits for its batch.
+const FETCH_WAIT_MAX_MS: u64 = 10_000;
 /// Time between two tries to settle a write of the ledger.
 const LEDGER_RETRY_MS: u64 = 500;
 
@@ -289,6 +291,8 @@
         if let Some(reply) = self.batch_reply(batch) {
             return self.reply(reply_to, reply);
         }
+        // The asker's clock may be ahead of ours.
+        let until = until.min(now.plus(FETCH_WAIT_MAX_MS));
         if until <= now {
             return self.reply(reply_to, Reply::NotYet { retry_at: now.plus(LEDGER_RETRY_MS) });
         }
--- a/crates/rollout/src/owner.rs
+++ b/crates/rollout/src/owner.rs
@@ -518,18 +518,17 @@
         let named: IndexSet<&Name> = engines.iter().map(|engine| &engine.name).collect();
         self.engines.retain(|name, _| named.contains(name));
         for info in engines {
-            match self.engines.get_mut(&info.name) {
-                Some(view) => view.info = info,
-                None => {
-                    let view = EngineView {
-                        in_flight: 0,
-                        info: info.clone(),
-                        recent_groups: Vec::new(),
-                        resting_until: UnixMs(0),
-                        version: None,
-                    };
-                    self.engines.insert(info.name, view);
-                }
+            if let Some(view) = self.engines.get_mut(&info.name) {
+                view.info = info;
+            } else {
+                let view = EngineView {
+                    in_flight: 0,
+                    info: info.clone(),
+                    recent_groups: Vec::new(),
+                    resting_until: UnixMs(0),
+                    version: None,
+                };
+                self.engines.insert(info.name, view);
             }
         }
     }
@@ -579,7 +578,7 @@
             return;
         }
         let mut nothing_waits = true;
-        for id in start_order(&self.samples, &self.lengths, &self.schedule, now) {
+        for id in start_order(&self.samples, &self.lengths, self.schedule, now) {
             let Some(ahead) = self.steps_ahead(id.step) else { continue };
             if ahead > run_ahead.steps() {
                 break;
@@ -587,7 +586,7 @@
             nothing_waits = false;
             let trainer = self.ledger.trainer_version;
             let fits = |engine: &EngineView| run_ahead.allows(ahead, behind(engine, trainer));
-            let engine = choose_engine(&self.engines, id, now, &self.schedule, fits);
+            let engine = choose_engine(&self.engines, id, now, self.schedule, fits);
             let Some(engine) = engine else { break };
             self.start(now, id, &engine, None);
         }
@@ -627,7 +626,7 @@
                     && engine.in_flight * 2 < busy
                     && run_ahead.allows(0, behind(engine, trainer))
             };
-            let engine = choose_engine(&self.engines, id, now, &self.schedule, fits);
+            let engine = choose_engine(&self.engines, id, now, self.schedule, fits);
             let Some(engine) = engine else { return };
             self.start(now, id, &engine, Some(attempt));
         }
--- a/crates/rollout/src/schedule.rs
+++ b/crates/rollout/src/schedule.rs
@@ -128,7 +128,7 @@
 pub(crate) fn start_order(
     samples: &IndexMap<SampleId, Sample>,
     lengths: &Lengths,
-    settings: &ScheduleSettings,
+    settings: ScheduleSettings,
     now: UnixMs,
 ) -> Vec<SampleId> {
     let waiting =
@@ -147,7 +147,7 @@
     engines: &IndexMap<Name, EngineView>,
     id: SampleId,
     now: UnixMs,
-    settings: &ScheduleSettings,
+    settings: ScheduleSettings,
     fits: impl Fn(&EngineView) -> bool,
 ) -> Option<Name> {
     let free = engines.values().filter(|engine| {
--- a/crates/route/src/admission.rs
+++ b/crates/route/src/admission.rs
@@ -121,12 +121,11 @@
             return (Admitted::Refused(self.refusal(now, message, ahead + 1)), released);
         }
         if self.queue.len() as u64 >= u64::from(self.limits.queue_max) {
-            match self.displace(now, class) {
-                Some(displaced) => released.refused.push(displaced),
-                None => {
-                    let refusal = self.refusal(now, "the node's queue is full", ahead + 1);
-                    return (Admitted::Refused(refusal), released);
-                }
+            if let Some(displaced) = self.displace(now, class) {
+                released.refused.push(displaced);
+            } else {
+                let refusal = self.refusal(now, "the node's queue is full", ahead + 1);
+                return (Admitted::Refused(refusal), released);
             }
         }
         (Admitted::Waiting(self.enqueue(team, class, deadline)), released)
--- a/crates/route/src/ticket.rs
+++ b/crates/route/src/ticket.rs
@@ -133,6 +133,7 @@
 #[derive(Clone, Debug)]
 pub struct TicketBook {
     answers_bytes: usize,
+    latest: UnixMs,
     limits: TicketLimits,
     pages: IndexMap<Ticket, Page>,
 }
@@ -140,13 +141,17 @@
 impl TicketBook {
     /// Opens an empty book.
     pub fn open(limits: TicketLimits) -> Self {
-        Self { answers_bytes: 0, limits, pages: IndexMap::new() }
+        Self { answers_bytes: 0, latest: UnixMs(0), limits, pages: IndexMap::new() }
     }
 
     /// Decides on a call with a ticket of this life.
     ///
     /// A full book refuses new tickets: to forget an old one early would let its call run twice.
+    /// A wall clock that is set back must not make a forgotten ticket look new, so the latest time
+    /// ever seen counts.
     pub fn begin(&mut self, now: UnixMs, ticket: &Ticket) -> Begin {
+        self.latest = self.latest.max(now);
+        let now = self.latest;
         if let Some(page) = self.pages.get(ticket) {
             return match &page.state {
                 State::Answered(answer) => Begin::Recorded(answer.clone()),
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -6,6 +6,9 @@
 //! from several versions; each chunk names the version that produced it. The engine keeps its own
 //! record of every token it sent, which is what attribution is checked against.
 
+#![expect(clippy::redundant_type_annotations, reason = "written by the framework's route macros")]
+#![expect(clippy::needless_pass_by_value, reason = "the framework hands guards over by value")]
+
 use crate::web::{StandinError, WebServer};
 use catkinmast_model::{Fence, Segment, Segments, UnixMs, Version};
 use catkinmast_platform::{CancelRequest, EngineLine, GenerateRequest, LoadReport, WeightOrder};
@@ -340,7 +343,7 @@
         record.resumed_from = request.resume_from;
         let next = request.resume_from.min(length);
         batch.waiting.push(Sequence { cold_ticks: 0, length, next, request, sender });
-    }
+    };
     Ok(TextStream! {
         while let Some(line) = lines.recv().await {
             if let Ok(mut text) = serde_json::to_string(&line) {
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -1,5 +1,7 @@
 //! The platform's stand-in: key-value service, instance list, and the switches for its faults.
 
+#![expect(clippy::redundant_type_annotations, reason = "written by the framework's route macros")]
+
 use crate::web::{StandinError, WebServer};
 use catkinmast_model::{Instance, InstanceState, Name, UnixMs};
 use catkinmast_platform::{Entry, Expect, KvReply, KvRequest, Lease};
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -3,6 +3,8 @@
 //! `/score` makes it a scorer as well. The answer is a function of the request, so a caller can
 //! check that the answer it received is the whole answer to its own request.
 
+#![expect(clippy::redundant_type_annotations, reason = "written by the framework's route macros")]
+
 use crate::web::{StandinError, WebServer};
 use indexmap::IndexMap;
 use rocket::data::ToByteUnit;
--- a/src/bin/catkinmast-node.rs
+++ b/src/bin/catkinmast-node.rs
@@ -50,6 +50,11 @@
             return ExitCode::from(EXIT_START);
         }
     };
+    println!(
+        "{{\"http\":\"{}\",\"control\":\"{}\"}}",
+        node.http_address(),
+        node.control_address()
+    );
     log::info!(
         "node {} serves at {}, peers at {}",
         node.name(),
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -1,1 +1,9 @@
-fn main() {}
+//! Integration tests, a module for each area.
+//!
+//! `processes` starts the shipped binaries and the stand-ins' binary, and proves the promises of
+//! the brief under kills, freezes, cuts and outages. `scenarios` runs scripts against the pure
+//! aggregates in virtual time. The other modules test one area each.
+
+mod support;
+
+mod processes;
--- /dev/null
+++ b/tests/all/processes/configuration.rs
@@ -0,0 +1,131 @@
+//! Configuration: accepted once, in force everywhere, never back.
+
+use crate::support::fleet::{Fleet, FleetSize, OPERATOR, document};
+use serde_json::json;
+use std::process::Command;
+
+fn ctl(node: &str, arguments: &[&str]) -> std::process::Child {
+    Command::new(env!("CARGO_BIN_EXE_catkinmast-ctl"))
+        .args(["--node", node, "--token", OPERATOR, "--json"])
+        .args(arguments)
+        .stdout(std::process::Stdio::piped())
+        .stderr(std::process::Stdio::piped())
+        .spawn()
+        .expect("catkinmast-ctl starts")
+}
+
+fn edited(from: &str, to: &str) -> String {
+    let text = document();
+    assert!(text.contains(from));
+    text.replace(from, to)
+}
+
+/// Symptom: both operators believe that their change is in force, and one of them is wrong.
+/// Sequence: two operators apply different documents made from the same revision, at the same
+/// time, through different nodes.
+/// Cause: the second write replaces the first without looking at it.
+#[tokio::test]
+async fn of_two_racing_operators_one_wins_and_the_other_is_told() {
+    // Arrange
+    let fleet = Fleet::start(&FleetSize { engines: 0, nodes: 3, services: 0 }).await;
+    let folder = tempfile::tempdir().expect("a folder");
+    let write = |name: &str, text: &str| {
+        let path = folder.path().join(name);
+        std::fs::write(&path, text).expect("a file");
+        path.to_str().expect("a path").to_owned()
+    };
+    let one = write("one.toml", &edited("timeout_ms = 8000", "timeout_ms = 7000"));
+    let two = write("two.toml", &edited("timeout_ms = 8000", "timeout_ms = 6000"));
+
+    // Act
+    let apply = |node: usize, file: &str| {
+        ctl(&fleet.nodes[node].http.to_string(), &["config", "apply", file, "--base", "1"])
+    };
+    let (first, second) = (apply(0, &one), apply(1, &two));
+    let codes = [first, second].map(|child| {
+        let output = child.wait_with_output().expect("catkinmast-ctl ends");
+        output.status.code().expect("an exit code")
+    });
+
+    // Assert: one accepted (0), one conflict (4); every node ends with the one that won.
+    let mut sorted = codes;
+    sorted.sort_unstable();
+    assert_eq!(sorted, [0, 4]);
+    let winner = if codes[0] == 0 { "timeout_ms = 7000" } else { "timeout_ms = 6000" };
+    for node in 0..3 {
+        let text = fleet
+            .until("revision 2 is in force", async || {
+                let (_, shown) = fleet.operator("GET", node, "/v1/config", None).await;
+                let text = shown["text"].as_str()?.to_owned();
+                (shown["revision"] == 2).then_some(text)
+            })
+            .await;
+        assert!(text.contains(winner));
+    }
+}
+
+/// Symptom: a document is put in force twice, or an operator is told "not run" although it was.
+/// Sequence: the key-value service takes the write of the head, and its reply is lost.
+/// Cause: a lost reply looks like a lost request.
+#[tokio::test]
+async fn a_lost_reply_to_the_head_is_settled_as_accepted_once() {
+    // Arrange
+    let fleet = Fleet::start(&FleetSize { engines: 0, nodes: 2, services: 0 }).await;
+    let text = edited("timeout_ms = 8000", "timeout_ms = 7500");
+    let body = json!({ "base_revision": 1, "operation_id": "lost-reply", "text": text });
+    // The first write is the body, whose loss is answered at once; the second is the head.
+    fleet.faults(&json!({ "lose_write_replies": 2 })).await;
+
+    // Act: the operator repeats the same operation until it is settled.
+    let revision = fleet
+        .until("the operation is settled", async || {
+            let (status, answer) = fleet.operator("PUT", 0, "/v1/config", Some(&body)).await;
+            (status == 200).then(|| answer["revision"].as_u64())
+        })
+        .await;
+    let (_, again) = fleet.operator("PUT", 1, "/v1/config", Some(&body)).await;
+
+    // Assert
+    assert_eq!(revision, Some(2));
+    assert_eq!(again["revision"].as_u64(), Some(2), "the same operation is the same revision");
+    let (_, history) = fleet.operator("GET", 0, "/v1/config/history", None).await;
+    let operations = history.as_array().expect("a list");
+    let ours = operations.iter().filter(|entry| entry["operation_id"] == "lost-reply");
+    assert_eq!((operations.len(), ours.count()), (2, 1));
+}
+
+/// Symptom: a node that was replaced during an outage serves with no configuration, or an old one.
+/// Sequence: the key-value service goes down; a node starts; its peers know revision 2.
+/// Cause: a new node can only ask the service, which is away.
+#[tokio::test]
+async fn a_node_that_starts_during_an_outage_takes_the_newest_from_its_peers() {
+    // Arrange
+    let mut fleet = Fleet::start(&FleetSize { engines: 0, nodes: 3, services: 1 }).await;
+    let text = edited("timeout_ms = 8000", "timeout_ms = 7000");
+    let body = json!({ "base_revision": 1, "operation_id": "second", "text": text });
+    let (status, _) = fleet.operator("PUT", 0, "/v1/config", Some(&body)).await;
+    assert_eq!(status, 200);
+    for node in 0..3 {
+        fleet
+            .until("revision 2 is in force", async || {
+                (fleet.status(node).await["config_revision"] == 2).then_some(())
+            })
+            .await;
+    }
+    fleet.faults(&json!({ "outage": true })).await;
+
+    // Act
+    fleet.start_node(3);
+    let ready = async || {
+        let status = fleet.status(3).await;
+        (status["ready"] == true).then(|| status["config_revision"].as_u64())
+    };
+    let revision = fleet.until("the new node is ready", ready).await;
+    let (called, _) = fleet.call(3, "/progress", "during-outage", None).await;
+    let (refused, answer) = fleet.operator("PUT", 3, "/v1/config", Some(&body)).await;
+
+    // Assert: it serves, and refuses truthfully what needs the service.
+    assert_eq!(revision, Some(2));
+    assert_eq!(called, 200);
+    assert_eq!((refused, answer["refusal"]["verdict"].as_str()), (503, Some("not_run")));
+}
--- /dev/null
+++ b/tests/all/support/fleet.rs
@@ -0,0 +1,338 @@
+//! The shipped binaries as separate processes, with stand-ins around them.
+//!
+//! Waits here poll until a condition holds; the limit only guards against a hang and decides no
+//! verdict on a machine that is merely slow.
+
+use serde_json::{Value, json};
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+/// How long a condition may take to come about before a test counts as hung.
+const HUNG_AFTER: Duration = Duration::from_secs(60);
+/// The token of the test's caller.
+pub(crate) const CALLER: &str = "caller-secret";
+/// The token of the test's operator.
+pub(crate) const OPERATOR: &str = "operator-secret";
+/// The token of the test's trainer.
+pub(crate) const TRAINER: &str = "trainer-secret";
+
+/// A started process; it is killed when the test ends.
+pub(crate) struct Process {
+    child: Child,
+    /// The first line that it printed.
+    pub(crate) first_line: String,
+}
+
+impl Process {
+    fn start(binary: &str, arguments: &[String]) -> Self {
+        let mut child = Command::new(binary)
+            .args(arguments)
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("the binary starts");
+        let mut first_line = String::new();
+        let output = child.stdout.take().expect("standard output is piped");
+        BufReader::new(output).read_line(&mut first_line).expect("the process prints a line");
+        Self { child, first_line: first_line.trim().to_owned() }
+    }
+
+    /// Sends a signal by name, e.g. `KILL`, `STOP`, `CONT` or `TERM`.
+    pub(crate) fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        let status = Command::new("kill").args([&format!("-{name}"), &pid]).status();
+        assert!(status.expect("kill runs").success(), "signal {name} to {pid}");
+    }
+
+    /// Waits for the process to end and returns its exit code.
+    pub(crate) fn exit_code(&mut self) -> Option<i32> {
+        let began = Instant::now();
+        loop {
+            if let Some(status) = self.child.try_wait().expect("the process can be waited for") {
+                return status.code();
+            }
+            assert!(began.elapsed() < HUNG_AFTER, "the process did not end");
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _already_dead = self.child.kill();
+        let _already_reaped = self.child.wait();
+    }
+}
+
+/// Starts a stand-in and returns it with its address.
+pub(crate) fn standin(arguments: &[&str]) -> (Process, SocketAddr) {
+    let arguments: Vec<String> = arguments.iter().map(|argument| (*argument).to_owned()).collect();
+    let process = Process::start(env!("CARGO_BIN_EXE_catkinmast-standin"), &arguments);
+    let address = process.first_line.parse().expect("the first line is the address");
+    (process, address)
+}
+
+/// A node's process and addresses.
+pub(crate) struct NodeProcess {
+    pub(crate) control: SocketAddr,
+    pub(crate) http: SocketAddr,
+    pub(crate) name: String,
+    pub(crate) process: Process,
+}
+
+/// The sizes of a fleet.
+pub(crate) struct FleetSize {
+    pub(crate) engines: u32,
+    pub(crate) nodes: u32,
+    pub(crate) services: u32,
+}
+
+/// Entry nodes and stand-ins, all separate processes.
+pub(crate) struct Fleet {
+    pub(crate) client: reqwest::Client,
+    pub(crate) engines: Vec<(Process, SocketAddr)>,
+    pub(crate) nodes: Vec<NodeProcess>,
+    pub(crate) platform: SocketAddr,
+    pub(crate) services: Vec<(Process, SocketAddr)>,
+    _platform_process: Process,
+}
+
+/// The configuration that the fleets of the tests begin with.
+pub(crate) fn document() -> String {
+    include_str!("fleet.toml").to_owned()
+}
+
+impl Fleet {
+    /// Starts a fleet, puts the configuration in force, and waits until every node knows it.
+    pub(crate) async fn start(size: &FleetSize) -> Self {
+        Self::start_with(size, &["--tick-ms", "5"], &[]).await
+    }
+
+    /// Starts a fleet whose engines and services get further arguments.
+    pub(crate) async fn start_with(size: &FleetSize, engine: &[&str], service: &[&str]) -> Self {
+        let (platform_process, platform) = standin(&["platform", "--list-lag-ms", "100"]);
+        let mut fleet = Self {
+            client: reqwest::Client::builder()
+                .no_proxy()
+                .pool_max_idle_per_host(0)
+                .build()
+                .expect("a client"),
+            engines: Vec::new(),
+            nodes: Vec::new(),
+            platform,
+            services: Vec::new(),
+            _platform_process: platform_process,
+        };
+        for number in 0..size.engines {
+            let started = standin(&[&["engine"], engine].concat());
+            fleet.list(&format!("engine-{number}"), "engine", started.1, "live").await;
+            fleet.engines.push(started);
+        }
+        for number in 0..size.services {
+            let started = standin(&[&["service"], service].concat());
+            fleet.list(&format!("service-{number}"), "service", started.1, "live").await;
+            fleet.services.push(started);
+        }
+        for number in 0..size.nodes {
+            fleet.start_node(number);
+        }
+        fleet.apply_first().await;
+        fleet.wait_ready(&size.targets()).await;
+        fleet
+    }
+
+    /// Puts the tests' configuration in force through the first node.
+    async fn apply_first(&self) {
+        let body = json!({ "base_revision": 0, "operation_id": "first", "text": document() });
+        self.until("the first configuration is accepted", async || {
+            let (status, answer) = self.operator("PUT", 0, "/v1/config", Some(&body)).await;
+            (status == 200).then_some(answer)
+        })
+        .await;
+    }
+
+    /// Waits until every node is ready, knows all targets, and all nodes.
+    async fn wait_ready(&self, targets: &usize) {
+        for node in 0..self.nodes.len() {
+            self.until("the node is ready", async || {
+                let status = self.status(node).await;
+                let count = |list: &str| status[list].as_array().map_or(0, Vec::len);
+                let whole = count("targets") == *targets && count("nodes") == self.nodes.len();
+                (status["ready"] == true && whole).then_some(())
+            })
+            .await;
+        }
+    }
+
+    /// Starts one more node, at addresses of its own.
+    pub(crate) fn start_node(&mut self, number: u32) {
+        let loopback = "127.0.0.1:0";
+        self.start_node_at(number, loopback, loopback);
+    }
+
+    fn start_node_at(&mut self, number: u32, http: &str, control: &str) {
+        let place = ["salle-a", "salle-b", "salle-c"][number as usize % 3];
+        let peers: Vec<String> = self.nodes.iter().map(|node| node.control.to_string()).collect();
+        let name = format!("entry-{number}");
+        let tokens = format!(
+            "caller:app={CALLER},operator:alice={OPERATOR},trainer:citation-trainer={TRAINER}"
+        );
+        let platform = self.platform.to_string();
+        let pairs = [
+            ("--name", name.as_str()),
+            ("--data-centre", place),
+            ("--http", http),
+            ("--control", control),
+            ("--peers", &peers.join(",")),
+            ("--platform", &platform),
+            ("--shared-key", "a shared key of the tests"),
+            ("--tokens", &tokens),
+        ];
+        let arguments: Vec<String> =
+            pairs.iter().flat_map(|(flag, value)| [(*flag).to_owned(), (*value).to_owned()]).collect();
+        let process = Process::start(env!("CARGO_BIN_EXE_catkinmast-node"), &arguments);
+        let line: Value = serde_json::from_str(&process.first_line).expect("a line of addresses");
+        let address = |field: &str| line[field].as_str().and_then(|text| text.parse().ok());
+        let control = address("control").expect("the control address");
+        let http = address("http").expect("the HTTP address");
+        self.nodes.push(NodeProcess { control, http, name, process });
+    }
+
+    /// Lets the platform list an instance.
+    pub(crate) async fn list(&self, name: &str, kind: &str, address: SocketAddr, state: &str) {
+        let app = if kind == "engine" { "citation" } else { "registre" };
+        let instance = json!({
+            "address": address,
+            "data_centre": "salle-a",
+            "incarnation": 1,
+            "kind": kind,
+            "labels": { "app": app },
+            "name": name,
+            "state": state,
+        });
+        let url = format!("http://{}/instances", self.platform);
+        let sent = self.client.post(url).json(&instance).send().await;
+        assert!(sent.expect("the platform answers").status().is_success());
+    }
+
+    /// Switches faults of the platform on or off.
+    pub(crate) async fn faults(&self, faults: &Value) {
+        let url = format!("http://{}/faults", self.platform);
+        let sent = self.client.post(url).json(faults).send().await;
+        assert!(sent.expect("the platform answers").status().is_success());
+    }
+
+    /// Polls until `look` finds something.
+    pub(crate) async fn until<T>(&self, what: &str, look: impl AsyncFn() -> Option<T>) -> T {
+        let began = Instant::now();
+        loop {
+            if let Some(found) = look().await {
+                return found;
+            }
+            assert!(began.elapsed() < HUNG_AFTER, "hung: {what}");
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    /// Sends a request and returns status and body; status 0 means that it was not answered.
+    pub(crate) async fn send(
+        &self,
+        method: &str,
+        token: &str,
+        url: &str,
+        body: Option<&Value>,
+    ) -> (u16, String) {
+        let method = method.parse().expect("a method");
+        let mut request = self.client.request(method, url).bearer_auth(token);
+        if let Some(body) = body {
+            request = request.json(body);
+        }
+        let Ok(response) = request.send().await else { return (0, String::new()) };
+        let status = response.status().as_u16();
+        (status, response.text().await.unwrap_or_default())
+    }
+
+    /// Sends an operator's request to a node.
+    pub(crate) async fn operator(
+        &self,
+        method: &str,
+        node: usize,
+        path: &str,
+        body: Option<&Value>,
+    ) -> (u16, Value) {
+        let url = format!("http://{}{path}", self.nodes[node].http);
+        let (status, text) = self.send(method, OPERATOR, &url, body).await;
+        (status, serde_json::from_str(&text).unwrap_or(Value::Null))
+    }
+
+    /// Returns a node's status.
+    pub(crate) async fn status(&self, node: usize) -> Value {
+        self.operator("GET", node, "/v1/status", None).await.1
+    }
+
+    /// Returns the place, among the started nodes, of the node that owns the trainer.
+    pub(crate) async fn owner(&self, asked: usize) -> usize {
+        self.until("some node owns the trainer", async || {
+            let status = self.status(asked).await;
+            let owner = status["owners"][0]["node"].as_str()?.to_owned();
+            self.nodes.iter().position(|node| node.name == owner)
+        })
+        .await
+    }
+
+    /// Returns how often the services ran each body at a path, by their own records.
+    pub(crate) async fn runs(&self, path: &str, body: &str) -> usize {
+        let mut count = 0;
+        for (_, address) in &self.services {
+            let url = format!("http://{address}/standin/runs");
+            let Ok(response) = self.client.get(url).send().await else { continue };
+            let runs: Vec<Value> = response.json().await.expect("a list of runs");
+            count += runs.iter().filter(|run| run["path"] == path && run["body"] == body).count();
+        }
+        count
+    }
+
+    /// Returns the ticket prefix of a node.
+    pub(crate) async fn ticket_prefix(&self, node: usize) -> String {
+        let url = format!("http://{}/v1/addresses", self.nodes[node].http);
+        let (status, text) = self.send("GET", CALLER, &url, None).await;
+        assert_eq!(status, 200, "{text}");
+        let answer: Value = serde_json::from_str(&text).expect("an answer");
+        let entries = answer["addresses"].as_array().expect("addresses").clone();
+        let name = &self.nodes[node].name;
+        let entry = entries.iter().find(|entry| entry["node"] == name.as_str());
+        entry.expect("the node itself")["ticket_prefix"].as_str().expect("a prefix").to_owned()
+    }
+
+    /// Calls a service with a ticket and returns status and body.
+    pub(crate) async fn call(
+        &self,
+        node: usize,
+        path: &str,
+        body: &str,
+        ticket: Option<&str>,
+    ) -> (u16, String) {
+        let url = format!("http://{}/v1/call/badges{path}", self.nodes[node].http);
+        let mut request = self.client.post(url).bearer_auth(CALLER).body(body.to_owned());
+        if let Some(ticket) = ticket {
+            request = request.header("Catkinmast-Ticket", ticket);
+        }
+        let Ok(response) = request.send().await else { return (0, String::new()) };
+        let status = response.status().as_u16();
+        (status, response.text().await.unwrap_or_default())
+    }
+}
+
+impl FleetSize {
+    fn targets(&self) -> usize {
+        (self.engines + self.services) as usize
+    }
+}
+
+/// Returns the verdict of a refusal's body.
+pub(crate) fn verdict(body: &str) -> String {
+    let problem: Value = serde_json::from_str(body).unwrap_or_default();
+    problem["verdict"].as_str().unwrap_or_default().to_owned()
+}
--- /dev/null
+++ b/tests/all/support/mod.rs
@@ -0,0 +1,3 @@
+//! Fixtures that several areas share.
+
+pub(crate) mod fleet;
