A claim that meets a void of the same batch no longer frees its samples twice

Replies also followed the request, not the ledger. Ruled out: the takeover itself (every write was by the new owner under fence 2). Change: a settled batch has no samples left to settle, and replies say what the ledger says.

--- a/crates/bench/src/engines.rs
+++ b/crates/bench/src/engines.rs
@@ -232,8 +232,8 @@
 
     pub(crate) fn crash(&mut self, broken: &mut Vec<Finish>) {
         self.alive = false;
-        self.waiting.clear();
-        for run in std::mem::take(&mut self.running) {
+        let waiting = std::mem::take(&mut self.waiting);
+        for run in std::mem::take(&mut self.running).into_iter().chain(waiting) {
             broken.push(finish(&run, What::Broken { kept: true }));
         }
     }
--- a/crates/bench/src/world.rs
+++ b/crates/bench/src/world.rs
@@ -465,8 +465,22 @@
         self.deliver_later(STORE_MS, node, Event::LedgerWritten { version: next });
     }
 
-    /// Once written, a batch's samples never change, and a settled batch stays settled.
+    /// Once written, a batch's samples never change, a settled batch stays settled, and no sample
+    /// stands in two batches that are not void.
     fn check_ledger(&mut self, new: &Ledger) {
+        let mut placed = IndexSet::new();
+        let usable = new
+            .batches
+            .iter()
+            .filter(|(_, record)| record.state != catkinmast_rollout::BatchState::Void);
+        for (number, record) in usable {
+            for (id, _) in record.ids() {
+                if !placed.insert(id) {
+                    let message = format!("sample {id} of batch {number} is in another batch");
+                    self.outcome.violations.push(message);
+                }
+            }
+        }
         let Some((old, _)) = &self.ledger else { return };
         if new.fence < old.fence {
             self.outcome.violations.push(format!("fence {} after {}", new.fence, old.fence));
--- a/crates/rollout/src/batches.rs
+++ b/crates/rollout/src/batches.rs
@@ -157,8 +157,7 @@
             }
             Intent::Bind { .. } => self.answer_waiting(now),
             Intent::Claim { batch, reply_to } => {
-                self.claimed(settled);
-                self.reply(reply_to, Reply::Claimed { batch });
+                self.batch_settled(now, batch, Some(reply_to), settled);
             }
             Intent::Publish { reply_to, version } => {
                 self.reply(reply_to, Reply::Published { version });
@@ -169,13 +168,35 @@
             }
             Intent::TakeOver => self.taken_over(now),
             Intent::Void { batch, reply_to, .. } => {
+                self.batch_settled(now, batch, reply_to, settled);
+            }
+        }
+    }
+
+    /// Acts on what the ledger says of a batch now, which need not be what was asked for: a claim
+    /// and a void of the same batch can meet in one write, and the first of them counts.
+    fn batch_settled(
+        &mut self,
+        now: UnixMs,
+        batch: u64,
+        reply_to: Option<u64>,
+        settled: &[(SampleId, Attempt)],
+    ) {
+        let state = self.ledger.batches.get(&batch).map(|record| record.state);
+        let reply = match state {
+            Some(BatchState::Claimed) => {
+                self.claimed(settled);
+                Reply::Claimed { batch }
+            }
+            _ => {
                 self.voided(settled);
-                if let Some(receiver) = reply_to {
-                    self.reply(receiver, Reply::Void { batch });
-                }
-                self.answer_waiting(now);
+                Reply::Void { batch }
             }
+        };
+        if let Some(receiver) = reply_to {
+            self.reply(receiver, reply);
         }
+        self.answer_waiting(now);
     }
 
     pub(crate) fn register(&mut self, now: UnixMs, reply_to: u64, registration: Registration) {
@@ -572,11 +593,15 @@
     }
 }
 
+/// Returns the samples of the batch that a change settles, none if it was settled before.
+///
+/// A trainer's claim can meet a void of the same batch that is on its way. When the second of
+/// them came to be applied, the samples were already bound to another batch; to free them again
+/// would bind, and deliver, them twice.
 fn settled_by(ledger: &Ledger, intent: &Intent) -> Settled {
-    match intent {
-        Intent::Claim { batch, .. } | Intent::Void { batch, .. } => {
-            ledger.batches.get(batch).map_or_else(Vec::new, BatchRecord::ids)
-        }
-        _ => Vec::new(),
-    }
+    let (Intent::Claim { batch, .. } | Intent::Void { batch, .. }) = intent else {
+        return Vec::new();
+    };
+    let bound = ledger.batches.get(batch).filter(|record| record.state == BatchState::Bound);
+    bound.map_or_else(Vec::new, BatchRecord::ids)
 }
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -7,3 +7,4 @@
 mod support;
 
 mod processes;
+mod rollout_faults;
