Scenario scripts for leases, configuration, admission, budgets, targets, tickets, selectors

Cause: the decisions were proved only through whole processes, where timing cannot be set. Change: one goldenscript runner over the pure aggregates, nine scripts with expected output.

--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -96,7 +96,7 @@
     }
 }
 
-fn name(text: String) -> Name {
+fn name(text: &str) -> Name {
     match text.parse() {
         Ok(name) => name,
         Err(error) => unreachable!("'{text}' is a name: {error}"),
@@ -115,11 +115,11 @@
 fn node_fact(node: usize, incarnation: u64) -> NodeFact {
     NodeFact {
         control: address(node),
-        data_centre: name(format!("place-{}", place(node))),
+        data_centre: name(&format!("place-{}", place(node))),
         has_data_folder: node.is_multiple_of(16),
         http: address(node),
         incarnation: Incarnation(incarnation),
-        name: name(format!("entry-{node}")),
+        name: name(&format!("entry-{node}")),
         refutation: 0,
         state: NodeState::Live,
     }
@@ -320,7 +320,7 @@
 
     /// Returns what `viewer` believes of `node`; none when it does not know it.
     pub fn state(&self, viewer: usize, node: usize) -> Option<NodeState> {
-        let key = FactKey::Node(name(format!("entry-{node}")));
+        let key = FactKey::Node(name(&format!("entry-{node}")));
         match self.members[viewer].view.board().get(&key) {
             Some(Fact::Node(fact)) => Some(fact.state),
             _ => None,
--- a/crates/rollout/src/batches.rs
+++ b/crates/rollout/src/batches.rs
@@ -183,15 +183,12 @@
         settled: &[(SampleId, Attempt)],
     ) {
         let state = self.ledger.batches.get(&batch).map(|record| record.state);
-        let reply = match state {
-            Some(BatchState::Claimed) => {
-                self.claimed(settled);
-                Reply::Claimed { batch }
-            }
-            _ => {
-                self.voided(settled);
-                Reply::Void { batch }
-            }
+        let reply = if let Some(BatchState::Claimed) = state {
+            self.claimed(settled);
+            Reply::Claimed { batch }
+        } else {
+            self.voided(settled);
+            Reply::Void { batch }
         };
         if let Some(receiver) = reply_to {
             self.reply(receiver, reply);
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -9,3 +9,4 @@
 mod membership;
 mod processes;
 mod rollout_faults;
+mod scenarios;
--- /dev/null
+++ b/tests/all/scenarios.rs
@@ -0,0 +1,394 @@
+//! Scripts under `tests/scenarios` against the pure aggregates, in virtual time.
+//!
+//! One generic runner for all of them: each command names an aggregate, the time and an event, and
+//! prints what the aggregate decides. Expected output stands beneath each block, in the script
+//! itself; `UPDATE_GOLDENFILES=1` writes it anew.
+
+use catkinmast_config::{
+    CallClass, Change, Digest, Document, Follower, FollowerEffect, FollowerEvent, HeadSeen, diff,
+    merge,
+};
+use catkinmast_lease::{HolderRecord, Report, Tenure};
+use catkinmast_model::{Fence, Incarnation, Labels, Name, Revision, Selector, UnixMs};
+use catkinmast_route::{
+    Admission, AdmissionLimits, Begin, Choice, Outcome, RecordedAnswer, Released, RetryBudget,
+    TargetSettings, Targets, Ticket, TicketBook, TicketLimits, WaitId,
+};
+use goldenscript::{ArgumentConsumer, Command, Context};
+use indexmap::IndexMap;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use std::error::Error;
+use std::fmt::Write;
+use std::path::Path;
+use std::str::FromStr;
+use yare::parameterized;
+
+#[parameterized(
+    admission = { "admission" },
+    config_check = { "config_check" },
+    config_follow = { "config_follow" },
+    config_merge = { "config_merge" },
+    lease = { "lease" },
+    retry_budget = { "retry_budget" },
+    selector = { "selector" },
+    targets = { "targets" },
+    ticket = { "ticket" },
+)]
+fn script(name: &str) {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/scenarios");
+    goldenscript::run(&mut Runner::new(folder.clone()), folder.join(name))
+        .expect("the script runs");
+}
+
+type Output = Result<String, Box<dyn Error>>;
+
+/// One of each aggregate, as the commands need them.
+struct Runner {
+    admission: Admission,
+    budget: RetryBudget,
+    choices: Vec<Choice>,
+    folder: std::path::PathBuf,
+    follower: Follower,
+    rng: Pcg64Mcg,
+    targets: Targets,
+    tenure: Tenure,
+    tickets: TicketBook,
+    waiting: IndexMap<WaitId, String>,
+}
+
+fn name(text: &str) -> Name {
+    text.parse().expect("a name")
+}
+
+fn holder() -> HolderRecord {
+    HolderRecord { incarnation: Incarnation(1), node: name("entry-1") }
+}
+
+impl Runner {
+    fn new(folder: std::path::PathBuf) -> Self {
+        let limits = AdmissionLimits { in_flight_max: 2, queue_max: 2 };
+        let ticket_limits =
+            TicketLimits { answers_max_bytes: 1_000, memory_ms: 10_000, tickets_max: 2 };
+        Self {
+            admission: Admission::open(limits),
+            budget: RetryBudget::open(10),
+            choices: Vec::new(),
+            folder,
+            follower: Follower::default(),
+            rng: Pcg64Mcg::seed_from_u64(1),
+            targets: Targets::open(TargetSettings::default()),
+            tenure: Tenure::open(holder()),
+            tickets: TicketBook::open(ticket_limits),
+            waiting: IndexMap::new(),
+        }
+    }
+}
+
+/// Takes a named argument.
+fn need<T: FromStr<Err: Error + 'static>>(
+    args: &mut ArgumentConsumer<'_>,
+    key: &str,
+) -> Result<T, Box<dyn Error>> {
+    let text = args.take_key(key).ok_or_else(|| format!("argument '{key}' is missing"))?;
+    Ok(text.parse()?)
+}
+
+fn at(args: &mut ArgumentConsumer<'_>) -> Result<UnixMs, Box<dyn Error>> {
+    Ok(UnixMs(need(args, "at")?))
+}
+
+impl goldenscript::Runner for Runner {
+    type Command = Command;
+
+    fn run(&mut self, command: &Command, _context: &Context) -> Output {
+        let mut args = command.consume_args();
+        let output = match command.name.as_str() {
+            "admission" => self.admission(&mut args)?,
+            "budget" => self.budget(&mut args)?,
+            "check" => self.check(&mut args)?,
+            "diff" => self.compare(&mut args)?,
+            "follower" => self.follower(&mut args)?,
+            "lease" => self.lease(&mut args)?,
+            "merge" => self.merge(&mut args)?,
+            "select" => select(&mut args)?,
+            "targets" => self.targets(&mut args)?,
+            "ticket" => self.ticket(&mut args)?,
+            other => return Err(format!("unknown command '{other}'").into()),
+        };
+        args.reject_next()?;
+        Ok(output)
+    }
+}
+
+fn event_of<'a>(args: &mut ArgumentConsumer<'a>) -> Result<&'a str, Box<dyn Error>> {
+    args.next_pos().ok_or_else(|| "an event is missing".into())
+}
+
+fn select(args: &mut ArgumentConsumer<'_>) -> Output {
+    let text = event_of(args)?.to_owned();
+    let mut labels = Labels::default();
+    while let Some((key, value)) = args.next_key() {
+        labels = labels.with(key, value);
+    }
+    Ok(match text.parse::<Selector>() {
+        Ok(selector) => format!("{}\n", selector.matches(&labels)),
+        Err(error) => format!("{error}\n"),
+    })
+}
+
+fn lines(changes: &[Change], prefix: &str) -> String {
+    let lines: Vec<String> = changes.iter().map(|change| format!("{prefix}{change}\n")).collect();
+    lines.concat()
+}
+
+impl Runner {
+    fn read(&self, file: &str) -> Result<String, Box<dyn Error>> {
+        Ok(std::fs::read_to_string(self.folder.join("documents").join(file))?)
+    }
+
+    fn check(&self, args: &mut ArgumentConsumer<'_>) -> Output {
+        let text = self.read(event_of(args)?)?;
+        Ok(match Document::parse(&text) {
+            Ok(document) => format!("no faults: {}\n", document.deployment),
+            Err(faults) => format!("{faults}\n"),
+        })
+    }
+
+    fn compare(&self, args: &mut ArgumentConsumer<'_>) -> Output {
+        let (old, new) = (self.read(event_of(args)?)?, self.read(event_of(args)?)?);
+        Ok(lines(&diff(&old, &new), ""))
+    }
+
+    fn merge(&self, args: &mut ArgumentConsumer<'_>) -> Output {
+        let base = self.read(event_of(args)?)?;
+        let (ours, theirs) = (self.read(event_of(args)?)?, self.read(event_of(args)?)?);
+        Ok(match merge(&base, &ours, &theirs) {
+            Ok(merged) => lines(&diff(&base, &merged), ""),
+            Err(collisions) => lines(&collisions, "collides: "),
+        })
+    }
+
+    fn lease(&mut self, args: &mut ArgumentConsumer<'_>) -> Output {
+        let event = event_of(args)?.to_owned();
+        let now = at(args)?;
+        let mut output = String::new();
+        match event.as_str() {
+            "tick" => {
+                let wanted = need(args, "wanted")?;
+                let (action, change) = self.tenure.tick(now, wanted);
+                writeln!(output, "action {action:?}, change {change:?}")?;
+            }
+            "fence" => {
+                let (acts, orders) = (self.tenure.fence(now), self.tenure.order_fence(now));
+                writeln!(output, "acts {acts:?}, orders {orders:?}")?;
+            }
+            report => {
+                let report = match report {
+                    "taken" => Report::Taken(Fence(need(args, "fence")?)),
+                    "read-mine" => Report::Read(Some((holder(), Fence(need(args, "fence")?)))),
+                    "read-none" => Report::Read(None),
+                    "refused" => Report::Refused,
+                    "renewed" => Report::Renewed,
+                    "unknown" => Report::Unknown,
+                    other => return Err(format!("unknown report '{other}'").into()),
+                };
+                writeln!(output, "change {:?}", self.tenure.report(now, &report))?;
+            }
+        }
+        Ok(output)
+    }
+
+    fn follower(&mut self, args: &mut ArgumentConsumer<'_>) -> Output {
+        let event = event_of(args)?.to_owned();
+        let now = at(args)?;
+        let digest = |revision: u64| Digest::of(&format!("document {revision}"));
+        let event = match event.as_str() {
+            "tick" => {
+                FollowerEvent::Tick { peers: need(args, "peers")?, watches: need(args, "watches")? }
+            }
+            "announced" => {
+                let revision = need(args, "revision")?;
+                FollowerEvent::Announced { digest: digest(revision), revision: Revision(revision) }
+            }
+            "body" => FollowerEvent::BodyFetched { revision: Revision(need(args, "revision")?) },
+            "body-missing" => FollowerEvent::BodyMissing,
+            "head" | "watch-ended" => {
+                let head = args.take_key("revision").map(str::parse::<u64>).transpose()?;
+                let head = head.map(|revision| HeadSeen {
+                    digest: digest(revision),
+                    revision: Revision(revision),
+                    version: revision * 10,
+                });
+                if event == "head" {
+                    FollowerEvent::HeadRead(head)
+                } else {
+                    FollowerEvent::WatchEnded { head, worked: need(args, "worked")? }
+                }
+            }
+            "head-unavailable" => FollowerEvent::HeadUnavailable,
+            "peers" => {
+                let newest = args.take_key("revision").map(str::parse::<u64>).transpose()?;
+                let newest = newest.map(|revision| (Revision(revision), digest(revision)));
+                FollowerEvent::PeersAnswered { answers: need(args, "answers")?, newest }
+            }
+            other => return Err(format!("unknown event '{other}'").into()),
+        };
+        let mut output = String::new();
+        for effect in self.follower.handle(now, event) {
+            match effect {
+                FollowerEffect::FetchBody { revision, .. } => {
+                    writeln!(output, "fetch the body of revision {revision}")?;
+                }
+                other => writeln!(output, "{other:?}")?,
+            }
+        }
+        writeln!(
+            output,
+            "revision {} in force, ready {}",
+            self.follower.in_force(),
+            self.follower.is_ready()
+        )?;
+        Ok(output)
+    }
+
+    fn ticket(&mut self, args: &mut ArgumentConsumer<'_>) -> Output {
+        let event = event_of(args)?.to_owned();
+        let text = event_of(args)?.to_owned();
+        let now = if event == "begin" { at(args)? } else { UnixMs(0) };
+        let ticket: Ticket = match text.parse() {
+            Ok(ticket) => ticket,
+            Err(error) => return Ok(format!("{error}\n")),
+        };
+        Ok(match event.as_str() {
+            "begin" => match self.tickets.begin(now, &ticket) {
+                Begin::Recorded(answer) => format!("recorded {}\n", answer.status),
+                other => format!("{other:?}\n"),
+            },
+            "answered" => {
+                let status = need(args, "status")?;
+                let body = Some(b"answer".to_vec());
+                let answer = RecordedAnswer { body, content_type: None, status };
+                self.tickets.answered(&ticket, answer);
+                String::new()
+            }
+            "not-run" => {
+                self.tickets.not_run(&ticket);
+                String::new()
+            }
+            "unsettled" => {
+                self.tickets.unsettled(&ticket);
+                String::new()
+            }
+            other => return Err(format!("unknown event '{other}'").into()),
+        })
+    }
+
+    fn admission(&mut self, args: &mut ArgumentConsumer<'_>) -> Output {
+        let event = event_of(args)?.to_owned();
+        let who = event_of(args)?.to_owned();
+        let now = at(args)?;
+        let mut output = String::new();
+        let released = match event.as_str() {
+            "arrive" => {
+                let class = match need::<String>(args, "class")?.as_str() {
+                    "lookup" => CallClass::Lookup,
+                    "act" => CallClass::Act,
+                    "rollout" => CallClass::Rollout,
+                    _ => CallClass::Audit,
+                };
+                let deadline = UnixMs(need(args, "deadline")?);
+                let (admitted, released) = self.admission.arrive(now, "team", class, deadline);
+                match admitted {
+                    catkinmast_route::Admitted::Now => writeln!(output, "{who} is served")?,
+                    catkinmast_route::Admitted::Waiting(id) => {
+                        self.waiting.insert(id, who.clone());
+                        writeln!(output, "{who} waits")?;
+                    }
+                    catkinmast_route::Admitted::Refused(refusal) => writeln!(
+                        output,
+                        "{who} is refused, {}, come back at {:?}: {}",
+                        refusal.verdict,
+                        refusal.retry_at_unix_ms.map(|at| at.0),
+                        refusal.message
+                    )?,
+                }
+                released
+            }
+            "finish" => self.admission.finish(now, "team", need(args, "service-us")?),
+            "expire" => self.admission.expire(now),
+            other => return Err(format!("unknown event '{other}'").into()),
+        };
+        self.show_released(&released, &mut output)?;
+        Ok(output)
+    }
+
+    fn show_released(&self, released: &Released, output: &mut String) -> std::fmt::Result {
+        for id in &released.admitted {
+            writeln!(output, "{} is served now", self.waiting[id])?;
+        }
+        for (id, refusal) in &released.refused {
+            let verdict = refusal.verdict;
+            writeln!(output, "{} is refused, {verdict}: {}", self.waiting[id], refusal.message)?;
+        }
+        Ok(())
+    }
+
+    fn budget(&mut self, args: &mut ArgumentConsumer<'_>) -> Output {
+        let event = event_of(args)?.to_owned();
+        let times: u32 = need(args, "times")?;
+        Ok(match event.as_str() {
+            "attempts" => {
+                (0..times).for_each(|_| self.budget.first_attempt());
+                String::new()
+            }
+            "retries" => {
+                let granted = (0..times).filter(|_| self.budget.take_retry()).count();
+                format!("{granted} of {times} granted\n")
+            }
+            other => return Err(format!("unknown event '{other}'").into()),
+        })
+    }
+
+    fn targets(&mut self, args: &mut ArgumentConsumer<'_>) -> Output {
+        let event = event_of(args)?.to_owned();
+        let now = at(args)?;
+        let all: Vec<Name> = ["a", "b", "c", "d"].iter().map(|text| name(text)).collect();
+        match event.as_str() {
+            "pick" => {
+                let times: u32 = need(args, "times")?;
+                let mut counts: IndexMap<String, u32> = IndexMap::new();
+                for _ in 0..times {
+                    match self.targets.pick(now, &all, &mut self.rng) {
+                        Some(choice) => {
+                            *counts.entry(choice.target.to_string()).or_default() += 1;
+                            self.choices.push(choice);
+                        }
+                        None => *counts.entry("nobody".to_owned()).or_default() += 1,
+                    }
+                }
+                counts.sort_keys();
+                let mut output = String::new();
+                for (target, count) in &counts {
+                    writeln!(output, "{target}: {count}")?;
+                }
+                Ok(output)
+            }
+            "finish" => {
+                let target = need::<String>(args, "target")?;
+                let outcome = match need::<String>(args, "outcome")?.as_str() {
+                    "failed" => Outcome::Failed,
+                    "overloaded" => Outcome::Overloaded,
+                    text => Outcome::Answered { latency_us: text.parse()? },
+                };
+                let of_target = self.choices.extract_if(.., |c| c.target.as_str() == target);
+                let finished: Vec<Choice> = of_target.collect();
+                for choice in &finished {
+                    self.targets.finish(now, choice, outcome);
+                }
+                Ok(format!("{} finished\n", finished.len()))
+            }
+            other => Err(format!("unknown event '{other}'").into()),
+        }
+    }
+}
