Capacity benchmark; half the bytes when a data centre dies; ranks only when the fleet changes

Cause: each node passed a fresh fact on 3 + log2(facts)/2 times; ranking nodes for duties ran on every tick. Ruled out: pulls (digests agree once facts settle), the size of a fact alone.

--- /dev/null
+++ b/crates/bench/src/capacity.rs
@@ -0,0 +1,549 @@
+//! What each role costs, from slopes measured on the real aggregates.
+//!
+//! State is counted in allocated bytes, messages by encoding them, spread in virtual time: these
+//! figures are the same on every machine and stand on the page `docs/CAPACITY.md`, which a test
+//! compares with this command. Processor time is measured as well, beside a reference operation
+//! in the same run; it is printed only when asked for, and never compared.
+
+use crate::fleet::VirtualFleet;
+use crate::slope::Slope;
+use catkinmast_config::CallClass;
+use catkinmast_member::{
+    Board, ConfigFact, Fact, Membership, MembershipSettings, Message, NodeFact, NodeState,
+    TargetFact, TargetReport,
+};
+use catkinmast_model::{
+    Fence, Incarnation, InstanceKind, InstanceState, Labels, Name, Revision, SampleId, Segments,
+    UnixMs, Version,
+};
+use catkinmast_rollout::{
+    Attempt, Command, Effect, EngineInfo, Event, Finished, GroupSpec, Ledger, NodeInfo,
+    OrderSettings, Registration, Rollout, ScheduleSettings, StepSpec,
+};
+use catkinmast_route::{
+    Admission, AdmissionLimits, Begin, Outcome, RecordedAnswer, TargetSettings, Targets, Ticket,
+    TicketBook, TicketLimits,
+};
+use catkinmast_wire::{DATAGRAM_MAX_BYTES, SharedKey, open, seal};
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use serde::Serialize;
+use stats_alloc::{INSTRUMENTED_SYSTEM, Region};
+use std::net::SocketAddr;
+use std::time::Instant;
+
+/// The users' size: entry nodes.
+pub const NODES: f64 = 320.0;
+/// The users' size: workers.
+pub const WORKERS: f64 = 870.0;
+/// The users' size: samples in a step.
+pub const STEP_SAMPLES: f64 = 2_048.0;
+/// Sizes of the fleet at which messages are counted.
+const FLEET_SIZES: [usize; 4] = [8, 32, 128, 320];
+/// Numbers of workers at which state is counted.
+const WORKER_SIZES: [usize; 4] = [100, 300, 600, 870];
+/// Numbers of samples at which a step's state is counted.
+const SAMPLE_SIZES: [usize; 4] = [256, 512, 1_024, 2_048];
+/// Numbers of tickets at which a book is counted.
+const TICKET_SIZES: [usize; 4] = [500, 1_000, 2_000, 4_000];
+
+/// A counted figure with its slope.
+#[derive(Clone, Debug, Serialize)]
+pub struct Counted {
+    /// What is counted, with its unit.
+    pub figure: &'static str,
+    /// The unit of size.
+    pub per: &'static str,
+    /// The fitted line.
+    pub slope: Slope,
+    /// The users' size.
+    pub users_size: f64,
+}
+
+fn name(text: &str) -> Name {
+    match text.parse() {
+        Ok(name) => name,
+        Err(error) => unreachable!("'{text}' is a name: {error}"),
+    }
+}
+
+fn address(number: usize) -> SocketAddr {
+    SocketAddr::from(([10, 1, (number / 250) as u8, (number % 250) as u8], 7_400))
+}
+
+fn node_fact(number: usize) -> NodeFact {
+    NodeFact {
+        control: address(number),
+        data_centre: name(&format!("data-centre-{}", number % 5)),
+        has_data_folder: false,
+        http: address(number),
+        incarnation: Incarnation(1_796_000_000_000),
+        name: name(&format!("entry-{number:04}")),
+        refutation: 0,
+        state: NodeState::Live,
+    }
+}
+
+fn target_fact(number: usize) -> TargetFact {
+    TargetFact {
+        address: address(number),
+        data_centre: name(&format!("data-centre-{}", number % 5)),
+        incarnation: Incarnation(1),
+        kind: InstanceKind::Engine,
+        labels: Labels::default().with("app", "citation").with("rack", format!("r{}", number % 40)),
+        name: name(&format!("worker-{number:04}")),
+        report: TargetReport::List,
+        state: InstanceState::Live,
+    }
+}
+
+/// Counts the bytes that a value holds after it was made.
+fn held_bytes<T>(make: impl FnOnce() -> T) -> f64 {
+    let region = Region::new(&INSTRUMENTED_SYSTEM);
+    let value = make();
+    let change = region.change();
+    drop(value);
+    // Growth by reallocation is counted in both already.
+    (change.bytes_allocated as i64 - change.bytes_deallocated as i64) as f64
+}
+
+fn slope_of(sizes: &[usize], value: impl Fn(usize) -> f64) -> Slope {
+    Slope::fit(sizes.iter().map(|size| (*size as f64, value(*size))).collect())
+}
+
+fn board_of(facts: impl Iterator<Item = Fact>) -> Board {
+    let mut board = Board::default();
+    for fact in facts {
+        board.merge(fact, 3);
+    }
+    // Sent on already, as in a fleet that has settled.
+    while !board.take_fresh(1_200, 3).is_empty() {}
+    board
+}
+
+fn registration() -> Registration {
+    Registration {
+        batch_samples: 512,
+        group_size: 8,
+        idle_weight_percent: 50,
+        staleness_bound_versions: 2,
+    }
+}
+
+fn step_spec(samples: usize) -> StepSpec {
+    let group = |number| GroupSpec { prompt: format!("prompt {number}") };
+    StepSpec {
+        deadline_unix_ms: UnixMs(u64::MAX),
+        groups: (0..samples / 8).map(group).collect(),
+        max_tokens: 1 << 20,
+        seed: 1,
+    }
+}
+
+/// An owner that has taken over, with one step of `samples` samples and engines for all of them.
+fn owner(samples: usize) -> (Rollout, Vec<Effect>) {
+    let (schedule, orders) = (ScheduleSettings::default(), OrderSettings::default());
+    let (mut rollout, _) = Rollout::open("node:1", Fence(1), schedule, orders);
+    let now = UnixMs(1);
+    let engine = |number| EngineInfo {
+        address: address(number),
+        data_centre: name("data-centre-0"),
+        name: name(&format!("worker-{number:04}")),
+        slots: 16,
+    };
+    let node = |number: usize| NodeInfo {
+        data_centre: name("data-centre-0"),
+        leaving: false,
+        name: name(&format!("entry-{number:04}")),
+    };
+    rollout.handle(now, Event::LedgerRead(None));
+    rollout.handle(now, Event::LedgerWritten { version: 1 });
+    rollout.handle(now, Event::Holdings(Vec::new()));
+    rollout.handle(now, Event::Engines((0..samples / 16).map(engine).collect()));
+    rollout.handle(now, Event::Nodes((0..NODES as usize).map(node).collect()));
+    let register = Command::Register(registration());
+    rollout.handle(now, Event::Command { command: register, reply_to: 1 });
+    rollout.handle(now, Event::LedgerWritten { version: 2 });
+    let submit = Command::Submit { step: 1, spec: step_spec(samples) };
+    rollout.handle(now, Event::Command { command: submit, reply_to: 2 });
+    rollout.handle(now, Event::StepStored { step: 1, stored: true });
+    let effects = rollout.handle(now, Event::LedgerWritten { version: 3 });
+    (rollout, effects)
+}
+
+fn finished(tokens: u32) -> Finished {
+    let mut segments = Segments::default();
+    segments.push(Version(1), tokens / 2);
+    segments.push(Version(2), tokens - tokens / 2);
+    Finished { holders: vec![name("entry-0001"), name("entry-0002")], score_millis: 500, segments }
+}
+
+/// An owner all of whose samples are safe, and the ledger that binds the first batches.
+fn finished_owner(samples: usize) -> (Rollout, Option<Ledger>) {
+    let (mut rollout, effects) = owner(samples);
+    let mut ledger = None;
+    for effect in effects {
+        let Effect::Run(order) = effect else { continue };
+        let (attempt, sample) = (order.attempt, order.sample);
+        let safe = Event::RunSafe { attempt, finished: finished(1_000), sample };
+        for effect in rollout.handle(UnixMs(2), safe) {
+            if let Effect::WriteLedger { ledger: written, .. } = effect {
+                ledger = Some(*written);
+            }
+        }
+    }
+    (rollout, ledger)
+}
+
+fn ledger_bytes(samples: usize) -> f64 {
+    let (mut rollout, _) = finished_owner(samples);
+    let mut largest = 0;
+    for version in 4..12 {
+        for effect in rollout.handle(UnixMs(3), Event::LedgerWritten { version }) {
+            if let Effect::WriteLedger { ledger, .. } = effect {
+                largest = largest.max(serde_json::to_vec(&*ledger).map_or(0, |text| text.len()));
+            }
+        }
+    }
+    largest as f64
+}
+
+fn ticket(number: usize) -> Ticket {
+    Ticket {
+        expires_at: UnixMs(300_000),
+        incarnation: Incarnation(1_796_000_000_000),
+        node: name("entry-0001"),
+        nonce: format!("{number:016}"),
+    }
+}
+
+fn ticket_book(tickets: usize) -> TicketBook {
+    let limits =
+        TicketLimits { answers_max_bytes: 64 << 20, memory_ms: 600_000, tickets_max: 100_000 };
+    let mut book = TicketBook::open(limits);
+    for number in 0..tickets {
+        let ticket = ticket(number);
+        if book.begin(UnixMs(0), &ticket) == Begin::Run {
+            let body = Some(vec![0; 200]);
+            let content_type = Some("application/json".to_owned());
+            book.answered(&ticket, RecordedAnswer { body, content_type, status: 200 });
+        }
+    }
+    book
+}
+
+/// Bytes that a node sends and receives in a calm second, at one size of the fleet.
+fn calm_bytes(nodes: usize) -> f64 {
+    let mut fleet = VirtualFleet::open(nodes, 1, 0);
+    fleet.run_until(UnixMs(40_000));
+    let before = fleet.traffic();
+    fleet.run_until(fleet.now().plus(30_000));
+    (fleet.traffic().bytes - before.bytes) as f64 / 30.0 / nodes as f64
+}
+
+/// How a new revision spreads: the time until all know it, and the bytes it cost each node.
+fn spread(nodes: usize, seed: u64, loss_percent: u32) -> (f64, f64) {
+    let mut fleet = VirtualFleet::open(nodes, seed, loss_percent);
+    fleet.run_until(UnixMs(40_000));
+    let calm_before = fleet.traffic();
+    fleet.run_until(fleet.now().plus(10_000));
+    let calm = fleet.traffic().bytes - calm_before.bytes;
+    let fact =
+        Fact::Config(ConfigFact { digest: format!("{:032x}", seed), revision: Revision(seed) });
+    let before = fleet.traffic();
+    let began = fleet.now();
+    fleet.observe(1, fact.clone());
+    let known = fleet.run_until_holds(began.plus(60_000), |fleet| fleet.all_know(&fact));
+    fleet.run_until(began.plus(10_000));
+    let bytes = (fleet.traffic().bytes - before.bytes).saturating_sub(calm);
+    let took_ms = known.map_or(f64::INFINITY, |at| at.since_ms(began) as f64);
+    (took_ms, bytes as f64 / nodes as f64)
+}
+
+/// Bytes of the busiest node in the worst second-equivalent of a loss: `dead` nodes die at once.
+fn loss_of(nodes: usize, dead: usize) -> (f64, f64) {
+    let mut fleet = VirtualFleet::open(nodes, 1, 0);
+    fleet.run_until(UnixMs(40_000));
+    let before = fleet.traffic();
+    let began = fleet.now();
+    // A data centre: every fifth node.
+    (0..dead).for_each(|number| fleet.kill(number * 5 + 1));
+    let agreed = fleet.run_until_holds(began.plus(120_000), VirtualFleet::all_agree);
+    let took_ms = agreed.map_or(f64::INFINITY, |at| at.since_ms(began) as f64);
+    let busiest = fleet.traffic().busiest_node_bytes - before.busiest_node_bytes;
+    (took_ms, busiest as f64 * 1_000.0 / took_ms.max(1.0))
+}
+
+/// Fits a line over the logarithm of the fleet's size: news travels in rounds that double.
+fn over_log2(points: &[(usize, f64)]) -> Slope {
+    Slope::fit(points.iter().map(|(nodes, value)| ((*nodes as f64).log2(), *value)).collect())
+}
+
+/// Counts everything that is the same on every machine.
+pub fn counted() -> Vec<Counted> {
+    let mut rows = count_messages();
+    rows.extend(count_state());
+    rows
+}
+
+fn count_messages() -> Vec<Counted> {
+    let calm: Vec<(usize, f64)> = FLEET_SIZES.map(|nodes| (nodes, calm_bytes(nodes))).to_vec();
+    let worst = |nodes: usize| {
+        let runs = (1..=3).map(|seed| spread(nodes, seed, 1));
+        runs.fold((0.0_f64, 0.0_f64), |(took, bytes), run| (took.max(run.0), bytes.max(run.1)))
+    };
+    let spreads = FLEET_SIZES.map(|nodes| (nodes, worst(nodes)));
+    let losses: Vec<(usize, (f64, f64))> =
+        FLEET_SIZES[1..].iter().map(|nodes| (*nodes, loss_of(*nodes, nodes / 5))).collect();
+    let first = |runs: &[(usize, (f64, f64))]| -> Vec<(usize, f64)> {
+        runs.iter().map(|(nodes, (first, _))| (*nodes, *first)).collect()
+    };
+    let second = |runs: &[(usize, (f64, f64))]| -> Vec<(usize, f64)> {
+        runs.iter().map(|(nodes, (_, second))| (*nodes, *second)).collect()
+    };
+    let row = |figure, points: &[(usize, f64)]| Counted {
+        figure,
+        per: "log2 node",
+        slope: over_log2(points),
+        users_size: NODES.log2(),
+    };
+    vec![
+        row("calm control traffic, bytes/s sent and received by a node", &calm),
+        row("a changed fact, bytes sent and received by a node (1 % loss)", &second(&spreads)),
+        row("a changed fact known to all, ms (1 % loss, worst of 3 seeds)", &first(&spreads)),
+        row("a data centre dies: until all others agree, ms", &first(&losses)),
+        row("a data centre dies: bytes/s of the busiest node meanwhile", &second(&losses)),
+    ]
+}
+
+fn count_state() -> Vec<Counted> {
+    let counted = |figure, per, slope, users_size| Counted { figure, per, slope, users_size };
+    vec![
+        counted(
+            "facts about nodes, bytes of state",
+            "node",
+            slope_of(&FLEET_SIZES, |nodes| {
+                held_bytes(|| board_of((0..nodes).map(|n| Fact::Node(node_fact(n)))))
+            }),
+            NODES,
+        ),
+        counted(
+            "facts about workers, bytes of state",
+            "worker",
+            slope_of(&WORKER_SIZES, |workers| {
+                held_bytes(|| board_of((0..workers).map(|n| Fact::Target(target_fact(n)))))
+            }),
+            WORKERS,
+        ),
+        counted(
+            "a copy of the workers' facts for traffic threads, bytes of state",
+            "worker",
+            slope_of(&WORKER_SIZES, |workers| {
+                held_bytes(|| (0..workers).map(target_fact).collect::<Vec<_>>())
+            }),
+            WORKERS,
+        ),
+        counted(
+            "answers kept for tickets (200 bytes each), bytes of state",
+            "ticket",
+            slope_of(&TICKET_SIZES, |tickets| held_bytes(|| ticket_book(tickets))),
+            4_000.0,
+        ),
+        counted(
+            "a step at its owner, all running, bytes of state",
+            "sample",
+            slope_of(&SAMPLE_SIZES, |samples| held_bytes(|| owner(samples).0)),
+            STEP_SAMPLES,
+        ),
+        counted(
+            "a step at its owner, all safe, bytes of state",
+            "sample",
+            slope_of(&SAMPLE_SIZES, |samples| held_bytes(|| finished_owner(samples).0)),
+            STEP_SAMPLES,
+        ),
+        counted(
+            "the ledger with four bound batches, bytes of its value",
+            "sample",
+            slope_of(&SAMPLE_SIZES, ledger_bytes),
+            STEP_SAMPLES,
+        ),
+    ]
+}
+
+/// Processor time of one event, beside a reference operation in the same run.
+#[derive(Clone, Debug, Serialize)]
+pub struct Timed {
+    /// The event.
+    pub event: &'static str,
+    /// Nanoseconds for each, on this machine.
+    pub nanoseconds: f64,
+    /// In reference operations: one BLAKE3 hash of 1 KiB.
+    pub references: f64,
+}
+
+fn nanoseconds(times: u32, mut run: impl FnMut(u32)) -> f64 {
+    // The best of five rounds: what other processes take away is not counted.
+    let round = |run: &mut dyn FnMut(u32)| {
+        let began = Instant::now();
+        (0..times).for_each(&mut *run);
+        began.elapsed().as_nanos() as f64 / f64::from(times)
+    };
+    (0..5).map(|_| round(&mut run)).fold(f64::INFINITY, f64::min)
+}
+
+/// Measures the processor time of the events that a node handles.
+pub fn timed() -> Vec<Timed> {
+    let block = [7_u8; 1_024];
+    let reference = nanoseconds(2_000, |_| {
+        std::hint::black_box(blake3::hash(&block));
+    });
+    let mut rows = Vec::new();
+    let mut add = |event, nanoseconds: f64| {
+        rows.push(Timed { event, nanoseconds, references: nanoseconds / reference });
+    };
+    add("reference: BLAKE3 of 1 KiB", reference);
+    time_membership(&mut add);
+    time_requests(&mut add);
+    time_steps(&mut add);
+    rows
+}
+
+fn time_membership(add: &mut impl FnMut(&'static str, f64)) {
+    let key = SharedKey::derive("a key of the benchmark");
+    let facts: Vec<Fact> = (0..4).map(|number| Fact::Node(node_fact(number))).collect();
+    let message = Message::Ping { digest: 1, facts, sequence: 1 };
+    add(
+        "frame sealed and opened, a probe with 4 facts",
+        nanoseconds(2_000, |_| {
+            let frame = seal(&key, &message, DATAGRAM_MAX_BYTES).unwrap_or_default();
+            let opened = open::<Message>(&key, &frame, DATAGRAM_MAX_BYTES);
+            assert!(opened.is_ok(), "the frame is ours");
+        }),
+    );
+    let rng = Pcg64Mcg::seed_from_u64(1);
+    let settings = MembershipSettings::default();
+    let mut view = Membership::open(node_fact(0), Vec::new(), settings, rng);
+    for number in 0..NODES as usize {
+        view.observe(UnixMs(0), Fact::Node(node_fact(number)));
+    }
+    for number in 0..WORKERS as usize {
+        view.observe(UnixMs(0), Fact::Target(target_fact(number)));
+    }
+    let mut now = 0;
+    // Settle: what is fresh is sent on before anything is timed.
+    for _ in 0..2_000 {
+        now += 50;
+        view.tick(UnixMs(now));
+    }
+    add(
+        "tick of the membership, 320 nodes and 870 workers",
+        nanoseconds(2_000, |_| {
+            now += 50;
+            std::hint::black_box(view.tick(UnixMs(now)));
+        }),
+    );
+    let digest = view.board().digest();
+    add(
+        "probe received and answered",
+        nanoseconds(2_000, |sequence| {
+            let facts = vec![Fact::Node(node_fact(3))];
+            let message = Message::Ping { digest, facts, sequence: u64::from(sequence) };
+            std::hint::black_box(view.receive(UnixMs(now), address(3), message));
+        }),
+    );
+}
+
+fn time_requests(add: &mut impl FnMut(&'static str, f64)) {
+    let limits = AdmissionLimits { in_flight_max: 512, queue_max: 256 };
+    let mut admission = Admission::open(limits);
+    add(
+        "request admitted and finished",
+        nanoseconds(5_000, |number| {
+            let now = UnixMs(u64::from(number));
+            let deadline = now.plus(2_000);
+            std::hint::black_box(admission.arrive(now, "team", CallClass::Lookup, deadline));
+            admission.finish(now, "team", 2_000);
+        }),
+    );
+    let mut targets = Targets::open(TargetSettings::default());
+    let mut rng = Pcg64Mcg::seed_from_u64(1);
+    let names: Vec<Name> = (0..20).map(|number| name(&format!("worker-{number:04}"))).collect();
+    add(
+        "target chosen of 20, and its call finished",
+        nanoseconds(5_000, |number| {
+            let now = UnixMs(u64::from(number));
+            if let Some(choice) = targets.pick(now, &names, &mut rng) {
+                targets.finish(now, &choice, Outcome::Answered { latency_us: 900 });
+            }
+        }),
+    );
+    let mut book = ticket_book(0);
+    let mut number = 0;
+    add(
+        "ticket begun and answered",
+        nanoseconds(5_000, |_| {
+            number += 1;
+            let ticket = ticket(number);
+            std::hint::black_box(book.begin(UnixMs(0), &ticket));
+            let answer = RecordedAnswer { body: None, content_type: None, status: 200 };
+            book.answered(&ticket, answer);
+        }),
+    );
+}
+
+fn time_steps(add: &mut impl FnMut(&'static str, f64)) {
+    let (mut rollout, effects) = owner(STEP_SAMPLES as usize);
+    let orders: Vec<(SampleId, Attempt)> = effects
+        .into_iter()
+        .filter_map(|effect| match effect {
+            Effect::Run(order) => Some((order.sample, order.attempt)),
+            _ => None,
+        })
+        .collect();
+    let mut segments = Segments::default();
+    segments.push(Version(0), 1);
+    add(
+        "progress of a run, 2,048 samples in the step",
+        nanoseconds(1_000, |number| {
+            let (sample, attempt) = orders[number as usize % orders.len()];
+            let event = Event::RunProgress { attempt, sample, segments: segments.clone() };
+            std::hint::black_box(rollout.handle(UnixMs(5), event));
+        }),
+    );
+    add(
+        "tick of a step's owner, 2,048 samples",
+        nanoseconds(200, |number| {
+            std::hint::black_box(rollout.handle(UnixMs(10 + u64::from(number)), Event::Tick));
+        }),
+    );
+    let mut next = 0;
+    add(
+        "sample safe, 2,048 samples in the step",
+        nanoseconds(100, |_| {
+            let (sample, attempt) = orders[next % orders.len()];
+            next += 1;
+            let event = Event::RunSafe { attempt, finished: finished(1_000), sample };
+            std::hint::black_box(rollout.handle(UnixMs(5), event));
+        }),
+    );
+}
+
+/// Writes the counted figures as a table in Markdown.
+pub fn table(rows: &[Counted]) -> String {
+    let heading = "| counted | measured at growing sizes | slope | error | at the users' size |";
+    let mut lines = vec![heading.to_owned(), "| --- | --- | ---: | ---: | ---: |".to_owned()];
+    for row in rows {
+        let slope = &row.slope;
+        let points: Vec<String> = slope.points.iter().map(|(_, y)| format!("{y:.0}")).collect();
+        lines.push(format!(
+            "| {} | {} | {:.1} / {} | {:.0} % | {:.0} |",
+            row.figure,
+            points.join(", "),
+            slope.per_unit,
+            row.per,
+            slope.error_percent,
+            slope.at(row.users_size)
+        ));
+    }
+    lines.join("\n") + "\n"
+}
--- a/crates/bench/src/command.rs
+++ b/crates/bench/src/command.rs
@@ -1,5 +1,6 @@
 //! The command line of the benchmarks.
 
+use crate::capacity::{counted, table, timed};
 use crate::policy::{
     Deployment, OWNER_CRASHES, RECOVERIES, Row, SCHEDULES, SWAPS, Variant, WEIGHTS, run_variant,
     step_bound_ms,
@@ -20,6 +21,7 @@
 #[derive(Debug, FromArgs)]
 #[argh(subcommand)]
 enum Command {
+    Capacity(Capacity),
     Policy(Policy),
 }
 
@@ -44,13 +46,43 @@
     json: bool,
 }
 
+/// what each role costs, from slopes measured on the real aggregates
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "capacity")]
+struct Capacity {
+    /// only what is counted, which is the same on every machine
+    #[argh(switch)]
+    counted: bool,
+    /// print JSON
+    #[argh(switch)]
+    json: bool,
+}
+
 /// Runs the command line of this process.
 pub fn main() -> ExitCode {
     match argh::from_env::<Arguments>().command {
+        Command::Capacity(capacity) => run_capacity(&capacity),
         Command::Policy(policy) => run_policy(&policy),
     }
 }
 
+fn run_capacity(capacity: &Capacity) -> ExitCode {
+    let counted = counted();
+    let timed = if capacity.counted { Vec::new() } else { timed() };
+    if capacity.json {
+        println!("{}", serde_json::json!({ "counted": counted, "timed": timed }));
+        return ExitCode::SUCCESS;
+    }
+    print!("{}", table(&counted));
+    if !timed.is_empty() {
+        println!("\n| timed | ns | references |\n| --- | ---: | ---: |");
+    }
+    for row in timed {
+        println!("| {} | {:.0} | {:.2} |", row.event, row.nanoseconds, row.references);
+    }
+    ExitCode::SUCCESS
+}
+
 fn run_policy(policy: &Policy) -> ExitCode {
     let faults: &[(UnixMs, Fault)] = match policy.faults.as_str() {
         "none" => &[],
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -4,12 +4,15 @@
 //! ledger and faults. `policy` compares policies in it. The same seed gives the same bytes on any
 //! machine, so the tests bound the figures exactly.
 
+mod capacity;
 mod command;
 mod engines;
 mod fleet;
 mod policy;
+mod slope;
 mod world;
 
+pub use capacity::{Counted, Timed, counted, table, timed};
 pub use command::main;
 pub use engines::{EngineModel, SwapMode};
 pub use fleet::{Traffic, VirtualFleet};
@@ -17,4 +20,5 @@
     Deployment, DeploymentError, OWNER_CRASHES, RECOVERIES, Row, SCHEDULES, SWAPS, Variant,
     WEIGHTS, run_variant, step_bound_ms,
 };
+pub use slope::Slope;
 pub use world::{Fault, Outcome, Recovery, World, WorldSettings};
--- a/crates/member/src/membership.rs
+++ b/crates/member/src/membership.rs
@@ -314,10 +314,10 @@
         {
             let mine = Fact::Node(self.me.clone());
             self.pull_after = now.plus(SETTLE_MS);
-            self.board.merge(mine, self.sends());
+            self.board.merge(mine, Self::sends());
             return;
         }
-        if self.board.merge(fact.clone(), self.sends()) == Merge::Known {
+        if self.board.merge(fact.clone(), Self::sends()) == Merge::Known {
             return;
         }
         self.pull_after = now.plus(SETTLE_MS);
@@ -362,10 +362,12 @@
         }
     }
 
-    /// How often each node passes a fresh fact on: enough for the fleet's size, and no more.
-    fn sends(&self) -> u8 {
-        let nodes = self.board.len().max(2);
-        (PUSH_FANOUT + nodes.ilog2() as usize / 2) as u8
+    /// How often each node passes a fresh fact on: once to each receiver of its push, and once
+    /// more with a probe. Whoever is missed notices by the digest within seconds. More copies were
+    /// tried, growing with the fleet: they cost twice the bytes when a data centre dies, and news
+    /// was not everywhere earlier.
+    const fn sends() -> u8 {
+        PUSH_FANOUT as u8 + 1
     }
 
     fn node(&self, name: &Name) -> Option<&NodeFact> {
--- a/crates/node/src/api/generate.rs
+++ b/crates/node/src/api/generate.rs
@@ -9,10 +9,11 @@
 use crate::auth::Role;
 use crate::edge::calls::{Permit, admit, pick};
 use crate::shared::Shared;
+use crate::snapshot::SUBSET_SIZE;
 use catkinmast_config::CallClass;
 use catkinmast_model::{Name, Refusal, Segments, Selector, Verdict, Version};
 use catkinmast_platform::{EngineLine, Engines, GenerateRequest};
-use catkinmast_route::Outcome;
+use catkinmast_route::{Outcome, stable_subset};
 use futures::StreamExt;
 use rocket::data::Data;
 use rocket::post;
@@ -121,6 +122,7 @@
         let mut message = format!("no live engine of model '{}' fits", self.model);
         while tried.len() < TRIES_MAX {
             let engines = self.shared.snapshot().engines(&self.model, &self.selector);
+            let engines = stable_subset(self.shared.me(), &engines, SUBSET_SIZE);
             let Some(flight) = pick(&self.shared, &engines, &tried) else { break };
             let engine = flight.target().clone();
             tried.push(engine.clone());
--- a/crates/node/src/control/configuration.rs
+++ b/crates/node/src/control/configuration.rs
@@ -45,7 +45,7 @@
 impl Control {
     pub(crate) fn tick_configuration(&mut self, now: UnixMs) {
         let peers = self.membership.peers().count();
-        let watches = self.watches();
+        let watches = self.watches;
         self.follow(now, FollowerEvent::Tick { peers, watches });
     }
 
@@ -64,7 +64,7 @@
                 self.runtime.spawn(ask_peers(shared, self.some_peers()));
             }
             FollowerEffect::FetchBody { digest, revision } => {
-                let (peers, prefer_store) = (self.some_peers(), self.watches());
+                let (peers, prefer_store) = (self.some_peers(), self.watches);
                 self.runtime.spawn(fetch_body(shared, revision, digest, peers, prefer_store));
             }
             FollowerEffect::Install { revision } => self.install(now, revision),
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -78,11 +78,13 @@
     list_due_at: UnixMs,
     listed: IndexMap<Name, Instance>,
     membership: Membership,
+    ranks_stale: bool,
     runtime: Handle,
     shared: Arc<Shared>,
     socket: UdpSocket,
     sweep_at: UnixMs,
     trainers: Trainers,
+    watches: bool,
 }
 
 /// Starts the control thread.
@@ -100,11 +102,13 @@
             list_due_at: UnixMs(0),
             listed: IndexMap::new(),
             membership,
+            ranks_stale: true,
             runtime,
             shared,
             socket,
             sweep_at: UnixMs(0),
             trainers: Trainers::default(),
+            watches: false,
         };
         control.run(&inputs);
     })
@@ -143,10 +147,16 @@
     fn tick(&mut self, now: UnixMs) {
         let outputs = self.membership.tick(now);
         self.carry_out(now, outputs);
+        if std::mem::take(&mut self.ranks_stale) {
+            // Ranked anew only when the fleet has changed: at hundreds of nodes this would
+            // otherwise be most of what a calm node does.
+            self.watches = self.ranks_among_watchers();
+            self.rank_for_trainers();
+        }
         self.tick_configuration(now);
         if now >= self.list_due_at {
             self.list_due_at = now.plus(LIST_EVERY_MS);
-            if self.watches() {
+            if self.watches {
                 self.runtime.spawn(crate::edge::store::read_instances(Arc::clone(&self.shared)));
             }
         }
@@ -221,6 +231,7 @@
             Fact::Node(node) => {
                 log::info!("node {} is {:?}", node.name, node.state);
                 self.trainers.nodes_changed = true;
+                self.ranks_stale = true;
             }
             Fact::Owner(owner) => self.owner_announced(owner),
             Fact::Target(target) => {
@@ -234,7 +245,7 @@
     ///
     /// A few nodes in each data centre do, chosen by rank among those alive, so the number of
     /// calls does not grow with the fleet, and the loss of a watcher makes the next one step in.
-    fn watches(&self) -> bool {
+    fn ranks_among_watchers(&self) -> bool {
         let me = self.membership.me();
         let alive = self.membership.nodes().filter(|node| {
             node.data_centre == me.data_centre
@@ -315,7 +326,13 @@
                 _ => {}
             }
         }
-        let mut snapshot = Snapshot::build(self.configuration.in_force(), nodes, owners, targets);
+        let mut snapshot = Snapshot::build(
+            self.shared.me(),
+            self.configuration.in_force(),
+            nodes,
+            owners,
+            targets,
+        );
         snapshot.leaving_until = self.leaving_until;
         snapshot.ready = self.configuration.is_ready();
         let kept = snapshot.targets.clone();
--- a/crates/node/src/control/trainers.rs
+++ b/crates/node/src/control/trainers.rs
@@ -45,6 +45,8 @@
 /// One trainer, whether owned or not.
 #[derive(Debug)]
 struct Duty {
+    /// Whether this node is the first of the live ones for this trainer.
+    first: bool,
     lease: Option<Lease>,
     model: Name,
     owned: Option<Owned>,
@@ -89,7 +91,9 @@
         let me = self.membership.me();
         let holder = HolderRecord { incarnation: me.incarnation, node: me.name.clone() };
         for trainer in &document.trainers {
+            self.ranks_stale |= !self.trainers.duties.contains_key(&trainer.name);
             let duty = self.trainers.duties.entry(trainer.name.clone()).or_insert_with(|| Duty {
+                first: false,
                 lease: None,
                 model: trainer.model.clone(),
                 owned: None,
@@ -110,11 +114,10 @@
         if self.leaving_until.is_some() || !self.configuration.is_ready() {
             return false;
         }
-        let owned_here = self.trainers.duties.get(trainer).is_some_and(|duty| duty.owned.is_some());
-        if owned_here {
-            return true;
+        let Some(duty) = self.trainers.duties.get(trainer) else { return false };
+        if duty.owned.is_some() || !duty.first {
+            return duty.owned.is_some();
         }
-        let me = self.membership.me();
         let owner = self.owner_of(trainer);
         let owner_lives = owner.is_some_and(|owner| {
             self.membership.peers().any(|node| {
@@ -123,7 +126,14 @@
                     && matches!(node.state, NodeState::Live | NodeState::Suspect)
             })
         });
-        !owner_lives && is_first(trainer.as_str(), &me.name, self.membership.nodes())
+        !owner_lives
+    }
+
+    pub(crate) fn rank_for_trainers(&mut self) {
+        let me = self.membership.me().name.clone();
+        for (name, duty) in &mut self.trainers.duties {
+            duty.first = is_first(name.as_str(), &me, self.membership.nodes());
+        }
     }
 
     fn owner_of(&self, trainer: &Name) -> Option<&OwnerFact> {
--- a/crates/node/src/edge/calls.rs
+++ b/crates/node/src/edge/calls.rs
@@ -12,16 +12,13 @@
 use bytes::{Bytes, BytesMut};
 use catkinmast_config::{Call, CallClass, PlainService};
 use catkinmast_model::{Name, Refusal, UnixMs, Verdict};
-use catkinmast_route::{Admitted, Choice, Outcome, Released, stable_subset};
+use catkinmast_route::{Admitted, Choice, Outcome, Released};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::sync::oneshot;
 
 /// How a target says that it refused before anything ran.
 pub(crate) const VERDICT_HEADER: &str = "Catkinmast-Verdict";
-/// How many targets of a service a node uses: a stable subset, so that at hundreds of nodes no
-/// target is asked by all of them.
-const SUBSET_SIZE: usize = 20;
 /// Most targets tried for one call.
 const TRIES_MAX: usize = 3;
 /// When a caller should come back if no target could be used.
@@ -213,8 +210,8 @@
 
 /// Chooses one of `targets` that was not tried yet.
 pub(crate) fn pick(shared: &Arc<Shared>, targets: &[Name], tried: &[Name]) -> Option<Flight> {
-    let subset = stable_subset(shared.me(), targets, SUBSET_SIZE);
-    let untried: Vec<Name> = subset.into_iter().filter(|name| !tried.contains(name)).collect();
+    let untried = targets.iter().filter(|name| !tried.contains(name));
+    let untried: Vec<Name> = untried.cloned().collect();
     let mut rng = lock(&shared.traffic.rng);
     let choice = lock(&shared.traffic.targets).pick(shared.now(), &untried, &mut *rng)?;
     Some(Flight { choice, done: false, shared: Arc::clone(shared) })
--- a/crates/node/src/snapshot.rs
+++ b/crates/node/src/snapshot.rs
@@ -3,10 +3,14 @@
 use catkinmast_config::{Document, Head};
 use catkinmast_member::{NodeFact, NodeState, OwnerFact, TargetFact};
 use catkinmast_model::{InstanceKind, InstanceState, Name, Revision, Selector, UnixMs};
+use catkinmast_route::stable_subset;
 use indexmap::IndexMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+/// How many targets of a service, or engines of a model, a node uses.
+pub(crate) const SUBSET_SIZE: usize = 20;
+
 /// The configuration in force here.
 #[derive(Debug)]
 pub(crate) struct InForce {
@@ -25,7 +29,8 @@
     pub owners: IndexMap<Name, OwnerFact>,
     pub ready: bool,
     pub targets: IndexMap<Name, TargetFact>,
-    /// Live instances of each plain service.
+    /// Those live instances of each plain service that this node uses: a stable subset, so that
+    /// at hundreds of nodes no target is asked by all of them.
     pub services: IndexMap<Name, Vec<Name>>,
     /// Live engines of each model.
     pub models: IndexMap<Name, Vec<Name>>,
@@ -34,6 +39,7 @@
 impl Snapshot {
     /// Builds the picture from the facts and the configuration.
     pub(crate) fn build(
+        me: &Name,
         config: Option<Arc<InForce>>,
         nodes: Vec<NodeFact>,
         owners: IndexMap<Name, OwnerFact>,
@@ -44,7 +50,8 @@
             let document = &in_force.document;
             for service in &document.services {
                 let live = snapshot.live(InstanceKind::Service, &service.targets, document);
-                snapshot.services.insert(service.name.clone(), live);
+                let used = stable_subset(me, &live, SUBSET_SIZE);
+                snapshot.services.insert(service.name.clone(), used);
             }
             for model in &document.models {
                 let live = snapshot.live(InstanceKind::Engine, &model.engines, document);
--- a/tests/all/processes/graceful_stop.rs
+++ b/tests/all/processes/graceful_stop.rs
@@ -62,8 +62,10 @@
             (entries.len() == 2 && !named).then_some(())
         })
         .await;
+    let still_runs = fleet.nodes[2].process.is_running();
 
-    // Assert
+    // Assert: it vanished while it was still there to serve whoever holds its address.
     assert_eq!(status, 202);
+    assert!(still_runs);
     assert_eq!(fleet.nodes[2].process.exit_code(), Some(0));
 }
--- a/tests/all/support/fleet.rs
+++ b/tests/all/support/fleet.rs
@@ -46,6 +46,11 @@
         assert!(status.expect("kill runs").success(), "signal {name} to {pid}");
     }
 
+    /// Tells whether the process still runs.
+    pub(crate) fn is_running(&mut self) -> bool {
+        self.child.try_wait().expect("the process can be asked").is_none()
+    }
+
     /// Waits for the process to end and returns its exit code.
     pub(crate) fn exit_code(&mut self) -> Option<i32> {
         let began = Instant::now();
