--- a/crates/bench/src/capacity.rs
+++ b/crates/bench/src/capacity.rs
@@ -249,7 +249,7 @@
     fleet.run_until(fleet.now().plus(10_000));
     let calm = fleet.traffic().bytes - calm_before.bytes;
     let fact =
-        Fact::Config(ConfigFact { digest: format!("{:032x}", seed), revision: Revision(seed) });
+        Fact::Config(ConfigFact { digest: format!("{seed:032x}"), revision: Revision(seed) });
     let before = fleet.traffic();
     let began = fleet.now();
     fleet.observe(1, fact.clone());
@@ -472,7 +472,7 @@
         "target chosen of 20, and its call finished",
         nanoseconds(5_000, |number| {
             let now = UnixMs(u64::from(number));
-            if let Some(choice) = targets.pick(now, &names, &mut rng) {
+            if let Some(choice) = targets.pick(now, &names, 64, &mut rng) {
                 targets.finish(now, &choice, Outcome::Answered { latency_us: 900 });
             }
         }),
--- a/crates/bench/src/command.rs
+++ b/crates/bench/src/command.rs
@@ -1,15 +1,19 @@
 //! The command line of the benchmarks.
 
 use crate::capacity::{counted, table, timed};
+use crate::plot;
 use crate::policy::{
-    Deployment, OWNER_CRASHES, RECOVERIES, Row, SCHEDULES, SWAPS, Variant, WEIGHTS, run_variant,
-    step_bound_ms,
+    Deployment, OWNER_CRASHES, RECOVERIES, Row, SCHEDULES, SLOW_ENGINE, SWAPS, Variant, WEIGHTS,
+    run_variant, step_bound_ms,
 };
 use crate::world::Fault;
 use argh::FromArgs;
 use catkinmast_model::UnixMs;
 use std::process::ExitCode;
 
+/// The title of the table whose curve can be drawn.
+const WEIGHTS_TITLE: &str = "weight of idle time, in percent";
+
 /// catkinmast-bench: benchmarks of the decisions, in virtual time. The same seed gives the same
 /// bytes on any machine.
 #[derive(Debug, FromArgs)]
@@ -41,6 +45,9 @@
     /// none or owner: whether the owner of the steps dies twice in the schedule tables
     #[argh(option, default = "String::from(\"none\")")]
     faults: String,
+    /// file into which the weights' curve is drawn, as SVG
+    #[argh(option)]
+    plot: Option<String>,
     /// print JSON
     #[argh(switch)]
     json: bool,
@@ -92,10 +99,13 @@
             return ExitCode::from(2);
         }
     };
-    let bound_ms = step_bound_ms(&policy.deployment.settings(policy.seed));
+    let seeds = policy.seed..policy.seed + policy.seeds;
+    let bounds = seeds.map(|seed| step_bound_ms(&policy.deployment.settings(seed)));
+    let bound_ms = bounds.sum::<u64>() / policy.seeds.max(1);
     let tables = [
         ("schedule", &SCHEDULES[..], faults),
-        ("weight of idle time, in percent", &WEIGHTS[..], faults),
+        ("one engine four times slower", &SLOW_ENGINE[..], faults),
+        (WEIGHTS_TITLE, &WEIGHTS[..], faults),
         ("weight swap", &SWAPS[..], faults),
         ("loss of the owner", &RECOVERIES[..], &OWNER_CRASHES[..]),
     ];
@@ -105,6 +115,13 @@
             run_variant(policy.deployment, policy.seed, policy.seeds, faults, *variant)
         };
         let rows: Vec<Row> = variants.iter().map(run).collect();
+        if title == WEIGHTS_TITLE
+            && let Some(file) = &policy.plot
+            && let Err(error) = plot::weights(file, policy.deployment, &rows)
+        {
+            eprintln!("--plot: '{file}' cannot be drawn: {error}");
+            return ExitCode::from(2);
+        }
         broken += rows.iter().map(|row| row.violations).sum::<usize>();
         if policy.json {
             let table = serde_json::json!({ "table": title, "rows": rows });
--- a/crates/bench/src/engines.rs
+++ b/crates/bench/src/engines.rs
@@ -29,6 +29,8 @@
 /// How engines behave.
 #[derive(Clone, Copy, Debug)]
 pub struct EngineModel {
+    /// Seed of the samples' lengths.
+    pub lengths_seed: u64,
     /// Most sequences at once.
     pub max_batch: u32,
     /// Length of a usual sample.
@@ -50,6 +52,7 @@
 impl Default for EngineModel {
     fn default() -> Self {
         Self {
+            lengths_seed: 0,
             max_batch: 32,
             median_tokens: 800,
             prefill_ms: 500,
@@ -121,18 +124,19 @@
 }
 
 /// A sample's length: alike within its group, the same at every engine, sometimes very long.
-pub(crate) fn length_of(id: SampleId, median_tokens: u32) -> u32 {
+pub(crate) fn length_of(id: SampleId, model: &EngineModel) -> u32 {
     let draw = |number: u64| {
         let mut rng = Pcg64Mcg::seed_from_u64(number);
         // The sum of three draws is close enough to a bell for a spread of lengths.
         (0..3).map(|_| rng.random_range(-1.0..1.0)).sum::<f64>()
     };
-    let group = id.step * 100_003 + u64::from(id.group);
-    let own = group * 1_009 + u64::from(id.index) + 7;
+    let step = model.lengths_seed.wrapping_mul(7_919).wrapping_add(id.step);
+    let group = step.wrapping_mul(100_003).wrapping_add(u64::from(id.group));
+    let own = group.wrapping_mul(1_009).wrapping_add(u64::from(id.index) + 7);
     let factor = (0.45 * draw(group) + 0.2 * draw(own)).exp();
     let straggler = Pcg64Mcg::seed_from_u64(own ^ 0x5eed).random_range(0..STRAGGLER_EVERY) == 0;
     let tail = if straggler { STRAGGLER_FACTOR } else { 1.0 };
-    (f64::from(median_tokens) * factor * tail).max(1.0) as u32
+    (f64::from(model.median_tokens) * factor * tail).max(1.0) as u32
 }
 
 impl EngineSim {
@@ -194,7 +198,7 @@
         self.waiting.push(RunSim {
             attempt: order.attempt,
             cold_until: UnixMs(0),
-            length: length_of(order.sample, self.model.median_tokens),
+            length: length_of(order.sample, &self.model),
             owner,
             progress_at: UnixMs(0),
             runner,
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -8,6 +8,7 @@
 mod command;
 mod engines;
 mod fleet;
+mod plot;
 mod policy;
 mod slope;
 mod world;
@@ -17,8 +18,8 @@
 pub use engines::{EngineModel, SwapMode};
 pub use fleet::{Traffic, VirtualFleet};
 pub use policy::{
-    Deployment, DeploymentError, OWNER_CRASHES, RECOVERIES, Row, SCHEDULES, SWAPS, Variant,
-    WEIGHTS, run_variant, step_bound_ms,
+    Deployment, DeploymentError, OWNER_CRASHES, RECOVERIES, Row, SCHEDULES, SLOW_ENGINE, SWAPS,
+    Variant, WEIGHTS, run_variant, step_bound_ms,
 };
 pub use slope::Slope;
 pub use world::{Fault, Outcome, Recovery, World, WorldSettings};
--- /dev/null
+++ b/crates/bench/src/plot.rs
@@ -0,0 +1,46 @@
+//! Pictures of tables, for the docs.
+
+use crate::policy::{Deployment, Row};
+use plotters::prelude::{
+    ChartBuilder, Circle, Color, IntoDrawingArea, LineSeries, RED, SVGBackend, Text, WHITE,
+};
+use plotters::style::IntoFont;
+
+/// Size of a picture, in pixels.
+const SIZE: (u32, u32) = (640, 420);
+
+/// Draws idle time against staleness, a point for each weight.
+pub(crate) fn weights(file: &str, deployment: Deployment, rows: &[Row]) -> Result<(), String> {
+    draw(file, deployment, rows).map_err(|error| error.to_string())
+}
+
+fn draw(
+    file: &str,
+    deployment: Deployment,
+    rows: &[Row],
+) -> Result<(), Box<dyn std::error::Error>> {
+    let area = SVGBackend::new(file, SIZE).into_drawing_area();
+    area.fill(&WHITE)?;
+    let most_age = rows.iter().map(|row| row.age_mean_versions).fold(0.5, f64::max) * 1.2;
+    let caption = format!("{deployment:?}: trainer idle time against staleness, by weight");
+    let mut chart = ChartBuilder::on(&area)
+        .caption(caption, ("sans-serif", 16).into_font())
+        .margin(12)
+        .x_label_area_size(36)
+        .y_label_area_size(44)
+        .build_cartesian_2d(0.0..most_age, 0.0..100.0)?;
+    chart
+        .configure_mesh()
+        .x_desc("mean age of claimed samples, versions")
+        .y_desc("trainer idle, %")
+        .draw()?;
+    let points: Vec<(f64, f64)> =
+        rows.iter().map(|row| (row.age_mean_versions, row.idle_percent)).collect();
+    chart.draw_series(LineSeries::new(points.iter().copied(), &RED))?;
+    chart.draw_series(points.iter().map(|point| Circle::new(*point, 4, RED.filled())))?;
+    chart.draw_series(rows.iter().zip(&points).map(|(row, (x, y))| {
+        Text::new(row.variant.clone(), (*x, y + 4.0), ("sans-serif", 12).into_font())
+    }))?;
+    area.present()?;
+    Ok(())
+}
--- a/crates/bench/src/policy.rs
+++ b/crates/bench/src/policy.rs
@@ -50,7 +50,7 @@
             Self::Cooperative => (12, 3, 90),
         };
         WorldSettings {
-            engine: EngineModel::default(),
+            engine: EngineModel { lengths_seed: seed, ..EngineModel::default() },
             engines,
             groups: 48,
             nodes: 7,
@@ -185,6 +185,21 @@
     Variant { name: "longest first, tail duplicated (ships)", change: |_| {} },
 ];
 
+/// One engine is four times slower than the others.
+pub const SLOW_ENGINE: [Variant; 2] = [
+    Variant {
+        name: "longest first",
+        change: |settings| {
+            settings.engine.slow_engine_factor = 4;
+            settings.schedule.duplicates_max_percent = 0;
+        },
+    },
+    Variant {
+        name: "longest first, tail duplicated (ships)",
+        change: |settings| settings.engine.slow_engine_factor = 4,
+    },
+];
+
 /// What a swap does to running samples.
 pub const SWAPS: [Variant; 3] = [
     Variant { name: "abort", change: |settings| settings.engine.swap = SwapMode::Abort },
@@ -223,7 +238,7 @@
     let lengths = (1..=settings.steps).flat_map(|step| {
         (0..settings.groups).flat_map(move |group| {
             (0..settings.registration.group_size)
-                .map(move |index| length_of(SampleId { step, group, index }, model.median_tokens))
+                .map(move |index| length_of(SampleId { step, group, index }, &model))
         })
     });
     let lengths: Vec<u64> = lengths.map(u64::from).collect();
--- a/crates/node/src/api/generate.rs
+++ b/crates/node/src/api/generate.rs
@@ -26,6 +26,8 @@
 
 /// The largest request body, in bytes.
 const BODY_MAX_BYTES: u64 = 256 * 1024;
+/// Most answers that one engine gives a node at once.
+const ENGINE_IN_FLIGHT_MAX: u32 = 64;
 /// Most engines tried for one answer.
 const TRIES_MAX: usize = 4;
 /// The priority of applications at an engine; samples for trainers are below it.
@@ -123,7 +125,9 @@
         while tried.len() < TRIES_MAX {
             let engines = self.shared.snapshot().engines(&self.model, &self.selector);
             let engines = stable_subset(self.shared.me(), &engines, SUBSET_SIZE);
-            let Some(flight) = pick(&self.shared, &engines, &tried) else { break };
+            let Some(flight) = pick(&self.shared, &engines, &tried, ENGINE_IN_FLIGHT_MAX) else {
+                break;
+            };
             let engine = flight.target().clone();
             tried.push(engine.clone());
             let began = Instant::now();
--- a/crates/node/src/control/trainers.rs
+++ b/crates/node/src/control/trainers.rs
@@ -101,9 +101,10 @@
                 tenure: Tenure::open(holder.clone()),
             });
             duty.scorer = trainer.scorer.clone();
-            if let Some(owned) = &mut duty.owned {
-                let model = document.model(trainer.model.as_str());
-                owned.rollout.set_roll_back(model.and_then(|model| model.roll_back_to));
+            if let Some(owned) = &mut duty.owned
+                && let Some(model) = document.model(trainer.model.as_str())
+            {
+                owned.rollout.set_model(model.roll_back_to, model.swap_at_once_percent);
             }
         }
         self.trainers.duties.retain(|name, _| document.trainer(name.as_str()).is_some());
--- a/crates/node/src/edge/calls.rs
+++ b/crates/node/src/edge/calls.rs
@@ -209,11 +209,17 @@
 }
 
 /// Chooses one of `targets` that was not tried yet.
-pub(crate) fn pick(shared: &Arc<Shared>, targets: &[Name], tried: &[Name]) -> Option<Flight> {
+pub(crate) fn pick(
+    shared: &Arc<Shared>,
+    targets: &[Name],
+    tried: &[Name],
+    in_flight_max: u32,
+) -> Option<Flight> {
     let untried = targets.iter().filter(|name| !tried.contains(name));
     let untried: Vec<Name> = untried.cloned().collect();
     let mut rng = lock(&shared.traffic.rng);
-    let choice = lock(&shared.traffic.targets).pick(shared.now(), &untried, &mut *rng)?;
+    let choice =
+        lock(&shared.traffic.targets).pick(shared.now(), &untried, in_flight_max, &mut *rng)?;
     Some(Flight { choice, done: false, shared: Arc::clone(shared) })
 }
 
@@ -257,7 +263,7 @@
     let targets = snapshot.services.get(&service.name).cloned().unwrap_or_default();
     let mut tried = Vec::new();
     loop {
-        let Some(flight) = pick(shared, &targets, &tried) else {
+        let Some(flight) = pick(shared, &targets, &tried, service.target_in_flight_max) else {
             return Err(no_target(shared, &service.name, targets.len(), tried.len()));
         };
         tried.push(flight.target().clone());
--- a/crates/node/src/edge/runner.rs
+++ b/crates/node/src/edge/runner.rs
@@ -21,8 +21,8 @@
 use std::time::{Duration, Instant};
 use tokio::sync::mpsc;
 
-/// Time between two reports of progress.
-const PROGRESS_EVERY: Duration = Duration::from_millis(250);
+/// Time between two savings of a running sample's tokens, from which a duplicate can go on.
+const SAVE_EVERY: Duration = Duration::from_millis(250);
 /// How long a runner may stay silent towards the owner.
 const ALIVE_EVERY: Duration = Duration::from_secs(1);
 /// Pause between two tries at the scoring service.
@@ -226,7 +226,8 @@
     };
     let opened = shared.clients.engines.generate(order.engine.address, &request).await;
     let mut lines = opened.map_err(|error| error.to_string())?;
-    let mut told_at = Instant::now();
+    let mut told = Told { at: Instant::now(), segments: content.segments.as_slice().len() };
+    let mut saved_at = Instant::now();
     loop {
         let line = match tokio::time::timeout(ALIVE_EVERY, lines.next()).await {
             Ok(line) => line,
@@ -252,16 +253,32 @@
             Some(Err(error)) => return Err(error.to_string()),
             None => return Err("the stream ended without its end line".to_owned()),
         }
-        if told_at.elapsed() >= PROGRESS_EVERY {
-            told_at = Instant::now();
-            // Held from here on: a duplicate on another engine goes on from these tokens.
+        if saved_at.elapsed() >= SAVE_EVERY {
+            saved_at = Instant::now();
             store(shared, key, content);
+        }
+        if told.is_old(content, order.progress_every_ms) {
+            told = Told { at: Instant::now(), segments: content.segments.as_slice().len() };
             let segments = content.segments.clone();
             tell_owner(events, RunEvent::Progress { segments }).await?;
         }
     }
 }
 
+/// What the owner was last told of a run.
+struct Told {
+    at: Instant,
+    segments: usize,
+}
+
+impl Told {
+    /// A new version is told at once, the number of tokens only now and then.
+    fn is_old(&self, content: &Content, every_ms: u64) -> bool {
+        content.segments.as_slice().len() != self.segments
+            || self.at.elapsed() >= Duration::from_millis(every_ms)
+    }
+}
+
 async fn tell_owner(events: &mpsc::Sender<RunEvent>, event: RunEvent) -> Result<(), String> {
     events.send(event).await.map_err(|_closed| "the owner hung up".to_owned())
 }
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -155,6 +155,7 @@
             AdmissionLimits { in_flight_max: limits.in_flight_max, queue_max: limits.queue_max };
         lock(&self.admission).set_limits(admission, teams);
         lock(&self.budget).set_percent(limits.retry_budget_percent);
+        lock(&self.tickets).set_memory(limits.ticket_memory_ms);
     }
 }
 
--- a/crates/rollout/src/orders.rs
+++ b/crates/rollout/src/orders.rs
@@ -57,6 +57,11 @@
         Self { open: IndexMap::new(), resting: IndexMap::new(), settings }
     }
 
+    /// Changes the largest share of the engines that swaps at once, in percent.
+    pub const fn set_at_once_percent(&mut self, percent: u32) {
+        self.settings.at_once_percent = percent;
+    }
+
     /// Tells whether the engine is in the middle of a swap.
     pub fn is_open(&self, engine: &Name) -> bool {
         self.open.contains_key(engine)
--- a/crates/rollout/src/owner.rs
+++ b/crates/rollout/src/owner.rs
@@ -24,6 +24,10 @@
 const ENGINE_REST_MS: u64 = 1_000;
 /// How many groups an engine's prompt cache is taken to hold.
 const RECENT_GROUPS: usize = 16;
+/// How much rarer each run's progress becomes for each other run.
+const PROGRESS_MS_PER_RUN: u64 = 15;
+/// The shortest and the longest time between two reports of a run's progress.
+const PROGRESS_MS: (u64, u64) = (1_000, 15_000);
 /// When a trainer whose command cannot be taken now should come back.
 const RETRY_MS: u64 = 500;
 
@@ -62,6 +66,8 @@
     pub engine: EngineInfo,
     /// Most tokens.
     pub max_tokens: u32,
+    /// How often the runner tells how far it is, beside each change of version.
+    pub progress_every_ms: u64,
     /// The prompt.
     pub prompt: String,
     /// The attempt whose tokens, held by the runner, are gone on from.
@@ -365,9 +371,11 @@
         (rollout, effects)
     }
 
-    /// Sets the version to which an operator rolls the model back.
-    pub const fn set_roll_back(&mut self, version: Option<Version>) {
-        self.roll_back_to = version;
+    /// Sets what the operators' configuration says of the model: the version to roll back to, and
+    /// the largest share of its engines that swaps at once, in percent.
+    pub const fn set_model(&mut self, roll_back_to: Option<Version>, swap_at_once_percent: u32) {
+        self.roll_back_to = roll_back_to;
+        self.orders.set_at_once_percent(swap_at_once_percent);
     }
 
     /// Returns how far the takeover of the ledger is.
@@ -691,11 +699,30 @@
             view.recent_groups.drain(..surplus);
         }
         let engine = info;
-        let order =
-            RunOrder { attempt, engine, max_tokens, prompt, resume, runner, sample: id, seed };
+        let progress_every_ms = self.progress_every_ms();
+        let order = RunOrder {
+            attempt,
+            engine,
+            max_tokens,
+            progress_every_ms,
+            prompt,
+            resume,
+            runner,
+            sample: id,
+            seed,
+        };
         self.effects.push(Effect::Run(order));
     }
 
+    /// Keeps what all runs report together at some 70 messages a second, however many there are.
+    ///
+    /// The owner needs the versions of a run for the staleness bound, and those are told at once;
+    /// the number of tokens only shows slow engines, for which seconds are soon enough.
+    fn progress_every_ms(&self) -> u64 {
+        let runs = self.runner_loads.values().map(|load| u64::from(*load)).sum::<u64>();
+        (runs * PROGRESS_MS_PER_RUN).clamp(PROGRESS_MS.0, PROGRESS_MS.1)
+    }
+
     /// Finds the runner, and the tokens to go on from: those of a running attempt, or those that
     /// a failed one left, if they are still young enough and their runner lives.
     fn place(
--- a/crates/route/src/targets.rs
+++ b/crates/route/src/targets.rs
@@ -43,7 +43,7 @@
     pub ejection_ms: u64,
     /// Failures in a row that eject a target.
     pub failures_to_eject: u32,
-    /// Most calls in flight at one target.
+    /// Most calls in flight at one target, whatever the operators set.
     pub in_flight_max: u32,
     /// How targets are chosen.
     pub policy: PickPolicy,
@@ -57,7 +57,7 @@
             ejected_max_percent: 50,
             ejection_ms: 3_000,
             failures_to_eject: 3,
-            in_flight_max: 64,
+            in_flight_max: 1_024,
             policy: PickPolicy::TwoChoices,
             slow_start_ms: 5_000,
         }
@@ -111,11 +111,18 @@
         Self { seen: IndexMap::new(), settings, turn: 0 }
     }
 
-    /// Chooses one of `candidates` and counts the call as in flight.
+    /// Chooses one of `candidates` and counts the call as in flight; `in_flight_max` is the bound
+    /// that the operators set for each of them.
     ///
     /// Returns none when every candidate is at its bound, or there is none.
-    pub fn pick(&mut self, now: UnixMs, candidates: &[Name], rng: &mut impl Rng) -> Option<Choice> {
-        let usable = self.usable(now, candidates);
+    pub fn pick(
+        &mut self,
+        now: UnixMs,
+        candidates: &[Name],
+        in_flight_max: u32,
+        rng: &mut impl Rng,
+    ) -> Option<Choice> {
+        let usable = self.usable(now, candidates, in_flight_max);
         if usable.is_empty() {
             return None;
         }
@@ -190,9 +197,11 @@
 
     /// Indices of candidates that may take a call. If all are ejected, all may: an ejection is a
     /// guess, and to refuse everything on a guess would be worse.
-    fn usable(&mut self, now: UnixMs, candidates: &[Name]) -> Vec<usize> {
+    fn usable(&mut self, now: UnixMs, candidates: &[Name], in_flight_max: u32) -> Vec<usize> {
         let below_bound = |name: &Name| {
-            self.seen.get(name).is_none_or(|seen| seen.in_flight * MILLI < seen.limit_millis)
+            self.seen.get(name).is_none_or(|seen| {
+                seen.in_flight < in_flight_max && seen.in_flight * MILLI < seen.limit_millis
+            })
         };
         let below: Vec<usize> =
             (0..candidates.len()).filter(|index| below_bound(&candidates[*index])).collect();
--- a/crates/route/src/ticket.rs
+++ b/crates/route/src/ticket.rs
@@ -144,6 +144,11 @@
         Self { answers_bytes: 0, latest: UnixMs(0), limits, pages: IndexMap::new() }
     }
 
+    /// Changes how long answers are kept; those already kept stay as long as was promised.
+    pub const fn set_memory(&mut self, memory_ms: u64) {
+        self.limits.memory_ms = memory_ms;
+    }
+
     /// Decides on a call with a ticket of this life.
     ///
     /// A full book refuses new tickets: to forget an old one early would let its call run twice.
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -6,7 +6,9 @@
 
 mod support;
 
+mod capacity;
 mod membership;
+mod policy;
 mod processes;
 mod rollout_faults;
 mod scenarios;
--- a/tests/all/membership.rs
+++ b/tests/all/membership.rs
@@ -57,11 +57,15 @@
     // Arrange
     let mut fleet = settled(8, 4, 0);
 
-    // Act
-    fleet.pause(3);
-    fleet.run_until(fleet.now().plus(30_000));
-    let believed_gone = fleet.state(0, 3);
-    fleet.resume(3);
+    // Act: paused again and again, at every point of its probing.
+    let mut believed_gone = None;
+    for pause in 0..20 {
+        fleet.run_until(fleet.now().plus(8_000 + pause * 50));
+        fleet.pause(3);
+        fleet.run_until(fleet.now().plus(30_000));
+        believed_gone = fleet.state(0, 3);
+        fleet.resume(3);
+    }
     let back = fleet.run_until_holds(fleet.now().plus(30_000), VirtualFleet::all_agree);
 
     // Assert: it was declared gone meanwhile, refutes that, and nobody else was ever accused.
--- a/tests/all/processes/calls.rs
+++ b/tests/all/processes/calls.rs
@@ -82,6 +82,32 @@
     assert_eq!(fleet.runs("/award", "badge-8").await, 1);
 }
 
+/// Symptom: a call is run twice.
+/// Sequence: the node that ran the call is killed, and another process starts under its name and at
+/// its addresses; the caller sends the call again, straight to it.
+/// Cause: the new process remembers nothing and takes the ticket for a new one.
+#[tokio::test]
+async fn a_restarted_node_does_not_run_a_ticket_of_its_earlier_life() {
+    // Arrange
+    let mut fleet = Fleet::start(&small()).await;
+    let ticket = format!("{}restarted-1", fleet.ticket_prefix(0).await);
+    let (first, _) = fleet.call(0, "/award", "badge-11", Some(&ticket)).await;
+
+    // Act
+    fleet.replace_node(0);
+    let (status, body) = fleet
+        .until("the new life serves", async || {
+            let (status, body) = fleet.call(0, "/award", "badge-11", Some(&ticket)).await;
+            (status != 0 && verdict(&body) != "not_run").then_some((status, body))
+        })
+        .await;
+
+    // Assert
+    assert_eq!(first, 200);
+    assert_eq!((status, verdict(&body).as_str()), (502, "may_have_run"), "{body}");
+    assert_eq!(fleet.runs("/award", "badge-11").await, 1);
+}
+
 /// Symptom: a call that may not be repeated reaches the target twice.
 /// Sequence: the target reads the request and closes the connection without an answer.
 /// Cause: HTTP clients send again by themselves when a pooled connection dies.
--- a/tests/all/processes/rollouts.rs
+++ b/tests/all/processes/rollouts.rs
@@ -5,6 +5,7 @@
 use catkinmast_standin::expected_token;
 use serde_json::{Value, json};
 use std::collections::BTreeSet;
+use std::io::{Read, Write};
 
 /// Groups in a step.
 const GROUPS: u64 = 6;
@@ -110,6 +111,7 @@
         let seed = step.wrapping_mul(1_000_003).wrapping_add(group << 16 | index);
         let tokens = sample["tokens"].as_array().expect("tokens");
         assert_eq!(tokens.len() as u32, segments.token_count());
+        assert!(!tokens.is_empty(), "{step}/{group}/{index} has no token");
         for segment in segments.as_slice() {
             for at in segment.start..segment.end {
                 let expected = expected_token(&prompt(step, group), seed, at, segment.version);
@@ -236,6 +238,47 @@
     assert_eq!(trainer.seen.len() as u64, 2 * GROUPS * GROUP_SIZE);
 }
 
+/// An engine that answers each request with a whole HTTP body in which nothing is said.
+fn silent_engine() -> std::net::SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("the bound address");
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.expect("a connection");
+            let mut request = [0; 8_192];
+            if stream.read(&mut request).is_ok_and(|size| size > 0) {
+                let answer = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+                let _hung_up = stream.write_all(answer);
+            }
+        }
+    });
+    address
+}
+
+/// Symptom: a sample is delivered as whole although its engine broke off.
+/// Sequence: an engine ends its answer in order, as HTTP goes, but without the line that counts the
+/// tokens.
+/// Cause: the end of a body is taken for the end of a sample.
+#[tokio::test]
+async fn an_answer_without_its_last_line_is_not_a_sample() {
+    // Arrange: the emptiest engine is always the one that says nothing.
+    let fleet = Fleet::start(&size()).await;
+    fleet.list("engine-silent", "engine", silent_engine(), "live").await;
+    let mut trainer = Trainer::register(&fleet, 0).await;
+    let targets = async || {
+        let status = fleet.status(0).await;
+        (status["targets"].as_array().map_or(0, Vec::len) == 6).then_some(())
+    };
+    fleet.until("the engine is known", targets).await;
+
+    // Act
+    trainer.submit(1).await;
+    trainer.take_steps(1, 1).await;
+
+    // Assert: each sample was checked as it was claimed, and none is empty.
+    assert_eq!(trainer.seen.len() as u64, GROUPS * GROUP_SIZE);
+}
+
 /// Symptom: a batch is used twice, or a claim is lost.
 /// Sequence: the key-value service takes the writes that bind and claim, and loses their replies;
 /// then it is away for longer than a lease.
--- a/tests/all/scenarios.rs
+++ b/tests/all/scenarios.rs
@@ -359,7 +359,7 @@
                 let times: u32 = need(args, "times")?;
                 let mut counts: IndexMap<String, u32> = IndexMap::new();
                 for _ in 0..times {
-                    match self.targets.pick(now, &all, &mut self.rng) {
+                    match self.targets.pick(now, &all, 64, &mut self.rng) {
                         Some(choice) => {
                             *counts.entry(choice.target.to_string()).or_default() += 1;
                             self.choices.push(choice);
--- a/tests/all/support/fleet.rs
+++ b/tests/all/support/fleet.rs
@@ -177,6 +177,17 @@
         self.start_node_at(number, loopback, loopback);
     }
 
+    /// Kills a node and starts another process under its name and at its addresses.
+    pub(crate) fn replace_node(&mut self, node: usize) {
+        let mut killed = self.nodes.remove(node);
+        killed.process.signal("KILL");
+        killed.process.exit_code();
+        let (http, control) = (killed.http.to_string(), killed.control.to_string());
+        self.start_node_at(node as u32, &http, &control);
+        let started = self.nodes.pop().expect("the node just started");
+        self.nodes.insert(node, started);
+    }
+
     fn start_node_at(&mut self, number: u32, http: &str, control: &str) {
         let place = ["salle-a", "salle-b", "salle-c"][number as usize % 3];
         let peers: Vec<String> = self.nodes.iter().map(|node| node.control.to_string()).collect();
