--- a/crates/local/src/caller.rs
+++ b/crates/local/src/caller.rs
@@ -87,16 +87,16 @@
         }
     }
 
-    /// Makes one call: it is sent again after a truthful `not_run`, and an idempotent one, or one
+    /// Makes one call; each ticket has a number of its own. It is sent again after a truthful `not_run`, and an idempotent one, or one
     /// with a ticket, after any other failure as well.
     async fn call(&mut self, service: &str, call: &Call, body: &str) {
         self.judge.call_sent();
         let mut ticket = None;
         let mut may_have_run = false;
-        for _ in 0..SENDINGS_MAX {
+        for sending in 0..SENDINGS_MAX {
             let Some((address, prefix)) = self.address().await else { continue };
             if !call.idempotent && ticket.is_none() {
-                ticket = Some(format!("{prefix}{body}"));
+                ticket = Some(format!("{prefix}{body}-{sending}"));
             }
             match self.send(address, service, call, body, ticket.as_deref()).await {
                 Sending::Answered(answer) => {
@@ -111,6 +111,11 @@
                     may_have_run = true;
                 }
             }
+            if !may_have_run {
+                // No sending got through, so the call can have another ticket: the node of this
+                // one may be gone, and nobody could tell then whether it ran.
+                ticket = None;
+            }
             tokio::time::sleep(PAUSE).await;
         }
         let outcome =
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -135,10 +135,11 @@
     path: PathBuf,
     body: Data<'_>,
     shared: &State<Arc<Shared>>,
-) -> Result<String, Leaving> {
+) -> Result<Result<String, Leaving>, Status> {
     let read = body.open(BODY_MAX_MIB.mebibytes()).into_string().await;
-    let body = read.map(rocket::data::Capped::into_inner).unwrap_or_default();
-    run(shared, path, body).await
+    // A body that was cut is no request, as for any server that keeps to HTTP.
+    let whole = read.ok().filter(rocket::data::Capped::is_complete).ok_or(Status::BadRequest)?;
+    Ok(run(shared, path, whole.into_inner()).await)
 }
 
 #[get("/<path..>", rank = 5)]
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -6,6 +6,7 @@
 
 mod support;
 
+mod bad_input;
 mod capacity;
 mod membership;
 mod policy;
--- a/tests/all/membership.rs
+++ b/tests/all/membership.rs
@@ -1,8 +1,14 @@
 //! Membership in virtual time: who is there, how fast news travels, what it costs.
 
 use catkinmast_bench::VirtualFleet;
-use catkinmast_member::{ConfigFact, Fact, NodeState, TargetFact, TargetReport};
+use catkinmast_member::{
+    ConfigFact, Fact, Membership, MembershipSettings, Message, NodeFact, NodeState, Output,
+    TargetFact, TargetReport,
+};
 use catkinmast_model::{Incarnation, InstanceKind, InstanceState, Labels, Revision, UnixMs};
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use std::net::SocketAddr;
 use yare::parameterized;
 
 /// A fleet that has run long enough for all to know all.
@@ -78,6 +84,39 @@
     assert!(!accused_others);
 }
 
+/// The same cause at its smallest: a probe is on its way when the process is paused, and the first
+/// thing after the pause is the overdue tick.
+#[test]
+fn an_overdue_tick_counts_no_probe_as_unanswered() {
+    // Arrange
+    let node = |number: u16| NodeFact {
+        control: SocketAddr::from(([127, 0, 0, 1], number)),
+        data_centre: "place-0".parse().expect("a name"),
+        has_data_folder: false,
+        http: SocketAddr::from(([127, 0, 0, 1], number)),
+        incarnation: Incarnation(1),
+        name: format!("entry-{number}").parse().expect("a name"),
+        refutation: 0,
+        state: NodeState::Live,
+    };
+    let rng = Pcg64Mcg::seed_from_u64(1);
+    let settings = MembershipSettings::default();
+    let mut view = Membership::open(node(1), Vec::new(), settings, rng);
+    view.observe(UnixMs(0), Fact::Node(node(2)));
+    let probed = view
+        .tick(UnixMs(100))
+        .into_iter()
+        .any(|output| matches!(output, Output::Send { message: Message::Ping { .. }, .. }));
+
+    // Act
+    let outputs = view.tick(UnixMs(30_000));
+
+    // Assert
+    assert!(probed);
+    let accuses = |output: &Output| matches!(output, Output::Changed(Fact::Node(_)));
+    assert!(!outputs.iter().any(accuses), "{outputs:?}");
+}
+
 /// Symptom: a node that was replaced at the same address stays dead, or looks like the old one.
 /// Sequence: a process dies and another starts at its address at once.
 /// Cause: nothing tells the two lives apart.
--- a/tests/all/processes/mod.rs
+++ b/tests/all/processes/mod.rs
@@ -1,5 +1,6 @@
 //! Promises of the brief, proved with separate processes.
 
+mod bad_requests;
 mod calls;
 mod configuration;
 mod graceful_stop;
