Choose the emptiest of a stable subset; routing benchmark; cost of a call through a node

Change: the fewest own calls in flight, weighted by latency, over the subset of 20; a target that has just come back is ejected at its first failure; a run's cost command beside the demonstration.

--- a/crates/bench/src/command.rs
+++ b/crates/bench/src/command.rs
@@ -6,6 +6,7 @@
     Deployment, OWNER_CRASHES, RECOVERIES, Row, SCHEDULES, SLOW_ENGINE, SWAPS, Variant, WEIGHTS,
     run_variant, step_bound_ms,
 };
+use crate::routing::{Chooser, SCENES, run_choice, run_overload};
 use crate::world::Fault;
 use argh::FromArgs;
 use catkinmast_model::UnixMs;
@@ -27,6 +28,7 @@
 enum Command {
     Capacity(Capacity),
     Policy(Policy),
+    Route(Route),
 }
 
 /// idle time, staleness, waste and recovery of a trainer's steps
@@ -70,9 +72,85 @@
     match argh::from_env::<Arguments>().command {
         Command::Capacity(capacity) => run_capacity(&capacity),
         Command::Policy(policy) => run_policy(&policy),
+        Command::Route(route) => run_route(&route),
     }
 }
 
+/// choice of target, retries to a dead third, overload
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "route")]
+struct Route {
+    /// seed (default 1)
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// print JSON
+    #[argh(switch)]
+    json: bool,
+}
+
+/// Ways of choosing, in the order of the table.
+const CHOOSERS: [Chooser; 4] =
+    [Chooser::RoundRobin, Chooser::LaggingReport, Chooser::Least, Chooser::TwoChoices];
+
+fn run_route(route: &Route) -> ExitCode {
+    for (title, scene) in SCENES {
+        let rows = CHOOSERS.map(|chooser| run_choice(scene, chooser, route.seed));
+        if route.json {
+            println!("{}", serde_json::json!({ "table": title, "rows": rows }));
+            continue;
+        }
+        println!("\n{title}");
+        println!(
+            "{:<16} {:>8} {:>8} {:>9} {:>11} {:>7}",
+            "", "p50 ms", "p99 ms", "spread %", "attempts %", "failed"
+        );
+        for row in rows {
+            println!(
+                "{:<16} {:>8.1} {:>8.1} {:>9} {:>11} {:>7}",
+                format!("{:?}", row.chooser),
+                row.p50_us as f64 / 1_000.0,
+                row.p99_us as f64 / 1_000.0,
+                row.spread_percent,
+                row.attempts_percent,
+                row.failed
+            );
+        }
+    }
+    let loads = [90, 150, 300];
+    let overloads = loads.iter().flat_map(|load| [(*load, false), (*load, true)]);
+    if !route.json {
+        println!(
+            "\noverload of one node: 30 % lookups, 20 % acts, 50 % audits, callers wait 500 ms"
+        );
+        println!(
+            "{:<10} {:>10} {:>22} {:>26} {:>8} {:>16}",
+            "offered %",
+            "admission",
+            "lookups in time, %",
+            "of the node's capacity, %",
+            "refused",
+            "refusal p99 ms"
+        );
+    }
+    for (load, with_admission) in overloads {
+        let row = run_overload(load, with_admission, route.seed);
+        if route.json {
+            println!("{}", serde_json::json!({ "table": "overload", "row": row }));
+            continue;
+        }
+        println!(
+            "{:<10} {:>10} {:>22} {:>26} {:>8} {:>16}",
+            row.offered_percent,
+            if row.with_admission { "yes" } else { "no" },
+            row.lookups_in_time_percent,
+            row.lookup_goodput_percent,
+            row.refused,
+            row.refusal_p99_ms
+        );
+    }
+    ExitCode::SUCCESS
+}
+
 fn run_capacity(capacity: &Capacity) -> ExitCode {
     let counted = counted();
     let timed = if capacity.counted { Vec::new() } else { timed() };
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -10,6 +10,7 @@
 mod fleet;
 mod plot;
 mod policy;
+mod routing;
 mod slope;
 mod world;
 
@@ -21,5 +22,6 @@
     Deployment, DeploymentError, OWNER_CRASHES, RECOVERIES, Row, SCHEDULES, SLOW_ENGINE, SWAPS,
     Variant, WEIGHTS, run_variant, step_bound_ms,
 };
+pub use routing::{ChoiceRow, Chooser, OverloadRow, SCENES, Scene, run_choice, run_overload};
 pub use slope::Slope;
 pub use world::{Fault, Outcome, Recovery, World, WorldSettings};
--- /dev/null
+++ b/crates/local/src/cost.rs
@@ -0,0 +1,130 @@
+//! What a call through a node costs beside a direct call to the same target.
+//!
+//! Direct and indirect calls are taken in turn in one run, so that whatever else the machine does
+//! strikes both. Only the ratios mean something on another machine.
+
+use crate::fleet::Fleet;
+use argh::FromArgs;
+use catkinmast_config::Document;
+use std::process::ExitCode;
+use std::time::{Duration, Instant};
+
+/// The document of this measurement: one service with one target.
+const DOCUMENT: &str = include_str!("cost.toml");
+/// Calls in a round.
+const ROUND: u32 = 500;
+
+/// measures a call through a node beside a direct call to the same target
+#[derive(Clone, Debug, FromArgs)]
+#[argh(subcommand, name = "cost")]
+pub(crate) struct Cost {
+    /// rounds of 500 calls each way (default 10)
+    #[argh(option, default = "10")]
+    rounds: u32,
+}
+
+#[derive(Debug, Default)]
+struct Way {
+    in_all: Duration,
+    latencies: Vec<Duration>,
+}
+
+impl Way {
+    fn percentile(&mut self, percent: usize) -> Duration {
+        self.latencies.sort_unstable();
+        let place = self.latencies.len() * percent / 100;
+        self.latencies.get(place).copied().unwrap_or_default()
+    }
+
+    fn calls_per_s(&self) -> f64 {
+        self.latencies.len() as f64 / self.in_all.as_secs_f64().max(1e-9)
+    }
+}
+
+/// Runs the measurement.
+pub(crate) fn main(cost: &Cost) -> ExitCode {
+    if let Err(exit) = crate::start_log() {
+        return exit;
+    }
+    let measured = tokio::runtime::Runtime::new()
+        .map_err(|error| error.to_string())
+        .and_then(|runtime| runtime.block_on(measure(cost)));
+    match measured {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(message) => {
+            eprintln!("{message}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn measure(cost: &Cost) -> Result<(), String> {
+    let document = Document::parse(DOCUMENT).map_err(|faults| faults.to_string())?;
+    let fleet = Fleet::start(&document, 1, 0).await?;
+    fleet.apply(DOCUMENT).await?;
+    fleet.wait_until_ready().await?;
+    let target = fleet.services.values().next().ok_or("no target")?.address();
+    let node = fleet.any_address(&mut rand_pcg::Pcg64Mcg::new(1));
+    let urls = [
+        format!("http://{target}/progress"),
+        format!("http://{node}/v1/call/badges/progress"),
+        format!("http://{node}/v1/call/badges/award"),
+    ];
+    let mut ways = [Way::default(), Way::default(), Way::default()];
+    // The first round warms connections and is not counted.
+    for round in 0..=cost.rounds {
+        for (way, url) in ways.iter_mut().zip(&urls) {
+            let (in_all, latencies) = call_in_turn(&fleet, url).await?;
+            if round > 0 {
+                way.in_all += in_all;
+                way.latencies.extend(latencies);
+            }
+        }
+    }
+    fleet.stop();
+    print(&mut ways);
+    Ok(())
+}
+
+async fn call_in_turn(fleet: &Fleet, url: &str) -> Result<(Duration, Vec<Duration>), String> {
+    let began = Instant::now();
+    let mut latencies = Vec::new();
+    for _ in 0..ROUND {
+        let sent_at = Instant::now();
+        let sent = fleet.client.post(url).body("youth-17").send().await;
+        let response = sent.map_err(|error| error.to_string())?;
+        if !response.status().is_success() {
+            return Err(format!("{url}: {}", response.status()));
+        }
+        response.bytes().await.map_err(|error| error.to_string())?;
+        latencies.push(sent_at.elapsed());
+    }
+    Ok((began.elapsed(), latencies))
+}
+
+fn print(ways: &mut [Way; 3]) {
+    let names = ["direct", "through a node", "through a node, not repeatable"];
+    let base = (ways[0].percentile(50), ways[0].percentile(99), ways[0].calls_per_s());
+    println!(
+        "{:<32} {:>8} {:>8} {:>10} {:>10} {:>10} {:>12}",
+        "one call at a time",
+        "p50 us",
+        "p99 us",
+        "p50 ratio",
+        "p99 ratio",
+        "calls/s",
+        "calls ratio"
+    );
+    for (way, name) in ways.iter_mut().zip(names) {
+        let (p50, p99, rate) = (way.percentile(50), way.percentile(99), way.calls_per_s());
+        println!(
+            "{name:<32} {:>8} {:>8} {:>10.2} {:>10.2} {:>10.0} {:>12.2}",
+            p50.as_micros(),
+            p99.as_micros(),
+            p50.as_secs_f64() / base.0.as_secs_f64(),
+            p99.as_secs_f64() / base.1.as_secs_f64(),
+            rate,
+            rate / base.2
+        );
+    }
+}
--- a/crates/local/src/fleet.rs
+++ b/crates/local/src/fleet.rs
@@ -1,6 +1,5 @@
 //! The processes of a deployment: entry nodes, and stand-ins for everything else.
 
-use crate::Run;
 use catkinmast_config::{Document, Workers};
 use catkinmast_model::{Incarnation, Instance, InstanceKind, InstanceState, Name};
 use catkinmast_node::{Arguments, Node, Settings};
@@ -50,7 +49,13 @@
 }
 
 impl Fleet {
-    pub(crate) async fn start(document: &Document, run: &Run) -> Result<Self, String> {
+    /// Starts `nodes` entry nodes and the document's workers, whose services take
+    /// `answer_after_ms` for each call.
+    pub(crate) async fn start(
+        document: &Document,
+        nodes: u32,
+        answer_after_ms: u64,
+    ) -> Result<Self, String> {
         let settings = PlatformSettings { address: loopback(), list_lag_ms: LIST_LAG_MS };
         let platform = Platform::spawn(settings).await.map_err(|error| error.to_string())?;
         let client = reqwest::Client::builder()
@@ -68,13 +73,17 @@
             instances: Mutex::default(),
         };
         for workers in &document.workers {
-            fleet.start_workers(workers).await?;
+            fleet.start_workers(workers, answer_after_ms).await?;
         }
-        fleet.start_nodes(document, run.nodes).await?;
+        fleet.start_nodes(document, nodes).await?;
         Ok(fleet)
     }
 
-    async fn start_workers(&mut self, workers: &Workers) -> Result<(), String> {
+    async fn start_workers(
+        &mut self,
+        workers: &Workers,
+        answer_after_ms: u64,
+    ) -> Result<(), String> {
         for place in &workers.data_centres {
             for number in 1..=workers.per_data_centre {
                 let name = format!("{}-{place}-{number}", workers.name);
@@ -82,7 +91,7 @@
                 let address = match workers.kind {
                     InstanceKind::Engine => self.start_engine(&name, workers).await?,
                     InstanceKind::Service | InstanceKind::Entry => {
-                        let settings = ServiceSettings { address: loopback(), answer_after_ms: 3 };
+                        let settings = ServiceSettings { address: loopback(), answer_after_ms };
                         let service = PlainService::spawn(settings).await;
                         let service = service.map_err(|error| error.to_string())?;
                         let address = service.address();
--- a/crates/local/src/lib.rs
+++ b/crates/local/src/lib.rs
@@ -7,6 +7,7 @@
 //! counters are never asked whether a promise held.
 
 mod caller;
+mod cost;
 mod faults;
 mod fleet;
 mod judge;
@@ -20,6 +21,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+/// How long the stand-ins of plain services take for a call.
+const SERVICE_MS: u64 = 3;
 /// The longest that a run may take in all.
 const RUN_MAX: Duration = Duration::from_secs(57);
 
@@ -33,6 +36,7 @@
 #[derive(Clone, Debug, FromArgs)]
 #[argh(subcommand)]
 enum Command {
+    Cost(cost::Cost),
     Run(Run),
 }
 
@@ -65,7 +69,10 @@
 
 /// Runs the command line of this process.
 pub fn main() -> ExitCode {
-    let Command::Run(run) = argh::from_env::<Arguments>().command;
+    let run = match argh::from_env::<Arguments>().command {
+        Command::Cost(cost) => return cost::main(&cost),
+        Command::Run(run) => run,
+    };
     let text = match std::fs::read_to_string(&run.file) {
         Ok(text) => text,
         Err(error) => {
@@ -84,17 +91,8 @@
         eprintln!("--nodes: is 0; at least 1 is needed");
         return ExitCode::from(2);
     }
-    // Without a log of our own, the web framework would start one that prints to standard output.
-    let level = std::env::var("CATKINMAST_LOG_LEVEL").unwrap_or_else(|_unset| "off".to_owned());
-    let level = match level.parse() {
-        Ok(level) => level,
-        Err(error) => {
-            eprintln!("CATKINMAST_LOG_LEVEL: '{level}' cannot be read: {error}");
-            return ExitCode::from(2);
-        }
-    };
-    if let Err(error) = catkinmast_node::start_log(level) {
-        eprintln!("{error}");
+    if let Err(exit) = start_log() {
+        return exit;
     }
     let runtime = match tokio::runtime::Runtime::new() {
         Ok(runtime) => runtime,
@@ -117,6 +115,23 @@
     }
 }
 
+/// Starts the log at the level of the environment; off when it says nothing.
+fn start_log() -> Result<(), ExitCode> {
+    // Without a log of our own, the web framework would start one that prints to standard output.
+    let level = std::env::var("CATKINMAST_LOG_LEVEL").unwrap_or_else(|_unset| "off".to_owned());
+    let level = match level.parse() {
+        Ok(level) => level,
+        Err(error) => {
+            eprintln!("CATKINMAST_LOG_LEVEL: '{level}' cannot be read: {error}");
+            return Err(ExitCode::from(2));
+        }
+    };
+    if let Err(error) = catkinmast_node::start_log(level) {
+        eprintln!("{error}");
+    }
+    Ok(())
+}
+
 async fn drive(run: Run, document: Document, text: String) -> Result<Summary, String> {
     let began = Instant::now();
     println!(
@@ -126,7 +141,7 @@
         document.trainers.len(),
         run.seed
     );
-    let fleet = Arc::new(Fleet::start(&document, &run).await?);
+    let fleet = Arc::new(Fleet::start(&document, run.nodes, SERVICE_MS).await?);
     fleet.apply(&text).await?;
     fleet.wait_until_ready().await?;
     println!("{:5.1} s  all nodes are ready", began.elapsed().as_secs_f64());
--- a/crates/route/src/targets.rs
+++ b/crates/route/src/targets.rs
@@ -2,9 +2,11 @@
 //!
 //! A node routes over a stable subset of a service's targets, chosen by rendezvous hashing: a
 //! change of one target moves few others, and with hundreds of nodes no target is asked by all.
-//! Within the subset two random candidates are compared by the calls in flight from here, weighted
-//! by their recent latency. Reports of load lag, so the calls in flight and the latency seen
-//! here come first.
+//! Within the subset the one with the fewest calls in flight from here is taken, weighted by recent
+//! latency. Two random candidates were weighed and measured: 46.5 against 38.5 ms for 99 of 100
+//! calls at 320 nodes, 91 against 40 ms with six nodes and three slow targets of nine, since a slow
+//! target still wins against another slow one. Reports of load lag and are not used: choosing by
+//! half-second-old reports sent whole bursts to one target.
 //!
 //! A target that fails or refuses in a row is ejected for a while, but never so many that the
 //! rest would drown ([`TargetSettings::ejected_max_percent`]). A target that returns gets a
@@ -26,7 +28,7 @@
 /// How targets are chosen.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum PickPolicy {
-    /// The one with the fewest calls in flight, over all.
+    /// The one with the fewest calls in flight, weighted by latency (ships).
     LeastInFlight,
     /// One after the other.
     RoundRobin,
@@ -58,7 +60,7 @@
             ejection_ms: 3_000,
             failures_to_eject: 3,
             in_flight_max: 1_024,
-            policy: PickPolicy::TwoChoices,
+            policy: PickPolicy::LeastInFlight,
             slow_start_ms: 5_000,
         }
     }
@@ -160,7 +162,10 @@
             }
             Outcome::Failed => {
                 seen.failures += 1;
-                if seen.failures >= settings.failures_to_eject && room {
+                // One that has just come back has nothing to its credit yet.
+                let needed =
+                    if seen.is_new(now, &settings) { 1 } else { settings.failures_to_eject };
+                if seen.failures >= needed && room {
                     seen.ejected_until = now.plus(settings.ejection_ms);
                     seen.returned_at = seen.ejected_until;
                     seen.failures = 0;
@@ -227,11 +232,16 @@
 }
 
 impl Seen {
+    /// Tells whether the target has come back from an ejection not long ago.
+    fn is_new(&self, now: UnixMs, settings: &TargetSettings) -> bool {
+        self.returned_at.0 > 0 && now.since_ms(self.returned_at) < settings.slow_start_ms
+    }
+
     /// Expected time of one more call: those in flight and this one, at the recent latency.
     fn cost(&self, now: UnixMs, settings: &TargetSettings) -> u64 {
         let cost = u64::from(self.in_flight + 1) * self.latency_us.max(1);
         let back_ms = now.since_ms(self.returned_at);
-        if self.returned_at.0 > 0 && back_ms < settings.slow_start_ms {
+        if self.is_new(now, settings) {
             // A target that has just come back looks up to eight times as dear at first.
             return cost * (8 - 7 * back_ms / settings.slow_start_ms.max(1));
         }
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -126,7 +126,10 @@
     let path = format!("/{}", path.display());
     let answer = answer_of(&path, &body);
     shared.runs().push(CallRecord { body, path });
-    tokio::time::sleep(Duration::from_millis(shared.answer_after_ms)).await;
+    // The timer rounds up to a millisecond, which would hide what a call costs.
+    if shared.answer_after_ms > 0 {
+        tokio::time::sleep(Duration::from_millis(shared.answer_after_ms)).await;
+    }
     Ok(answer)
 }
 
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -12,4 +12,5 @@
 mod policy;
 mod processes;
 mod rollout_faults;
+mod routing;
 mod scenarios;
