--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -3,7 +3,7 @@
 //! [`Node::spawn`] takes checked [`Settings`] and returns a running handle. Inside, one control
 //! thread owns every aggregate that decides (`control`): membership, configuration, leases, and
 //! the steps of the trainers that this node owns. It takes inputs from a channel, asks the
-//! aggregates, and publishes an immutable [`Snapshot`](snapshot) that the traffic threads read
+//! aggregates, and publishes an immutable snapshot that the traffic threads read
 //! without a lock. What the aggregates want done outside (`edge`) is carried out by tasks on the
 //! traffic threads, which report back over the same channel. The HTTP interface (`api`) reads the
 //! snapshot, decides with `catkinmast-route`, and never waits for the key-value service.
