--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -12,6 +12,7 @@
 mod policy;
 mod routing;
 mod slope;
+mod trainer;
 mod world;
 
 pub use capacity::{Counted, Timed, counted, table, timed};
--- a/crates/bench/src/world.rs
+++ b/crates/bench/src/world.rs
@@ -9,10 +9,11 @@
 //! benchmark use the same checks.
 
 use crate::engines::{EngineModel, EngineSim, Finish};
-use catkinmast_model::{Fence, Name, SampleId, Segments, UnixMs, Version};
+use crate::trainer::{Next, TrainerSim};
+use catkinmast_model::{Fence, Name, SampleId, Segments, UnixMs};
 use catkinmast_rollout::{
-    Attempt, Command, Effect, EngineInfo, Event, Finished, GroupSpec, HoldingReport, Ledger,
-    NodeInfo, OrderSettings, Registration, Reply, Rollout, RunOrder, ScheduleSettings, StepSpec,
+    Attempt, Command, Effect, EngineInfo, Event, Finished, HoldingReport, Ledger, NodeInfo,
+    OrderSettings, Registration, Rollout, RunOrder, ScheduleSettings, StepSpec,
 };
 use indexmap::{IndexMap, IndexSet};
 use rand::{Rng, SeedableRng};
@@ -26,8 +27,6 @@
 const STORE_MS: u64 = 5;
 /// How long a lost reply keeps its caller waiting.
 const LOST_REPLY_MS: u64 = 1_500;
-/// How long a trainer waits before it sends a command again.
-const RESEND_MS: u64 = 1_000;
 /// How long after a node's death another takes its duties over.
 const TAKEOVER_MS: u64 = 7_000;
 /// Where a world's addresses point; nothing is ever sent there.
@@ -95,7 +94,7 @@
 }
 
 #[derive(Clone, Debug)]
-enum Happening {
+pub(crate) enum Happening {
     Deliver { event: Event, owner: usize },
     Fault(Fault),
     Resend,
@@ -108,7 +107,7 @@
 
 /// A queued happening; equal times keep the order in which they were queued.
 #[derive(Clone, Debug)]
-struct Queued {
+pub(crate) struct Queued {
     at: UnixMs,
     happening: Happening,
     order: u64,
@@ -135,43 +134,17 @@
 }
 
 #[derive(Debug)]
-struct Owner {
+pub(crate) struct Owner {
     paused: bool,
     rollout: Rollout,
 }
 
 #[derive(Clone, Debug)]
-struct Held {
+pub(crate) struct Held {
     score_millis: Option<i64>,
     segments: Segments,
 }
 
-/// What the trainer is about to do.
-#[derive(Clone, Debug, Eq, PartialEq)]
-enum Next {
-    Register,
-    Submit(u64),
-    Fetch(u64),
-    Claim(u64),
-    Publish(u64),
-    Done,
-}
-
-#[derive(Debug)]
-struct TrainerSim {
-    asked: Option<(u64, Next)>,
-    batch: u64,
-    claimed_of_step: u32,
-    idle_ms: u64,
-    next: Next,
-    resend_at: UnixMs,
-    seen: IndexMap<u64, Vec<(SampleId, Attempt)>>,
-    step: u64,
-    submitted: u64,
-    version: u64,
-    waiting_since: Option<UnixMs>,
-}
-
 /// What a run of a world came to.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Outcome {
@@ -220,25 +193,25 @@
 /// A world.
 #[derive(Debug)]
 pub struct World {
-    claimed: IndexMap<SampleId, u64>,
-    current: usize,
-    engines: Vec<EngineSim>,
-    fence: Fence,
-    holdings: IndexMap<(usize, SampleId, Attempt), Held>,
-    ledger: Option<(Ledger, u64)>,
-    lose_replies: u32,
-    nodes_up: Vec<bool>,
-    now: UnixMs,
-    order: u64,
-    outage_until: UnixMs,
-    outcome: Outcome,
-    owners: IndexMap<usize, Owner>,
-    queue: BinaryHeap<Reverse<Queued>>,
-    reply_to: u64,
-    rng: Pcg64Mcg,
-    settings: WorldSettings,
-    stored: IndexMap<(u64, String), StepSpec>,
-    trainer: TrainerSim,
+    pub(crate) claimed: IndexMap<SampleId, u64>,
+    pub(crate) current: usize,
+    pub(crate) engines: Vec<EngineSim>,
+    pub(crate) fence: Fence,
+    pub(crate) holdings: IndexMap<(usize, SampleId, Attempt), Held>,
+    pub(crate) ledger: Option<(Ledger, u64)>,
+    pub(crate) lose_replies: u32,
+    pub(crate) nodes_up: Vec<bool>,
+    pub(crate) now: UnixMs,
+    pub(crate) order: u64,
+    pub(crate) outage_until: UnixMs,
+    pub(crate) outcome: Outcome,
+    pub(crate) owners: IndexMap<usize, Owner>,
+    pub(crate) queue: BinaryHeap<Reverse<Queued>>,
+    pub(crate) reply_to: u64,
+    pub(crate) rng: Pcg64Mcg,
+    pub(crate) settings: WorldSettings,
+    pub(crate) stored: IndexMap<(u64, String), StepSpec>,
+    pub(crate) trainer: TrainerSim,
 }
 
 fn node_name(node: usize) -> Name {
@@ -326,7 +299,7 @@
         self.queue.push(Reverse(Queued { at, happening, order: self.order }));
     }
 
-    fn after(&mut self, wait_ms: u64, happening: Happening) {
+    pub(crate) fn after(&mut self, wait_ms: u64, happening: Happening) {
         self.at(self.now.plus(wait_ms), happening);
     }
 
@@ -656,172 +629,6 @@
         self.open_owner(next);
     }
 
-    fn ask(&mut self, next: &Next, command: Command) {
-        self.reply_to += 1;
-        self.trainer.asked = Some((self.reply_to, next.clone()));
-        self.trainer.resend_at = self.now.plus(12_000);
-        let (owner, reply_to) = (self.current, self.reply_to);
-        self.after(1, Happening::Send { command, owner, reply_to });
-        self.after(12_000, Happening::Resend);
-    }
-
-    fn trainer_acts(&mut self) {
-        let next = self.trainer.next.clone();
-        let at_version = Version(self.trainer.version);
-        let command = match &next {
-            Next::Register => Command::Register(self.settings.registration.clone()),
-            Next::Submit(step) => Command::Submit { step: *step, spec: self.step_spec(*step) },
-            Next::Fetch(batch) => Command::Fetch { batch: *batch, until: self.now.plus(10_000) },
-            Next::Claim(batch) => Command::Claim { at_version, batch: *batch },
-            Next::Publish(version) => Command::Publish { version: Version(*version) },
-            Next::Done => return,
-        };
-        if matches!(next, Next::Fetch(_)) && self.trainer.waiting_since.is_none() {
-            self.trainer.waiting_since = Some(self.now);
-        }
-        self.ask(&next, command);
-    }
-
-    fn step_spec(&self, step: u64) -> StepSpec {
-        let group = |group| GroupSpec { prompt: format!("{step}/{group}") };
-        StepSpec {
-            deadline_unix_ms: UnixMs(u64::MAX),
-            groups: (0..self.settings.groups).map(group).collect(),
-            max_tokens: 1 << 20,
-            seed: self.settings.seed,
-        }
-    }
-
-    /// A command that was not answered is sent again: all of them are idempotent.
-    fn trainer_resends(&mut self) {
-        if self.trainer.asked.is_some() && self.now >= self.trainer.resend_at {
-            self.trainer_acts();
-        }
-    }
-
-    fn trainer_hears(&mut self, reply_to: u64, reply: Reply) {
-        if self.trainer.asked.as_ref().is_none_or(|(asked, _)| *asked != reply_to) {
-            return;
-        }
-        let Some((_, asked)) = self.trainer.asked.take() else { return };
-        match (asked, reply) {
-            (Next::Register, Reply::Registered(_)) => self.submit_more(),
-            (Next::Submit(step), Reply::Accepted { .. }) => {
-                self.trainer.submitted = step;
-                self.submit_more();
-            }
-            (Next::Fetch(batch), Reply::Batch(view)) => {
-                let samples = view.samples.iter().map(|s| (s.id, s.attempt)).collect();
-                self.check_same(batch, samples);
-                let ages = view.samples.iter().map(|sample| {
-                    sample.finished.segments.age_versions(Version(self.trainer.version))
-                });
-                let ages: Vec<u64> = ages.collect();
-                self.trainer.next = Next::Claim(batch);
-                self.outcome.tokens_used += view
-                    .samples
-                    .iter()
-                    .map(|s| u64::from(s.finished.segments.token_count()))
-                    .sum::<u64>();
-                self.trainer_acts();
-                self.pending_ages(ages);
-            }
-            (Next::Claim(batch), Reply::Claimed { .. }) => self.batch_claimed(batch),
-            (Next::Fetch(batch) | Next::Claim(batch), Reply::Void { .. }) => {
-                self.trainer.seen.swap_remove(&batch);
-                self.outcome.ages.truncate(self.claimed.len());
-                self.trainer.batch += 1;
-                self.trainer.next = Next::Fetch(self.trainer.batch);
-                self.trainer_acts();
-            }
-            (Next::Publish(version), Reply::Published { .. }) => {
-                self.trainer.version = version;
-                self.next_step();
-            }
-            (_, Reply::Invalid(error)) => {
-                self.outcome.violations.push(format!("a command was invalid: {error}"));
-                self.trainer.next = Next::Done;
-            }
-            (_, _) => {
-                // Refused, or not yet: asked again after a while.
-                self.trainer.asked = Some((0, self.trainer.next.clone()));
-                self.trainer.resend_at = self.now.plus(RESEND_MS);
-                self.after(RESEND_MS, Happening::Resend);
-            }
-        }
-    }
-
-    /// Ages count once their batch is claimed; until then they stand behind those that do.
-    fn pending_ages(&mut self, ages: Vec<u64>) {
-        self.outcome.ages.truncate(self.claimed.len());
-        self.outcome.ages.extend(ages);
-    }
-
-    fn submit_more(&mut self) {
-        let wanted = (self.trainer.step + self.settings.submitted_ahead).min(self.settings.steps);
-        self.trainer.next = if self.trainer.submitted < wanted {
-            Next::Submit(self.trainer.submitted + 1)
-        } else {
-            Next::Fetch(self.trainer.batch)
-        };
-        self.trainer_acts();
-    }
-
-    fn check_same(&mut self, batch: u64, samples: Vec<(SampleId, Attempt)>) {
-        match self.trainer.seen.get(&batch) {
-            Some(before) if *before != samples => {
-                self.outcome.violations.push(format!("batch {batch} differs when fetched again"));
-            }
-            Some(_) => {}
-            None => {
-                self.trainer.seen.insert(batch, samples);
-            }
-        }
-    }
-
-    fn batch_claimed(&mut self, batch: u64) {
-        let samples = self.trainer.seen.get(&batch).cloned().unwrap_or_default();
-        let bound = self.settings.registration.staleness_bound_versions;
-        let ages = self.outcome.ages.split_off(self.claimed.len().min(self.outcome.ages.len()));
-        for ((id, _), age) in samples.iter().zip(ages) {
-            if let Some(before) = self.claimed.insert(*id, batch) {
-                let message = format!("sample {id} in batch {batch} was claimed in {before}");
-                self.outcome.violations.push(message);
-            }
-            if age > bound {
-                self.outcome.violations.push(format!("sample {id} is {age} versions old"));
-            }
-            self.outcome.ages.push(age);
-        }
-        self.trainer.claimed_of_step += samples.len() as u32;
-        if let Some(since) = self.trainer.waiting_since.take() {
-            self.trainer.idle_ms += self.now.since_ms(since);
-        }
-        self.after(self.settings.train_batch_ms, Happening::Trained);
-    }
-
-    fn trained(&mut self) {
-        self.trainer.batch += 1;
-        let whole = self.settings.groups * self.settings.registration.group_size;
-        if self.trainer.claimed_of_step < whole {
-            self.trainer.next = Next::Fetch(self.trainer.batch);
-        } else {
-            self.trainer.claimed_of_step = 0;
-            self.outcome.step_times_ms.push(self.now.0);
-            self.trainer.next = Next::Publish(self.trainer.version + 1);
-        }
-        self.trainer_acts();
-    }
-
-    fn next_step(&mut self) {
-        if self.trainer.step >= self.settings.steps {
-            self.trainer.next = Next::Done;
-            return;
-        }
-        self.trainer.step += 1;
-        self.submit_more();
-    }
-
     fn check_end(&mut self) {
         let ends = std::mem::take(&mut self.outcome.step_times_ms);
         let starts = [0].into_iter().chain(ends.iter().copied());
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -15,6 +15,7 @@
 mod board;
 mod fact;
 mod membership;
+mod probing;
 
 pub use board::{BUCKETS, Board, Merge};
 pub use fact::{
--- a/crates/member/src/membership.rs
+++ b/crates/member/src/membership.rs
@@ -14,15 +14,13 @@
 use crate::fact::{Fact, FactKey, NodeFact, NodeState};
 use catkinmast_model::{Name, UnixMs};
 use indexmap::{IndexMap, IndexSet};
-use rand::seq::{IndexedRandom, SliceRandom};
+use rand::seq::IndexedRandom;
 use rand_pcg::Pcg64Mcg;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
 /// Bytes of facts in one message; with the frame they stay below a datagram.
-const FACTS_BUDGET_BYTES: usize = 1_200;
-/// How many other nodes are asked to probe a node that did not answer.
-const HELPERS: usize = 3;
+pub(crate) const FACTS_BUDGET_BYTES: usize = 1_200;
 /// A tick that comes this late tells of our own pause.
 const LATE_TICK_MS: u64 = 400;
 /// To how many nodes a fresh fact is pushed at once.
@@ -108,42 +106,42 @@
 }
 
 #[derive(Clone, Debug)]
-struct Probe {
-    acknowledged: bool,
-    ends_at: UnixMs,
-    indirect: bool,
-    indirect_at: UnixMs,
-    node: Name,
-    sequence: u64,
+pub(crate) struct Probe {
+    pub acknowledged: bool,
+    pub ends_at: UnixMs,
+    pub indirect: bool,
+    pub indirect_at: UnixMs,
+    pub node: Name,
+    pub sequence: u64,
 }
 
 /// A probe that we make for another node.
 #[derive(Clone, Debug)]
-struct Relay {
-    asker: SocketAddr,
-    asker_sequence: u64,
-    expires_at: UnixMs,
+pub(crate) struct Relay {
+    pub asker: SocketAddr,
+    pub asker_sequence: u64,
+    pub expires_at: UnixMs,
 }
 
 /// A node's view of the fleet.
 #[derive(Clone, Debug)]
 pub struct Membership {
-    board: Board,
-    former: IndexSet<SocketAddr>,
-    gone_until: IndexMap<FactKey, UnixMs>,
-    last_tick_at: Option<UnixMs>,
-    me: NodeFact,
-    next_probe_at: UnixMs,
-    order: Vec<Name>,
-    probe: Option<Probe>,
-    pull_after: UnixMs,
-    rejoin_at: UnixMs,
-    relays: IndexMap<u64, Relay>,
-    rng: Pcg64Mcg,
-    seeds: Vec<SocketAddr>,
-    sequence: u64,
-    settings: MembershipSettings,
-    suspects: IndexMap<Name, UnixMs>,
+    pub(crate) board: Board,
+    pub(crate) former: IndexSet<SocketAddr>,
+    pub(crate) gone_until: IndexMap<FactKey, UnixMs>,
+    pub(crate) last_tick_at: Option<UnixMs>,
+    pub(crate) me: NodeFact,
+    pub(crate) next_probe_at: UnixMs,
+    pub(crate) order: Vec<Name>,
+    pub(crate) probe: Option<Probe>,
+    pub(crate) pull_after: UnixMs,
+    pub(crate) rejoin_at: UnixMs,
+    pub(crate) relays: IndexMap<u64, Relay>,
+    pub(crate) rng: Pcg64Mcg,
+    pub(crate) seeds: Vec<SocketAddr>,
+    pub(crate) sequence: u64,
+    pub(crate) settings: MembershipSettings,
+    pub(crate) suspects: IndexMap<Name, UnixMs>,
 }
 
 impl Membership {
@@ -243,27 +241,6 @@
         outputs
     }
 
-    /// Probes one address that was lost, or a seed that is no peer.
-    ///
-    /// When two regions lose each other for longer than lost nodes are remembered, neither side
-    /// knows anybody of the other any more, and without this they would stay apart for ever after
-    /// the network has healed. One probe that gets through is enough: the digests differ, both
-    /// sides pull, and every node that finds itself called gone refutes it.
-    fn try_to_rejoin(&mut self, outputs: &mut Vec<Output>) {
-        let peers: IndexSet<SocketAddr> = self.peers().map(|node| node.control).collect();
-        if peers.is_empty() {
-            // The regular probe asks the seeds then.
-            return;
-        }
-        let known = self.seeds.iter().chain(&self.former);
-        let lost: Vec<SocketAddr> =
-            known.filter(|at| !peers.contains(*at) && **at != self.me.control).copied().collect();
-        if let Some(to) = lost.choose(&mut self.rng).copied() {
-            self.sequence += 1;
-            self.ping(to, self.sequence, outputs);
-        }
-    }
-
     /// Handles one datagram.
     pub fn receive(&mut self, now: UnixMs, from: SocketAddr, message: Message) -> Vec<Output> {
         let mut outputs = Vec::new();
@@ -307,7 +284,7 @@
         }
     }
 
-    fn take(&mut self, now: UnixMs, fact: Fact, outputs: &mut Vec<Output>) {
+    pub(crate) fn take(&mut self, now: UnixMs, fact: Fact, outputs: &mut Vec<Output>) {
         if let Fact::Node(node) = &fact
             && node.name == self.me.name
             && self.refuted(node)
@@ -370,108 +347,13 @@
         PUSH_FANOUT as u8 + 1
     }
 
-    fn node(&self, name: &Name) -> Option<&NodeFact> {
+    pub(crate) fn node(&self, name: &Name) -> Option<&NodeFact> {
         match self.board.get(&FactKey::Node(name.clone())) {
             Some(Fact::Node(node)) => Some(node),
             _ => None,
         }
     }
 
-    fn send_probe(&mut self, now: UnixMs, outputs: &mut Vec<Output>) {
-        if self.order.is_empty() {
-            self.order = self.peers().map(|node| node.name.clone()).collect();
-            self.order.shuffle(&mut self.rng);
-        }
-        let next = self.next_in_order();
-        self.sequence += 1;
-        let sequence = self.sequence;
-        match next {
-            Some((node, to)) => {
-                self.probe = Some(Probe {
-                    acknowledged: false,
-                    ends_at: now.plus(self.settings.probe_every_ms),
-                    indirect: false,
-                    indirect_at: now.plus(self.settings.probe_timeout_ms),
-                    node,
-                    sequence,
-                });
-                self.ping(to, sequence, outputs);
-            }
-            None => {
-                if let Some(seed) = self.seeds.choose(&mut self.rng).copied() {
-                    self.ping(seed, sequence, outputs);
-                }
-            }
-        }
-    }
-
-    fn next_in_order(&mut self) -> Option<(Name, SocketAddr)> {
-        while let Some(name) = self.order.pop() {
-            let found = self.node(&name).filter(|node| node.state != NodeState::Gone);
-            if let Some(control) = found.map(|node| node.control) {
-                return Some((name, control));
-            }
-        }
-        None
-    }
-
-    fn ping(&mut self, to: SocketAddr, sequence: u64, outputs: &mut Vec<Output>) {
-        let mut facts = self.board.take_fresh(FACTS_BUDGET_BYTES, 1);
-        if self.peers().next().is_none() && !facts.iter().any(|fact| self.is_me(fact)) {
-            // A seed that does not know us yet must learn where to answer.
-            facts.push(Fact::Node(self.me.clone()));
-        }
-        let message = Message::Ping { digest: self.board.digest(), facts, sequence };
-        outputs.push(Output::Send { message, to });
-    }
-
-    fn is_me(&self, fact: &Fact) -> bool {
-        matches!(fact, Fact::Node(node) if node.name == self.me.name)
-    }
-
-    fn check_probe(&mut self, now: UnixMs, outputs: &mut Vec<Output>) {
-        let Some(mut probe) = self.probe.take() else { return };
-        if probe.acknowledged {
-            return;
-        }
-        if now >= probe.ends_at {
-            self.suspect(now, &probe.node, outputs);
-            return;
-        }
-        if !probe.indirect && now >= probe.indirect_at {
-            probe.indirect = true;
-            self.probe_indirectly(&probe, outputs);
-        }
-        self.probe = Some(probe);
-    }
-
-    fn probe_indirectly(&mut self, probe: &Probe, outputs: &mut Vec<Output>) {
-        let Some(control) = self.node(&probe.node).map(|node| node.control) else { return };
-        let others: Vec<SocketAddr> = self
-            .peers()
-            .filter(|node| node.name != probe.node && node.state == NodeState::Live)
-            .map(|node| node.control)
-            .collect();
-        for to in others.choose_multiple(&mut self.rng, HELPERS) {
-            let message = Message::PingFor { control, sequence: probe.sequence };
-            outputs.push(Output::Send { message, to: *to });
-        }
-        // Most often it was a single message that was lost.
-        self.ping(control, probe.sequence, outputs);
-    }
-
-    fn suspect(&mut self, now: UnixMs, name: &Name, outputs: &mut Vec<Output>) {
-        let Some(node) = self.node(name) else { return };
-        // A leaving node that falls silent has left: nothing is waited for.
-        let state = match node.state {
-            NodeState::Live => NodeState::Suspect,
-            NodeState::Leaving => NodeState::Gone,
-            NodeState::Suspect | NodeState::Gone => return,
-        };
-        let suspected = NodeFact { state, ..node.clone() };
-        self.take(now, Fact::Node(suspected), outputs);
-    }
-
     fn check_suspects(&mut self, now: UnixMs, outputs: &mut Vec<Output>) {
         let due: Vec<Name> = self
             .suspects
@@ -501,36 +383,6 @@
         }
     }
 
-    fn acknowledge(&mut self, sequence: u64, outputs: &mut Vec<Output>) {
-        if let Some(probe) = &mut self.probe
-            && probe.sequence == sequence
-        {
-            probe.acknowledged = true;
-        }
-        if let Some(relay) = self.relays.swap_remove(&sequence) {
-            let message = Message::Ack {
-                digest: self.board.digest(),
-                facts: Vec::new(),
-                sequence: relay.asker_sequence,
-            };
-            outputs.push(Output::Send { message, to: relay.asker });
-        }
-    }
-
-    fn relay(
-        &mut self,
-        now: UnixMs,
-        asker: SocketAddr,
-        control: SocketAddr,
-        asker_sequence: u64,
-        outputs: &mut Vec<Output>,
-    ) {
-        self.sequence += 1;
-        let expires_at = now.plus(self.settings.probe_every_ms);
-        self.relays.insert(self.sequence, Relay { asker, asker_sequence, expires_at });
-        self.ping(control, self.sequence, outputs);
-    }
-
     /// Pulls when the boards differ and nothing is on its way that would explain it.
     fn compare(&mut self, now: UnixMs, from: SocketAddr, digest: u64, outputs: &mut Vec<Output>) {
         let knows_nobody = self.peers().next().is_none();
--- a/crates/node/src/control/trainers.rs
+++ b/crates/node/src/control/trainers.rs
@@ -1,17 +1,15 @@
 //! The trainers that this node owns: leases, the aggregates, and their effects.
 
+use crate::control::Control;
 use crate::control::duties::is_first;
-use crate::control::{Control, Input};
 use crate::edge::holdings::ContentKey;
-use crate::edge::peer::{PeerReply, PeerRequest, ask};
 use crate::edge::runner::{RunJob, run_for_owner};
-use crate::edge::store;
-use crate::shared::{Shared, lock};
+use crate::edge::{duties, store};
 use catkinmast_config::{Document, Trainer};
 use catkinmast_lease::{Action, Change, HolderRecord, Report, Tenure};
 use catkinmast_member::{Fact, NodeState, OwnerFact};
 use catkinmast_model::{Fence, Name, Refusal, SampleId, UnixMs};
-use catkinmast_platform::{Engines, Lease, WeightOrder};
+use catkinmast_platform::{Lease, WeightOrder};
 use catkinmast_rollout::{
     Attempt, Command, Effect, EngineInfo, Event, NodeInfo, OrderSettings, Reply, Rollout,
     ScheduleSettings,
@@ -334,22 +332,22 @@
             }
             Effect::CopyAgain { attempt, holder, sample } => {
                 let key = ContentKey { attempt, sample, trainer: name };
-                self.runtime.spawn(copy_again(shared, key, holder));
+                self.runtime.spawn(duties::copy_again(shared, key, holder));
             }
             Effect::FindHoldings => {
-                self.runtime.spawn(find_holdings(shared, name));
+                self.runtime.spawn(duties::find_holdings(shared, name));
             }
             Effect::Forget { samples } => {
                 let key = |(sample, attempt)| ContentKey { attempt, sample, trainer: name.clone() };
                 let keys = samples.into_iter().map(key).collect();
-                self.runtime.spawn(forget(shared, keys));
+                self.runtime.spawn(duties::forget(shared, keys));
             }
             Effect::LoadStep { digest, step } => {
                 self.runtime.spawn(store::load_step(shared, name, step, digest));
             }
             Effect::Order { address, engine, fence, version } => {
                 let order = WeightOrder { fence, model: duty.model.as_str().to_owned(), version };
-                self.runtime.spawn(send_order(shared, engine, address, order));
+                self.runtime.spawn(duties::send_order(shared, engine, address, order));
             }
             Effect::ReadLedger => {
                 self.runtime.spawn(store::read_ledger(shared, name));
@@ -450,7 +448,7 @@
             };
             for (engine, address) in engines {
                 let (shared, model) = (Arc::clone(&self.shared), duty.model.clone());
-                self.runtime.spawn(read_load(shared, name.clone(), model, engine, address));
+                self.runtime.spawn(duties::read_load(shared, name.clone(), model, engine, address));
             }
         }
     }
@@ -463,87 +461,3 @@
         log::debug!("a trainer hung up before its answer");
     }
 }
-
-async fn read_load(
-    shared: Arc<Shared>,
-    trainer: Name,
-    model: Name,
-    engine: Name,
-    address: SocketAddr,
-) {
-    match shared.clients.engines.load(address).await {
-        Ok(load) => {
-            let version = load.versions.get(model.as_str()).copied().unwrap_or_default();
-            let event = Event::EngineVersion { engine, version };
-            shared.tell(Input::Rollout { event, trainer });
-        }
-        Err(error) => log::debug!("engine {engine} gives no load report: {error}"),
-    }
-}
-
-async fn send_order(shared: Arc<Shared>, engine: Name, address: SocketAddr, order: WeightOrder) {
-    if let Err(error) = shared.clients.engines.order(address, &order).await {
-        // Repeated by the order book until the engine's report shows the version.
-        log::info!("engine {engine} did not take the order for {}: {error}", order.version);
-    }
-}
-
-async fn forget(shared: Arc<Shared>, keys: Vec<ContentKey>) {
-    for key in &keys {
-        lock(&shared.holdings).remove(key);
-    }
-    let snapshot = shared.snapshot();
-    for node in &snapshot.nodes {
-        if node.state == NodeState::Gone || node.name == *shared.me() {
-            continue;
-        }
-        let request = PeerRequest::Forget { keys: keys.clone() };
-        if let Err(error) = ask(&shared, node.control, &request).await {
-            // Its content lapses by itself after a while.
-            log::debug!("node {} was not told to forget: {error}", node.name);
-        }
-    }
-}
-
-async fn copy_again(shared: Arc<Shared>, key: ContentKey, holder: Name) {
-    let (attempt, sample, trainer) = (key.attempt, key.sample, key.trainer.clone());
-    let avoid = vec![holder.clone()];
-    let holder = if holder == *shared.me() {
-        crate::edge::content::copy_elsewhere(&shared, &key, &avoid).await
-    } else {
-        let address = shared.snapshot().node(&holder).map(|node| node.control);
-        let request = PeerRequest::CopyTo { avoid, key };
-        match address {
-            Some(address) => match ask(&shared, address, &request).await {
-                Ok(PeerReply::Copied(holder)) => holder,
-                _ => None,
-            },
-            None => None,
-        }
-    };
-    if holder.is_none() {
-        // The aggregate asks again at once; a fleet that cannot take it must not spin.
-        tokio::time::sleep(std::time::Duration::from_secs(1)).await;
-    }
-    shared.tell(Input::Rollout { event: Event::Copied { attempt, holder, sample }, trainer });
-}
-
-async fn find_holdings(shared: Arc<Shared>, trainer: Name) {
-    let mut found = lock(&shared.holdings).report(&trainer, shared.me());
-    let snapshot = shared.snapshot();
-    let others = snapshot
-        .nodes
-        .iter()
-        .filter(|node| node.state != NodeState::Gone && node.name != *shared.me());
-    let asked = others.map(|node| {
-        let shared = Arc::clone(&shared);
-        let (trainer, control) = (trainer.clone(), node.control);
-        async move { ask(&shared, control, &PeerRequest::Holdings { trainer }).await }
-    });
-    for answer in futures::future::join_all(asked).await {
-        if let Ok(PeerReply::Holdings(reports)) = answer {
-            found.extend(reports);
-        }
-    }
-    shared.tell(Input::Rollout { event: Event::Holdings(found), trainer });
-}
--- /dev/null
+++ b/crates/node/src/edge/duties.rs
@@ -0,0 +1,105 @@
+//! What the owner of a trainer's steps has done outside: orders, load reports, copies, holdings.
+
+use crate::control::Input;
+use crate::edge::holdings::ContentKey;
+use crate::edge::peer::{PeerReply, PeerRequest, ask};
+use crate::shared::{Shared, lock};
+use catkinmast_member::NodeState;
+use catkinmast_model::Name;
+use catkinmast_platform::{Engines, WeightOrder};
+use catkinmast_rollout::Event;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Pause after a copy that no node took: the aggregate asks again at once, and a fleet that cannot
+/// take it must not spin.
+const COPY_PAUSE: Duration = Duration::from_secs(1);
+
+pub(crate) async fn read_load(
+    shared: Arc<Shared>,
+    trainer: Name,
+    model: Name,
+    engine: Name,
+    address: SocketAddr,
+) {
+    match shared.clients.engines.load(address).await {
+        Ok(load) => {
+            let version = load.versions.get(model.as_str()).copied().unwrap_or_default();
+            let event = Event::EngineVersion { engine, version };
+            shared.tell(Input::Rollout { event, trainer });
+        }
+        Err(error) => log::debug!("engine {engine} gives no load report: {error}"),
+    }
+}
+
+pub(crate) async fn send_order(
+    shared: Arc<Shared>,
+    engine: Name,
+    address: SocketAddr,
+    order: WeightOrder,
+) {
+    if let Err(error) = shared.clients.engines.order(address, &order).await {
+        // Repeated by the order book until the engine's report shows the version.
+        log::info!("engine {engine} did not take the order for {}: {error}", order.version);
+    }
+}
+
+pub(crate) async fn forget(shared: Arc<Shared>, keys: Vec<ContentKey>) {
+    for key in &keys {
+        lock(&shared.holdings).remove(key);
+    }
+    let snapshot = shared.snapshot();
+    for node in &snapshot.nodes {
+        if node.state == NodeState::Gone || node.name == *shared.me() {
+            continue;
+        }
+        let request = PeerRequest::Forget { keys: keys.clone() };
+        if let Err(error) = ask(&shared, node.control, &request).await {
+            // Its content lapses by itself after a while.
+            log::debug!("node {} was not told to forget: {error}", node.name);
+        }
+    }
+}
+
+pub(crate) async fn copy_again(shared: Arc<Shared>, key: ContentKey, holder: Name) {
+    let (attempt, sample, trainer) = (key.attempt, key.sample, key.trainer.clone());
+    let avoid = vec![holder.clone()];
+    let holder = if holder == *shared.me() {
+        crate::edge::content::copy_elsewhere(&shared, &key, &avoid).await
+    } else {
+        let address = shared.snapshot().node(&holder).map(|node| node.control);
+        let request = PeerRequest::CopyTo { avoid, key };
+        match address {
+            Some(address) => match ask(&shared, address, &request).await {
+                Ok(PeerReply::Copied(holder)) => holder,
+                _ => None,
+            },
+            None => None,
+        }
+    };
+    if holder.is_none() {
+        tokio::time::sleep(COPY_PAUSE).await;
+    }
+    shared.tell(Input::Rollout { event: Event::Copied { attempt, holder, sample }, trainer });
+}
+
+pub(crate) async fn find_holdings(shared: Arc<Shared>, trainer: Name) {
+    let mut found = lock(&shared.holdings).report(&trainer, shared.me());
+    let snapshot = shared.snapshot();
+    let others = snapshot
+        .nodes
+        .iter()
+        .filter(|node| node.state != NodeState::Gone && node.name != *shared.me());
+    let asked = others.map(|node| {
+        let shared = Arc::clone(&shared);
+        let (trainer, control) = (trainer.clone(), node.control);
+        async move { ask(&shared, control, &PeerRequest::Holdings { trainer }).await }
+    });
+    for answer in futures::future::join_all(asked).await {
+        if let Ok(PeerReply::Holdings(reports)) = answer {
+            found.extend(reports);
+        }
+    }
+    shared.tell(Input::Rollout { event: Event::Holdings(found), trainer });
+}
--- a/crates/node/src/edge/mod.rs
+++ b/crates/node/src/edge/mod.rs
@@ -5,6 +5,7 @@
 
 pub(crate) mod calls;
 pub(crate) mod content;
+pub(crate) mod duties;
 pub(crate) mod holdings;
 pub(crate) mod peer;
 pub(crate) mod publish;
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -13,17 +13,21 @@
 //! claim is a write of the ledger as well; that makes delivery exactly-once.
 
 mod batches;
+mod event;
 mod ledger;
 mod orders;
 mod owner;
 mod recovery;
+mod runs;
 mod sample;
 mod schedule;
 mod spec;
+mod writer;
 
+pub use event::{Effect, Event, HoldingReport, NodeInfo, RunOrder};
 pub use ledger::{BatchRecord, BatchState, BoundSample, ClaimedSet, Ledger, StepRecord};
 pub use orders::{OrderBook, OrderSettings};
-pub use owner::{Effect, Event, HoldingReport, NodeInfo, Phase, Rollout, RunOrder};
+pub use owner::{Phase, Rollout};
 pub use sample::{Attempt, Finished, Sample, SampleState};
 pub use schedule::{EngineInfo, RunAhead, ScheduleSettings};
 pub use spec::{
--- a/crates/rollout/src/recovery.rs
+++ b/crates/rollout/src/recovery.rs
@@ -6,11 +6,12 @@
 //! again. A bound batch stays bound only if exactly the attempts that it names survive: "fetch
 //! again" must give the same samples, not similar ones.
 
-use crate::batches::Intent;
+use crate::event::{Effect, HoldingReport, NodeInfo};
 use crate::ledger::{BatchState, BoundSample, Ledger};
-use crate::owner::{Effect, HoldingReport, NodeInfo, Phase, Rollout};
+use crate::owner::{Phase, Rollout};
 use crate::sample::{Finished, Partial, SampleState};
 use crate::spec::{Reply, StepSpec};
+use crate::writer::Intent;
 use catkinmast_model::{Fence, Name, Refusal, SampleId, UnixMs};
 
 /// How many nodes should hold a whole sample.
--- /dev/null
+++ b/crates/rollout/src/writer.rs
@@ -0,0 +1,239 @@
+//! The one writer of the ledger.
+//!
+//! A change waits as an [`Intent`] until a write of the ledger that contains it is confirmed;
+//! only then is it answered. One write is in flight at a time, and what arrives meanwhile goes
+//! with the next one, so the rate of writes does not grow with the rate of commands.
+//!
+//! When a reply is lost, the ledger is read: our own `write_id` in it means that the write took
+//! effect; the version we expected means that it did not and may be sent again; anything else
+//! means that another owner has written, and this one is no longer the owner.
+
+use crate::event::Effect;
+use crate::ledger::{BatchRecord, BatchState, BoundSample, ClaimedSet, Ledger, StepRecord};
+use crate::owner::Rollout;
+use crate::sample::Attempt;
+use crate::spec::{Registration, Reply};
+use catkinmast_model::{SampleId, UnixMs, Version};
+
+/// Time between two tries to settle a write of the ledger.
+pub(crate) const LEDGER_RETRY_MS: u64 = 500;
+
+/// A change of the ledger that waits for its write.
+#[derive(Clone, Debug)]
+pub(crate) enum Intent {
+    AddStep { digest: String, group_size: u32, groups: u32, reply_to: Vec<u64>, step: u64 },
+    Bind { samples: Vec<BoundSample>, step: u64 },
+    Claim { batch: u64, reply_to: u64 },
+    Publish { reply_to: u64, version: Version },
+    Register { registration: Registration, reply_to: u64 },
+    TakeOver,
+    Void { at_version: Version, batch: u64, reply_to: Option<u64> },
+}
+
+/// A write of the ledger that is not confirmed yet.
+#[derive(Clone, Debug)]
+pub(crate) struct Pending {
+    /// Each change with the samples of the batch that it settles.
+    pub intents: Vec<(Intent, Settled)>,
+    pub ledger: Ledger,
+}
+
+/// The samples of a batch that a change settles; the ledger itself soon forgets them.
+pub(crate) type Settled = Vec<(SampleId, Attempt)>;
+
+/// The one writer of the ledger.
+#[derive(Clone, Debug)]
+pub(crate) struct Writer {
+    /// Whether a call of the key-value service is under way.
+    pub busy: bool,
+    pub intents: Vec<Intent>,
+    pub name: String,
+    pub pending: Option<Pending>,
+    pub retry_at: Option<UnixMs>,
+    pub sequence: u64,
+    /// The ledger's version as last confirmed.
+    pub version: Option<u64>,
+}
+
+impl Writer {
+    pub(crate) const fn open(name: String) -> Self {
+        Self {
+            busy: false,
+            intents: Vec::new(),
+            name,
+            pending: None,
+            retry_at: None,
+            sequence: 0,
+            version: None,
+        }
+    }
+
+    /// Tells whether a batch is already about to be settled.
+    pub(crate) fn settles(&self, batch: u64) -> bool {
+        self.waiting().any(|intent| {
+            matches!(intent, Intent::Claim { batch: b, .. } | Intent::Void { batch: b, .. } if *b == batch)
+        })
+    }
+
+    pub(crate) fn binds_waiting(&self) -> usize {
+        self.waiting().filter(|intent| matches!(intent, Intent::Bind { .. })).count()
+    }
+
+    fn waiting(&self) -> impl Iterator<Item = &Intent> {
+        let pending = self.pending.iter().flat_map(|pending| &pending.intents);
+        self.intents.iter().chain(pending.map(|(intent, _)| intent))
+    }
+}
+
+impl Rollout {
+    /// Writes the waiting changes, if no write is in flight and the lease is held.
+    pub(crate) fn flush(&mut self, _now: UnixMs) {
+        let Some(fence) = self.fence else { return };
+        let idle = !self.writer.busy && self.writer.pending.is_none();
+        if !idle || self.writer.intents.is_empty() {
+            return;
+        }
+        let intents = std::mem::take(&mut self.writer.intents);
+        let mut ledger = self.ledger.clone();
+        let mut applied = Vec::new();
+        for intent in intents {
+            let settled = settled_by(&ledger, &intent);
+            apply(&mut ledger, &intent);
+            applied.push((intent, settled));
+        }
+        self.writer.sequence += 1;
+        ledger.fence = fence;
+        ledger.write_id = format!("{}/{}", self.writer.name, self.writer.sequence);
+        self.writer.pending = Some(Pending { intents: applied, ledger });
+        self.send_pending();
+    }
+
+    pub(crate) fn send_pending(&mut self) {
+        let Some(pending) = &self.writer.pending else { return };
+        self.writer.busy = true;
+        let ledger = Box::new(pending.ledger.clone());
+        self.effects.push(Effect::WriteLedger { expect: self.writer.version, ledger });
+    }
+
+    pub(crate) fn ledger_written(&mut self, now: UnixMs, version: u64) {
+        self.writer.busy = false;
+        self.writer.retry_at = None;
+        self.writer.version = Some(version);
+        if let Some(pending) = self.writer.pending.take() {
+            self.ledger = pending.ledger;
+            for (intent, settled) in pending.intents {
+                self.committed(now, intent, &settled);
+            }
+        }
+    }
+
+    /// A lost reply or a conflict: what happened is read from the ledger itself.
+    pub(crate) fn ledger_unsettled(&mut self, now: UnixMs) {
+        self.writer.busy = false;
+        self.writer.retry_at = Some(now.plus(LEDGER_RETRY_MS));
+    }
+
+    pub(crate) fn retry_ledger(&mut self, now: UnixMs) {
+        let due = self.writer.retry_at.is_some_and(|at| at <= now);
+        if due && !self.writer.busy {
+            self.writer.retry_at = None;
+            self.writer.busy = true;
+            self.effects.push(Effect::ReadLedger);
+        }
+    }
+
+    /// Answers what a confirmed change was asked for by.
+    fn committed(&mut self, now: UnixMs, intent: Intent, settled: &[(SampleId, Attempt)]) {
+        match intent {
+            Intent::AddStep { group_size, groups, reply_to, step, .. } => {
+                self.add_samples(step, groups, group_size);
+                for receiver in reply_to {
+                    self.reply(receiver, Reply::Accepted { step });
+                }
+            }
+            Intent::Bind { .. } => self.answer_waiting(now),
+            Intent::Claim { batch, reply_to } => {
+                self.batch_settled(now, batch, Some(reply_to), settled);
+            }
+            Intent::Publish { reply_to, version } => {
+                self.reply(reply_to, Reply::Published { version });
+                self.drop_aged();
+            }
+            Intent::Register { registration, reply_to } => {
+                self.reply(reply_to, Reply::Registered(registration));
+            }
+            Intent::TakeOver => self.taken_over(now),
+            Intent::Void { batch, reply_to, .. } => {
+                self.batch_settled(now, batch, reply_to, settled);
+            }
+        }
+    }
+
+    /// Acts on what the ledger says of a batch now, which need not be what was asked for: a claim
+    /// and a void of the same batch can meet in one write, and the first of them counts.
+    fn batch_settled(
+        &mut self,
+        now: UnixMs,
+        batch: u64,
+        reply_to: Option<u64>,
+        settled: &[(SampleId, Attempt)],
+    ) {
+        let state = self.ledger.batches.get(&batch).map(|record| record.state);
+        let reply = if let Some(BatchState::Claimed) = state {
+            self.claimed(settled);
+            Reply::Claimed { batch }
+        } else {
+            self.voided(settled);
+            Reply::Void { batch }
+        };
+        if let Some(receiver) = reply_to {
+            self.reply(receiver, reply);
+        }
+        self.answer_waiting(now);
+    }
+}
+
+fn apply(ledger: &mut Ledger, intent: &Intent) {
+    match intent {
+        Intent::AddStep { digest, group_size, groups, step, .. } => {
+            let record = StepRecord {
+                claimed: ClaimedSet::default(),
+                digest: digest.clone(),
+                group_size: *group_size,
+                groups: *groups,
+            };
+            ledger.steps.entry(*step).or_insert(record);
+        }
+        Intent::Bind { samples, step } => {
+            ledger.bind(*step, samples.clone());
+        }
+        Intent::Claim { batch, .. } => {
+            ledger.claim(*batch);
+        }
+        Intent::Publish { version, .. } => {
+            ledger.trainer_version = ledger.trainer_version.max(*version);
+        }
+        Intent::Register { registration, .. } => {
+            ledger.registration = Some(registration.clone());
+        }
+        Intent::TakeOver => {}
+        Intent::Void { at_version, batch, .. } => {
+            // A trainer that claims at a version has published it, even if we never heard so.
+            ledger.trainer_version = ledger.trainer_version.max(*at_version);
+            ledger.void(*batch);
+        }
+    }
+}
+
+/// Returns the samples of the batch that a change settles, none if it was settled before.
+///
+/// A trainer's claim can meet a void of the same batch that is on its way. When the second of
+/// them came to be applied, the samples were already bound to another batch; to free them again
+/// would bind, and deliver, them twice.
+fn settled_by(ledger: &Ledger, intent: &Intent) -> Settled {
+    let (Intent::Claim { batch, .. } | Intent::Void { batch, .. }) = intent else {
+        return Vec::new();
+    };
+    let bound = ledger.batches.get(batch).filter(|record| record.state == BatchState::Bound);
+    bound.map_or_else(Vec::new, BatchRecord::ids)
+}
