Serve by no revision older than the one in force at the start; ticks are not starved by inputs

Cause: read as a newcomer: a node that learnt of revision 5 from its peers served by revision 4 until the body came; peers that had settled nothing themselves vouched for what they had; a trainer taken out of the document kept its runs; reading the audit trail grew with its age; the control thread ticked only when no input waited, so a flood of inputs would have stopped probes and renewals. The starved tick has no test: the control thread drains datagrams faster than one socket can deliver them.

--- a/crates/config/src/follower.rs
+++ b/crates/config/src/follower.rs
@@ -126,11 +126,11 @@
 pub struct Follower {
     boot: Call,
     fetch: Call,
+    /// The revision that was in force when we started, once that is known: none older is served.
+    floor: Option<Revision>,
     head_version: u64,
     in_force: Revision,
     peers: usize,
-    /// Whether the revision in force cannot be older than what was in force when we started.
-    settled: bool,
     wanted: Option<(Revision, Digest)>,
     watch: Call,
 }
@@ -141,10 +141,10 @@
         Self {
             boot: at_once,
             fetch: at_once,
+            floor: None,
             head_version: 0,
             in_force: Revision::default(),
             peers: 0,
-            settled: false,
             wanted: None,
             watch: at_once,
         }
@@ -157,10 +157,17 @@
         self.in_force
     }
 
-    /// Tells whether this node may serve: it knows a revision that cannot be older than what was
-    /// in force when it started, and none that is newer than the one it has installed.
+    /// Tells whether this node may serve: it has installed a revision that cannot be older than
+    /// what was in force when it started.
+    pub fn may_serve(&self) -> bool {
+        self.floor.is_some_and(|floor| self.in_force >= floor)
+            && self.in_force > Revision::default()
+    }
+
+    /// Tells whether new callers should come here: it may serve, and knows of no revision that is
+    /// newer than the one it has installed.
     pub fn is_ready(&self) -> bool {
-        self.settled && self.wanted.is_none() && self.in_force > Revision::default()
+        self.may_serve() && self.wanted.is_none()
     }
 
     /// Handles one event.
@@ -171,7 +178,8 @@
             FollowerEvent::BodyMissing => self.fetch = Call::NotBefore(now.plus(BODY_RETRY_MS)),
             FollowerEvent::HeadRead(head) => {
                 self.boot = Call::NotBefore(now);
-                self.settled = true;
+                let found = head.map_or_else(Revision::default, |head| head.revision);
+                self.floor.get_or_insert(found);
                 self.head_seen(now, head);
             }
             FollowerEvent::HeadUnavailable if self.peers > 0 => {
@@ -196,7 +204,7 @@
     fn tick(&mut self, now: UnixMs, peers: usize, watches: bool) -> Vec<FollowerEffect> {
         self.peers = peers;
         let mut effects = Vec::new();
-        if !self.settled && self.boot.begin(now) {
+        if self.floor.is_none() && self.boot.begin(now) {
             effects.push(FollowerEffect::ReadHead);
         }
         if let Some((revision, digest)) = self.wanted
@@ -204,7 +212,7 @@
         {
             effects.push(FollowerEffect::FetchBody { digest, revision });
         }
-        if watches && self.settled && self.watch.begin(now) {
+        if watches && self.floor.is_some() && self.watch.begin(now) {
             effects.push(FollowerEffect::Watch { after_version: self.head_version });
         }
         effects
@@ -231,7 +239,7 @@
         self.boot = Call::NotBefore(now.plus(BOOT_RETRY_MS));
         let Some((revision, digest)) = newest else { return };
         if answers >= PEERS_ASKED.min(self.peers) {
-            self.settled = true;
+            self.floor.get_or_insert(revision);
             self.want(now, revision, digest);
         }
     }
--- a/crates/node/src/api/answer.rs
+++ b/crates/node/src/api/answer.rs
@@ -1,6 +1,6 @@
 //! Answers that are not a success: problems and refusals, always as JSON.
 
-use crate::edge::calls::VERDICT_HEADER;
+use crate::edge::calls::{NoCall, VERDICT_HEADER};
 use catkinmast_model::{Refusal, UnixMs, Verdict};
 use rocket::data::{Data, ToByteUnit};
 use rocket::http::{ContentType, Header, Status};
@@ -10,6 +10,9 @@
 use serde::de::DeserializeOwned;
 use std::io::Cursor;
 
+/// When to come back if nothing better is known.
+const RETRY_MS: u64 = 500;
+
 /// Why a request was not done.
 #[derive(Clone, Debug, Serialize)]
 pub(crate) struct Problem {
@@ -47,8 +50,21 @@
     }
 }
 
+impl From<NoCall> for Problem {
+    fn from(no_call: NoCall) -> Self {
+        match no_call {
+            NoCall::NotReady(refusal) => refusal.into(),
+            NoCall::Unlisted { field, message } => {
+                Self { status: 404, ..Self::invalid(field, message) }
+            }
+        }
+    }
+}
+
 impl From<Refusal> for Problem {
+    /// A refusal is something that can pass, so it always says when to come back.
     fn from(refusal: Refusal) -> Self {
+        let soon = || UnixMs::from_wall_clock().plus(RETRY_MS);
         let status = match refusal.verdict {
             Verdict::NotRun => 503,
             Verdict::MayHaveRun | Verdict::Ran => 502,
@@ -56,7 +72,7 @@
         Self {
             field: None,
             message: refusal.message,
-            retry_at_unix_ms: refusal.retry_at_unix_ms,
+            retry_at_unix_ms: Some(refusal.retry_at_unix_ms.unwrap_or_else(soon)),
             status,
             verdict: refusal.verdict,
         }
--- a/crates/node/src/api/operator.rs
+++ b/crates/node/src/api/operator.rs
@@ -28,6 +28,10 @@
 const REQUEST_MAX_BYTES: u64 = 1 << 20;
 /// Entries of the audit trail shown without a number asked for.
 const AUDIT_SHOWN: usize = 100;
+/// Milliseconds of a day.
+const DAY_MS: u64 = 86_400_000;
+/// How many days of the audit trail are read at most for one request.
+const AUDIT_DAYS_READ: u64 = 14;
 /// How often the writing of an audit entry is tried.
 const AUDIT_TRIES: u32 = 20;
 /// Pause between two tries.
@@ -228,7 +232,8 @@
     let value = serde_json::to_string(&entry).unwrap_or_default();
     log::info!("audit: {value}");
     let number = shared.next_request.fetch_add(1, Ordering::Relaxed);
-    let key = format!("audit/{:014}-{}-{number}", entry.at_unix_ms.0, shared.me());
+    let day = audit_day(entry.at_unix_ms);
+    let key = format!("audit/{day}/{:014}-{}-{number}", entry.at_unix_ms.0, shared.me());
     tokio::spawn(async move {
         for _ in 0..AUDIT_TRIES {
             shared.metrics.count_kv_call("audit");
@@ -242,6 +247,12 @@
     });
 }
 
+/// Days since the Unix epoch: the trail is kept and read by the day, so that reading its end does
+/// not grow with its age.
+fn audit_day(at: UnixMs) -> String {
+    format!("{:06}", at.0 / DAY_MS)
+}
+
 /// Reads the newest entries of the audit trail, oldest first.
 #[get("/v1/audit?<last>")]
 pub(crate) async fn audit(
@@ -249,12 +260,22 @@
     last: Option<usize>,
 ) -> Result<Json<Vec<AuditEntry>>, Problem> {
     asking.as_role(Role::Operator)?;
-    asking.shared.metrics.count_kv_call("audit");
-    let entries = asking.shared.clients.store.list("audit/").await.map_err(|error| {
-        let refusal = Refusal::not_run(error.to_string());
-        Problem::from(refusal.retry_at(asking.shared.now().plus(1_000)))
-    })?;
-    let surplus = entries.len().saturating_sub(last.unwrap_or(AUDIT_SHOWN));
-    let read = |entry: &catkinmast_platform::Entry| serde_json::from_str(&entry.value).ok();
-    Ok(Json(entries[surplus..].iter().filter_map(read).collect()))
+    let wanted = last.unwrap_or(AUDIT_SHOWN);
+    let today = UnixMs::from_wall_clock().0;
+    let mut entries: Vec<AuditEntry> = Vec::new();
+    for day in 0..AUDIT_DAYS_READ {
+        if entries.len() >= wanted {
+            break;
+        }
+        let prefix = format!("audit/{}/", audit_day(UnixMs(today.saturating_sub(day * DAY_MS))));
+        asking.shared.metrics.count_kv_call("audit");
+        let listed = asking.shared.clients.store.list(&prefix).await.map_err(|error| {
+            let refusal = Refusal::not_run(error.to_string());
+            Problem::from(refusal.retry_at(asking.shared.now().plus(1_000)))
+        })?;
+        let of_day = listed.iter().filter_map(|entry| serde_json::from_str(&entry.value).ok());
+        entries = of_day.chain(entries).collect();
+    }
+    entries.drain(..entries.len().saturating_sub(wanted));
+    Ok(Json(entries))
 }
--- a/crates/node/src/control/configuration.rs
+++ b/crates/node/src/control/configuration.rs
@@ -33,6 +33,14 @@
     pub(crate) fn is_ready(&self) -> bool {
         self.follower.is_ready()
     }
+
+    /// Returns the document that traffic may be served by.
+    ///
+    /// One that may be older than what was in force when this node started is not shown, neither
+    /// to callers nor to peers that ask what is in force during an outage.
+    pub(crate) fn served(&self) -> Option<Arc<InForce>> {
+        self.in_force.clone().filter(|_| self.follower.may_serve())
+    }
 }
 
 /// Reduces a head to what a follower needs of it.
@@ -50,11 +58,12 @@
     }
 
     pub(crate) fn follow(&mut self, now: UnixMs, event: FollowerEvent) {
-        let was_ready = self.configuration.is_ready();
+        let was = (self.configuration.is_ready(), self.configuration.follower.may_serve());
         for effect in self.configuration.follower.handle(now, event) {
             self.follower_effect(now, effect);
         }
-        self.changed |= self.configuration.is_ready() != was_ready;
+        let is = (self.configuration.is_ready(), self.configuration.follower.may_serve());
+        self.changed |= is != was;
     }
 
     fn follower_effect(&mut self, now: UnixMs, effect: FollowerEffect) {
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -118,6 +118,12 @@
     fn run(mut self, inputs: &Receiver<Input>) {
         let mut next_tick = Instant::now();
         loop {
+            // Looked at before each input: while inputs never cease, waiting for the time to run
+            // out would never end, and no probe would be sent and no lease renewed.
+            if Instant::now() >= next_tick {
+                next_tick = Instant::now() + TICK;
+                self.tick(self.shared.now());
+            }
             let wait = next_tick.saturating_duration_since(Instant::now());
             match inputs.recv_timeout(wait) {
                 Ok(Input::Stop { done }) => {
@@ -132,10 +138,7 @@
                     self.check_leases(self.shared.now());
                     self.input(self.shared.now(), input);
                 }
-                Err(RecvTimeoutError::Timeout) => {
-                    next_tick = Instant::now() + TICK;
-                    self.tick(self.shared.now());
-                }
+                Err(RecvTimeoutError::Timeout) => {}
                 Err(RecvTimeoutError::Disconnected) => return,
             }
             if self.changed {
@@ -326,13 +329,8 @@
                 _ => {}
             }
         }
-        let mut snapshot = Snapshot::build(
-            self.shared.me(),
-            self.configuration.in_force(),
-            nodes,
-            owners,
-            targets,
-        );
+        let mut snapshot =
+            Snapshot::build(self.shared.me(), self.configuration.served(), nodes, owners, targets);
         snapshot.leaving_until = self.leaving_until;
         snapshot.ready = self.configuration.is_ready();
         let kept = snapshot.targets.clone();
--- a/crates/node/src/control/trainers.rs
+++ b/crates/node/src/control/trainers.rs
@@ -86,6 +86,7 @@
     fn match_configuration(&mut self) {
         let Some(in_force) = self.configuration.in_force() else { return };
         let document = &in_force.document;
+        self.drop_unlisted(document);
         let me = self.membership.me();
         let holder = HolderRecord { incarnation: me.incarnation, node: me.name.clone() };
         for trainer in &document.trainers {
@@ -98,6 +99,7 @@
                 scorer: trainer.scorer.clone(),
                 tenure: Tenure::open(holder.clone()),
             });
+            duty.model = trainer.model.clone();
             duty.scorer = trainer.scorer.clone();
             if let Some(owned) = &mut duty.owned
                 && let Some(model) = document.model(trainer.model.as_str())
@@ -105,7 +107,18 @@
                 owned.rollout.set_model(model.roll_back_to, model.swap_at_once_percent);
             }
         }
-        self.trainers.duties.retain(|name, _| document.trainer(name.as_str()).is_some());
+    }
+
+    /// Gives up trainers that the operators have taken out of the document, and their leases.
+    fn drop_unlisted(&mut self, document: &Document) {
+        let listed = |name: &Name| document.trainer(name.as_str()).is_some();
+        let unlisted: Vec<Name> =
+            self.trainers.duties.keys().filter(|name| !listed(name)).cloned().collect();
+        for name in unlisted {
+            self.lease_action(&name, Action::Release);
+            self.abandon(&name);
+            self.trainers.duties.shift_remove(&name);
+        }
     }
 
     /// Tells whether this node should hold a trainer's lease.
--- a/crates/node/src/edge/calls.rs
+++ b/crates/node/src/edge/calls.rs
@@ -314,23 +314,43 @@
     }
 }
 
+/// Why there is no such call.
+#[derive(Debug)]
+pub(crate) enum NoCall {
+    /// The node cannot tell yet.
+    NotReady(Refusal),
+    /// The configuration lists no such service, or no such call of it.
+    Unlisted { field: &'static str, message: String },
+}
+
+impl From<NoCall> for Refusal {
+    fn from(no_call: NoCall) -> Self {
+        match no_call {
+            NoCall::NotReady(refusal) => refusal,
+            NoCall::Unlisted { message, .. } => Self::not_run(message),
+        }
+    }
+}
+
 /// Finds the service and the listed call for a path.
 pub(crate) fn find_call<'s>(
     snapshot: &'s crate::snapshot::Snapshot,
     service: &str,
     path: &str,
-) -> Result<(&'s PlainService, &'s Call), Refusal> {
+) -> Result<(&'s PlainService, &'s Call), NoCall> {
     let Some(document) = snapshot.document() else {
-        return Err(Refusal::not_run("this node knows no configuration yet"));
+        let message = "this node does not know the configuration in force yet";
+        return Err(NoCall::NotReady(Refusal::not_run(message)));
     };
     let Some(found) = document.service(service) else {
-        return Err(Refusal::not_run(format!("service '{service}' is not configured")));
+        let message = format!("service '{service}' is not configured");
+        return Err(NoCall::Unlisted { field: "service", message });
     };
     let bare = path.split('?').next().unwrap_or(path);
-    match found.call(bare) {
-        Some(call) => Ok((found, call)),
-        None => Err(Refusal::not_run(format!("service '{service}' lists no call '{bare}'"))),
-    }
+    found.call(bare).map(|call| (found, call)).ok_or_else(|| {
+        let message = format!("service '{service}' lists no call '{bare}'");
+        NoCall::Unlisted { field: "path", message }
+    })
 }
 
 fn no_target(shared: &Shared, service: &Name, known: usize, tried: usize) -> Refusal {
--- a/tests/all/processes/configuration.rs
+++ b/tests/all/processes/configuration.rs
@@ -1,7 +1,7 @@
 //! Configuration: accepted once, in force everywhere, never back.
 
-use crate::support::fleet::{Fleet, FleetSize, OPERATOR, document};
-use serde_json::json;
+use crate::support::fleet::{Fleet, FleetSize, OPERATOR, TRAINER, document};
+use serde_json::{Value, json};
 use std::process::Command;
 
 fn ctl(node: &str, arguments: &[&str]) -> std::process::Child {
@@ -62,6 +62,51 @@
             .await;
         assert!(text.contains(winner));
     }
+    let results = fleet
+        .until("the audit trail has all three", async || {
+            let (_, audit) = fleet.operator("GET", 2, "/v1/audit", None).await;
+            let entries = audit.as_array()?.clone();
+            let text = |entry: &Value, field: &str| entry[field].as_str().map(str::to_owned);
+            let results: Vec<String> =
+                entries.iter().filter_map(|entry| text(entry, "result")).collect();
+            let by_alice = entries.iter().all(|entry| entry["who"] == "alice");
+            (results.len() == 3 && by_alice).then_some(results)
+        })
+        .await;
+    assert_eq!(results.iter().filter(|result| *result == "accepted").count(), 2);
+    assert_eq!(results.iter().filter(|result| *result == "conflict").count(), 1);
+}
+
+/// Symptom: a trainer that was taken out of the configuration keeps its node busy, or one that
+/// comes back finds nobody.
+/// Sequence: operators remove a trainer, and put it back.
+/// Cause: duties that follow only what is added.
+#[tokio::test]
+async fn a_trainer_that_is_taken_out_is_given_up_and_can_come_back() {
+    // Arrange
+    let fleet = Fleet::start(&FleetSize { engines: 1, nodes: 2, services: 1 }).await;
+    fleet.owner(0).await;
+    let progress = async || {
+        let node = fleet.nodes[1].http;
+        let url = format!("http://{node}/v1/trainers/citation-trainer/progress");
+        fleet.send("GET", TRAINER, &url, None).await.0
+    };
+    let served = async || (progress().await == 200).then_some(());
+    fleet.until("the trainer is served", served).await;
+    let text = document();
+    let without = text.split("[[trainers]]").next().expect("the part before").to_owned();
+    let apply = async |base: u64, text: &str| {
+        let operation = format!("change-{base}");
+        let body = json!({ "base_revision": base, "operation_id": operation, "text": text });
+        fleet.operator("PUT", 0, "/v1/config", Some(&body)).await.0
+    };
+
+    // Act, assert
+    assert_eq!(apply(1, &without).await, 200);
+    let unknown = async || (progress().await == 404).then_some(());
+    fleet.until("the trainer is no longer known", unknown).await;
+    assert_eq!(apply(2, &text).await, 200);
+    fleet.until("the trainer is served again", served).await;
 }
 
 /// Symptom: a document is put in force twice, or an operator is told "not run" although it was.
