A leaving owner gives its lease up at once; it is proved with the trainer in the middle of a step

Cause: a stop was proved with a stream of tokens only. The new test found the steps still with the leaving owner: it gave the lease up with its next renewal, up to two seconds later. Ruled out: the rumour of the new owner (it came within 0.2 s once the lease was free). Change: a held lease that is not wanted is released at the next tick.

--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -121,9 +121,18 @@
     /// Does what has become due. `wanted` tells whether this node should hold the duty.
     pub fn tick(&mut self, now: UnixMs, wanted: bool) -> (Option<Action>, Option<Change>) {
         let lapsed = self.check_lapse(now);
-        if lapsed.is_some() || self.in_flight.is_some() || now < self.next_at {
+        if lapsed.is_some() || self.in_flight.is_some() {
             return (None, lapsed);
         }
+        if matches!(self.phase, Phase::Held { .. }) && !wanted {
+            // At once, not with the next renewal: until then nobody else can go on.
+            self.phase = Phase::Free;
+            self.next_at = now.plus(RETRY_EVERY_MS);
+            return (Some(Action::Release), Some(Change::Lapsed));
+        }
+        if now < self.next_at {
+            return (None, None);
+        }
         let action = match self.phase {
             Phase::Free if wanted => {
                 self.phase = Phase::Asking { sent_at: now };
@@ -135,11 +144,6 @@
                 self.next_at = now.plus(RETRY_EVERY_MS);
                 Action::Read
             }
-            Phase::Held { .. } if !wanted => {
-                self.phase = Phase::Free;
-                self.next_at = now.plus(RETRY_EVERY_MS);
-                return (Some(Action::Release), Some(Change::Lapsed));
-            }
             Phase::Held { .. } => {
                 self.next_at = now.plus(RENEW_EVERY_MS);
                 Action::Renew
--- a/tests/all/processes/rollouts.rs
+++ b/tests/all/processes/rollouts.rs
@@ -136,6 +136,15 @@
     format!("prompt {group} of step {step}")
 }
 
+/// A trainer that talks to `node`, with two steps submitted and the first batch claimed.
+async fn in_the_middle_of_a_step(fleet: &Fleet, node: usize) -> Trainer<'_> {
+    let mut trainer = Trainer::register(fleet, node).await;
+    trainer.submit(1).await;
+    trainer.submit(2).await;
+    assert!(trainer.take(1).await);
+    trainer
+}
+
 /// Reads a batch; one whose last line is missing is not whole.
 fn whole_batch(text: &str) -> Option<Vec<Value>> {
     let lines: Vec<Value> =
@@ -157,10 +166,7 @@
     let fleet = Fleet::start(&size()).await;
     let owner = fleet.owner(0).await;
     let other = (owner + 1) % fleet.nodes.len();
-    let mut trainer = Trainer::register(&fleet, other).await;
-    trainer.submit(1).await;
-    trainer.submit(2).await;
-    assert!(trainer.take(1).await);
+    let mut trainer = in_the_middle_of_a_step(&fleet, other).await;
 
     // Act
     fleet.nodes[owner].process.signal("KILL");
@@ -172,6 +178,33 @@
     assert_ne!(fleet.owner(other).await, owner);
 }
 
+/// Symptom: a planned stop costs a trainer its samples, or the stop never ends.
+/// Sequence: SIGTERM to the owner of the trainer's steps in the middle of a step, while it runs
+/// samples and holds the tokens of others.
+/// Cause: duties and tokens that are not handed over.
+#[tokio::test]
+async fn stopping_the_owner_hands_its_trainer_over_and_ends_in_order() {
+    // Arrange: slow engines, so that the stop meets the step in its middle.
+    let mut fleet = Fleet::start_with(&size(), &["--tick-ms", "40"], &[]).await;
+    let owner = fleet.owner(0).await;
+    let other = (owner + 1) % fleet.nodes.len();
+    let mut trainer = in_the_middle_of_a_step(&fleet, other).await;
+
+    // Act
+    fleet.nodes[owner].process.signal("TERM");
+    fleet
+        .until("another node owns the trainer", async || {
+            (fleet.owner(other).await != owner).then_some(())
+        })
+        .await;
+    let next = trainer.take_steps(2, 1).await;
+    trainer.publish().await;
+    trainer.take_steps(next, 2).await;
+
+    // Assert: every sample was checked as it was claimed.
+    assert_eq!(fleet.nodes[owner].process.exit_code(), Some(0), "nothing was cut");
+}
+
 /// Symptom: two owners deliver the same samples, or a paused owner binds over the new one.
 /// Sequence: the owner is stopped for longer than its lease; another node takes over and goes on;
 /// the old owner wakes up with all it was about to do.
@@ -182,10 +215,7 @@
     let fleet = Fleet::start(&size()).await;
     let owner = fleet.owner(0).await;
     let other = (owner + 1) % fleet.nodes.len();
-    let mut trainer = Trainer::register(&fleet, other).await;
-    trainer.submit(1).await;
-    trainer.submit(2).await;
-    assert!(trainer.take(1).await);
+    let mut trainer = in_the_middle_of_a_step(&fleet, other).await;
 
     // Act: the pause ends only when another node has taken the trainer over.
     fleet.nodes[owner].process.signal("STOP");
