--- a/crates/node/src/control/duties.rs
+++ b/crates/node/src/control/duties.rs
@@ -5,11 +5,7 @@
 
 use catkinmast_member::{NodeFact, NodeState};
 use catkinmast_model::Name;
-
-/// Ranks a node for a duty; the lowest rank is first.
-pub(crate) fn rank(duty: &str, node: &str) -> u64 {
-    xxhash_rust::xxh3::xxh3_64(format!("{duty}\n{node}").as_bytes())
-}
+use catkinmast_route::rank;
 
 /// Tells whether `me` is the first of the live nodes for a duty.
 pub(crate) fn is_first<'n>(
--- a/crates/node/src/edge/content.rs
+++ b/crates/node/src/edge/content.rs
@@ -5,28 +5,17 @@
 use crate::shared::{Shared, lock};
 use catkinmast_member::{NodeFact, NodeState};
 use catkinmast_model::Name;
+use catkinmast_route::rank;
 use std::net::SocketAddr;
-use xxhash::rank;
 
 /// How many nodes are tried as holders of a copy.
 const HOLDERS_TRIED: usize = 3;
 
-/// Ranks nodes for a key, so that copies spread evenly and nobody has to agree on it.
-mod xxhash {
-    use std::hash::{DefaultHasher, Hash, Hasher};
-
-    pub(super) fn rank(key: &impl Hash, node: &str) -> u64 {
-        let mut hasher = DefaultHasher::new();
-        key.hash(&mut hasher);
-        node.hash(&mut hasher);
-        hasher.finish()
-    }
-}
-
 /// Copies held content to one more node and returns that node.
 ///
-/// A node with a data folder and in another data centre is preferred: a copy beside the original
-/// dies with it when a rack or a data centre goes.
+/// A node in another data centre is preferred: a copy beside the original dies with it when a rack
+/// or a data centre goes. Among those the rank for the sample decides, so that copies spread evenly
+/// and nobody has to agree on it.
 pub(crate) async fn copy_elsewhere(
     shared: &Shared,
     key: &ContentKey,
@@ -44,9 +33,9 @@
                 && !avoid.contains(&node.name)
         })
         .collect();
-    takers.sort_by_cached_key(|node| {
-        (node.data_centre == *home, !node.has_data_folder, rank(key, node.name.as_str()))
-    });
+    let sample = format!("{}/{}", key.trainer, key.sample);
+    takers
+        .sort_by_cached_key(|node| (node.data_centre == *home, rank(&sample, node.name.as_str())));
     for taker in takers.into_iter().take(HOLDERS_TRIED) {
         let request = PeerRequest::Store { content: content.clone(), key: key.clone() };
         match ask(shared, taker.control, &request).await {
