A weight store with a limited rate; request ids; operators see steps; a slow key-value service

Change: engines fetch weights from the platform's stand-in, which serves two at once; cache events are as late as load reports; answers carry Catkinmast-Request, and the log lines of a call its id; catkinmast-ctl status shows each trainer's steps; a step runs while each call of the service takes 700 ms.

--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -348,9 +348,35 @@
         println!("\n{list}");
         table::print(fields, &table::rows(&status[list], fields));
     }
+    println!("\nsteps");
+    let owners = status["owners"].as_array().cloned().unwrap_or_default();
+    let steps: Result<Vec<Value>, Exit> =
+        owners.iter().map(|owner| steps_of(endpoint, owner)).collect();
+    table::print(&STEP_FIELDS, &table::rows(&Value::Array(steps?), &STEP_FIELDS));
     Ok(Exit::Done)
 }
 
+/// What is shown of a trainer's steps.
+const STEP_FIELDS: [&str; 9] = [
+    "trainer",
+    "trainer_version",
+    "steps_open",
+    "steps_late",
+    "samples_queued",
+    "samples_running",
+    "samples_safe",
+    "batches_bound",
+    "batches_claimed",
+];
+
+fn steps_of(endpoint: &Endpoint, owner: &Value) -> Result<Value, Exit> {
+    let trainer = owner["trainer"].as_str().unwrap_or_default();
+    let path = format!("/v1/trainers/{trainer}/progress");
+    let mut progress = endpoint.expect(Method::GET, &path, None)?;
+    progress["trainer"] = json!(trainer);
+    Ok(progress)
+}
+
 fn drain_something(endpoint: &Endpoint, json: bool, drain: &Drain) -> Result<Exit, Exit> {
     let list = match drain.kind.as_str() {
         "node" => "nodes",
--- a/crates/local/src/fleet.rs
+++ b/crates/local/src/fleet.rs
@@ -18,6 +18,8 @@
 const SHARED_KEY: &str = "only for a run on loopback";
 /// How far the stand-in's list of instances lags.
 const LIST_LAG_MS: u64 = 500;
+/// How long the stand-in's weight store takes for one of the two fetches that it serves at once.
+const WEIGHTS_FETCH_MS: u64 = 60;
 /// How long the nodes may take to become ready.
 const READY_MAX: Duration = Duration::from_secs(10);
 
@@ -56,7 +58,11 @@
         nodes: u32,
         answer_after_ms: u64,
     ) -> Result<Self, String> {
-        let settings = PlatformSettings { address: loopback(), list_lag_ms: LIST_LAG_MS };
+        let settings = PlatformSettings {
+            address: loopback(),
+            list_lag_ms: LIST_LAG_MS,
+            weights_fetch_ms: WEIGHTS_FETCH_MS,
+        };
         let platform = Platform::spawn(settings).await.map_err(|error| error.to_string())?;
         let client = reqwest::Client::builder()
             .no_proxy()
@@ -116,8 +122,11 @@
     }
 
     async fn start_engine(&mut self, name: &Name, workers: &Workers) -> Result<SocketAddr, String> {
-        let settings =
-            EngineSettings { checks_fence: workers.checks_fence, ..EngineSettings::default() };
+        let settings = EngineSettings {
+            checks_fence: workers.checks_fence,
+            weight_store: Some(self.platform.address()),
+            ..EngineSettings::default()
+        };
         let engine = Engine::spawn(settings).await.map_err(|error| error.to_string())?;
         let address = engine.address();
         self.engines.insert(name.clone(), engine);
--- a/crates/node/src/api/trainer.rs
+++ b/crates/node/src/api/trainer.rs
@@ -2,6 +2,7 @@
 
 use crate::api::answer::{Problem, read_json};
 use crate::api::guard::Asking;
+use crate::auth::Role;
 use crate::edge::content;
 use crate::edge::holdings::{Content, ContentKey};
 use crate::edge::peer::{PeerRequest, ask, command_owner};
@@ -28,6 +29,11 @@
 /// Checks the token and the trainer's name against the configuration.
 fn known_trainer(asking: &Asking, trainer: &str) -> Result<Name, Problem> {
     asking.as_trainer(trainer)?;
+    listed_trainer(asking, trainer)
+}
+
+/// Checks a trainer's name against the configuration.
+fn listed_trainer(asking: &Asking, trainer: &str) -> Result<Name, Problem> {
     let name: Name =
         trainer.parse().map_err(|error| Problem::invalid("trainer", format!("{error}")))?;
     let snapshot = asking.shared.snapshot();
@@ -148,13 +154,17 @@
     })
 }
 
-/// Tells how far the trainer's steps are.
+/// Tells how far the trainer's steps are, to the trainer and to operators.
 #[get("/v1/trainers/<trainer>/progress")]
 pub(crate) async fn progress(
     asking: Asking,
     trainer: &str,
 ) -> Result<Json<catkinmast_rollout::Progress>, Problem> {
-    let name = known_trainer(&asking, trainer)?;
+    let name = if asking.as_role(Role::Operator).is_ok() {
+        listed_trainer(&asking, trainer)?
+    } else {
+        known_trainer(&asking, trainer)?
+    };
     let reply = command_owner(&asking.shared, &name, Command::Progress).await;
     settle(reply, |reply| match reply {
         Reply::Progress(progress) => Some(Json(progress)),
--- a/crates/node/src/edge/calls.rs
+++ b/crates/node/src/edge/calls.rs
@@ -14,11 +14,14 @@
 use catkinmast_model::{Name, Refusal, UnixMs, Verdict};
 use catkinmast_route::{Admitted, Choice, Outcome, Released};
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 use tokio::sync::oneshot;
 
 /// How a target says that it refused before anything ran.
 pub(crate) const VERDICT_HEADER: &str = "Catkinmast-Verdict";
+/// Names a request in its answer, as the log lines that concern it do.
+const REQUEST_HEADER: &str = "Catkinmast-Request";
 /// Most targets tried for one call.
 const TRIES_MAX: usize = 3;
 /// When a caller should come back if no target could be used.
@@ -243,7 +246,19 @@
     request: CallRequest<'_>,
 ) -> Result<Answer, Refusal> {
     let service = request.service.to_owned();
-    let called = call_admitted(shared, request).await;
+    let number = shared.next_request.fetch_add(1, Ordering::Relaxed);
+    let id = format!("{}-{}-{number}", shared.me(), shared.incarnation);
+    let mut called = call_admitted(shared, &id, request).await;
+    match &mut called {
+        Ok(answer) => answer.headers.push((REQUEST_HEADER.to_owned(), id)),
+        Err(refusal) => {
+            log::info!(
+                "request {id} of {service} is refused, {}: {}",
+                refusal.verdict,
+                refusal.message
+            );
+        }
+    }
     let verdict = called.as_ref().map_or_else(|refusal| refusal.verdict, |_| Verdict::Ran);
     let labels = CallLabels { service, verdict: verdict.to_string() };
     shared.metrics.calls.get_or_create(&labels).inc();
@@ -252,6 +267,7 @@
 
 async fn call_admitted(
     shared: &Arc<Shared>,
+    id: &str,
     mut request: CallRequest<'_>,
 ) -> Result<Answer, Refusal> {
     let snapshot = shared.snapshot();
@@ -277,6 +293,7 @@
         };
         let target = flight.target().clone();
         flight.finish(failure.outcome);
+        log::debug!("request {id}: target {target}: {} ({})", failure.message, failure.verdict);
         if failure.leaving {
             shared.tell(Input::TargetRefused { target: target.clone() });
         }
--- a/crates/standin/src/command.rs
+++ b/crates/standin/src/command.rs
@@ -40,6 +40,9 @@
     /// time between two ticks of the batch (default 10)
     #[argh(option, default = "10")]
     tick_ms: u64,
+    /// where weights are fetched from before a swap (default: none, no time)
+    #[argh(option)]
+    weight_store: Option<SocketAddr>,
 }
 
 /// a forwarder that cuts and holds up connections
@@ -64,6 +67,9 @@
     /// how far the list of instances lags behind (default 500)
     #[argh(option, default = "500")]
     list_lag_ms: u64,
+    /// how long one fetch of weights takes (default 50)
+    #[argh(option, default = "50")]
+    weights_fetch_ms: u64,
 }
 
 /// a plain service, which can score samples as well
@@ -113,6 +119,7 @@
                 checks_fence: !arguments.ignores_fence,
                 median_tokens: arguments.median_tokens,
                 tick_ms: arguments.tick_ms,
+                weight_store: arguments.weight_store,
                 ..EngineSettings::default()
             })
             .await?;
@@ -128,6 +135,7 @@
             let platform = Platform::spawn(PlatformSettings {
                 address: arguments.address,
                 list_lag_ms: arguments.list_lag_ms,
+                weights_fetch_ms: arguments.weights_fetch_ms,
             })
             .await?;
             println!("{}", platform.address());
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -49,12 +49,14 @@
     pub max_batch: usize,
     /// The length of a usual sequence.
     pub median_tokens: u32,
-    /// How long fetching and swapping weights takes.
+    /// How long swapping weights takes once they are fetched.
     pub swap_ms: u64,
     /// Time between two ticks.
     pub tick_ms: u64,
     /// Tokens that a lone sequence gains in a tick.
     pub tokens_per_tick: u32,
+    /// Where weights are fetched from before a swap; none takes no time.
+    pub weight_store: Option<SocketAddr>,
 }
 
 impl Default for EngineSettings {
@@ -68,6 +70,7 @@
             swap_ms: 150,
             tick_ms: 10,
             tokens_per_tick: 8,
+            weight_store: None,
         }
     }
 }
@@ -102,7 +105,8 @@
 #[derive(Debug, Default)]
 struct Batch {
     cache: VecDeque<u64>,
-    cache_events: VecDeque<(u64, u64)>,
+    /// When it happened, its number, and the digest of the prompt.
+    cache_events: VecDeque<(UnixMs, u64, u64)>,
     cache_sequence: u64,
     faults: Faults,
     fence: Fence,
@@ -275,7 +279,8 @@
         } else {
             self.cache_sequence += 1;
             if !self.cache_sequence.is_multiple_of(CACHE_EVENT_GAP) {
-                self.cache_events.push_back((self.cache_sequence, digest));
+                let now = UnixMs::from_wall_clock();
+                self.cache_events.push_back((now, self.cache_sequence, digest));
                 if self.cache_events.len() > CACHE_EVENTS {
                     self.cache_events.pop_front();
                 }
@@ -375,12 +380,36 @@
     }
     let under_way = batch.swap.as_ref().is_some_and(|swap| swap.version == request.version);
     if !under_way {
-        let done_at = UnixMs::from_wall_clock().plus(shared.settings.swap_ms);
-        batch.swap = Some(Swap { done_at, model: request.model, version: request.version });
+        let (model, version) = (request.model, request.version);
+        // Not done before the weights are there.
+        batch.swap = Some(Swap { done_at: UnixMs(u64::MAX), model: model.clone(), version });
+        tokio::spawn(fetch_weights(Arc::clone(shared.inner()), model, version));
     }
     Status::Accepted
 }
 
+/// Fetches weights from the store, which lets few fetch at once, and then begins the swap.
+async fn fetch_weights(shared: Arc<Shared>, model: String, version: Version) {
+    let fetched = match shared.settings.weight_store {
+        None => true,
+        Some(store) => {
+            let url = format!("http://{store}/weights/{model}/{version}");
+            reqwest::get(url).await.is_ok_and(|answer| answer.status().is_success())
+        }
+    };
+    let mut batch = shared.lock();
+    let ours = |swap: &Swap| swap.version == version && swap.model == model;
+    if !batch.swap.as_ref().is_some_and(ours) {
+        return;
+    }
+    if fetched {
+        let done_at = UnixMs::from_wall_clock().plus(shared.settings.swap_ms);
+        batch.swap = Some(Swap { done_at, model, version });
+    } else {
+        batch.swap = None;
+    }
+}
+
 #[get("/load")]
 fn load(shared: &State<Arc<Shared>>) -> Result<Json<LoadReport>, Status> {
     let batch = shared.lock();
@@ -390,11 +419,17 @@
     Ok(Json(batch.load.clone()))
 }
 
-/// The cache events after a sequence number: late, and with gaps.
+/// The cache events after a sequence number: as late as load reports, and with gaps.
 #[get("/cache-events?<after>")]
 fn cache_events(after: u64, shared: &State<Arc<Shared>>) -> Json<Vec<(u64, u64)>> {
     let batch = shared.lock();
-    Json(batch.cache_events.iter().filter(|(sequence, _)| *sequence > after).copied().collect())
+    let now = UnixMs::from_wall_clock();
+    let lag_ms = shared.settings.load_lag_ms;
+    let visible = batch
+        .cache_events
+        .iter()
+        .filter(|(at, number, _)| *number > after && now.since_ms(*at) >= lag_ms);
+    Json(visible.map(|(_, number, digest)| (*number, *digest)).collect())
 }
 
 #[get("/standin/records")]
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -14,8 +14,10 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, Semaphore};
 
+/// How many fetches of weights the store serves at once; the others wait for their turn.
+const WEIGHT_FETCHES_AT_ONCE: usize = 2;
 /// The largest value that the service holds (brief, "Where it will run").
 const VALUE_MAX_BYTES: usize = 1 << 20;
 
@@ -26,6 +28,8 @@
     pub address: SocketAddr,
     /// How far the instance list lags behind.
     pub list_lag_ms: u64,
+    /// How long one fetch of weights takes; a few are served at once.
+    pub weights_fetch_ms: u64,
 }
 
 /// The faults that can be switched on while it runs.
@@ -63,6 +67,8 @@
     changed: Notify,
     list_lag_ms: u64,
     store: Mutex<Store>,
+    weight_fetches: Semaphore,
+    weights_fetch_ms: u64,
 }
 
 impl Shared {
@@ -88,10 +94,14 @@
             changed: Notify::new(),
             list_lag_ms: settings.list_lag_ms,
             store: Mutex::default(),
+            weight_fetches: Semaphore::new(WEIGHT_FETCHES_AT_ONCE),
+            weights_fetch_ms: settings.weights_fetch_ms,
         });
         let state = Arc::clone(&shared);
         let web = WebServer::bind(settings.address, move |rocket| {
-            rocket.manage(state).mount("/", routes![kv, instances, put_instance, faults, calls])
+            rocket
+                .manage(state)
+                .mount("/", routes![kv, instances, put_instance, faults, calls, weights])
         })
         .await?;
         Ok(Self { shared, web })
@@ -308,6 +318,22 @@
     shared.lock().faults = wanted.into_inner();
 }
 
+/// The weight store: its rate is limited by how many fetch at once.
+#[get("/weights/<_model>/<_version>")]
+async fn weights(
+    _model: &str,
+    _version: u64,
+    shared: &State<Arc<Shared>>,
+) -> Result<&'static str, Status> {
+    if shared.lock().faults.outage {
+        return Err(Status::ServiceUnavailable);
+    }
+    let turn = shared.weight_fetches.acquire().await;
+    let _held = turn.map_err(|_closed| Status::ServiceUnavailable)?;
+    tokio::time::sleep(Duration::from_millis(shared.weights_fetch_ms)).await;
+    Ok("weights")
+}
+
 #[get("/calls")]
 fn calls(shared: &State<Arc<Shared>>) -> Json<IndexMap<&'static str, u64>> {
     Json(shared.lock().calls.clone())
--- a/tests/all/processes/rollouts.rs
+++ b/tests/all/processes/rollouts.rs
@@ -309,6 +309,27 @@
     assert_eq!(trainer.seen.len() as u64, GROUPS * GROUP_SIZE);
 }
 
+/// Symptom: a slow key-value service looks like a lost one, and steps are taken over back and forth.
+/// Sequence: each call of the service takes most of a second, for a whole step.
+/// Cause: deadlines of calls that fit only a service that is well.
+#[tokio::test]
+async fn a_slow_key_value_service_slows_a_step_and_no_more() {
+    // Arrange
+    let fleet = Fleet::start(&size()).await;
+    let owner = fleet.owner(0).await;
+    fleet.faults(&json!({ "slow_ms": 700 })).await;
+
+    // Act
+    let mut trainer = Trainer::register(&fleet, 0).await;
+    trainer.submit(1).await;
+    trainer.take_steps(1, 1).await;
+    let (call, _) = fleet.call(1, "/progress", "while-slow", None).await;
+
+    // Assert
+    assert_eq!(call, 200);
+    assert_eq!(fleet.owner(0).await, owner, "nobody had to take over");
+}
+
 /// Symptom: a batch is used twice, or a claim is lost.
 /// Sequence: the key-value service takes the writes that bind and claim, and loses their replies;
 /// then it is away for longer than a lease.
