--- a/crates/node/src/api/call.rs
+++ b/crates/node/src/api/call.rs
@@ -5,7 +5,6 @@
 use crate::api::ticket;
 use crate::auth::Role;
 use crate::edge::calls::{Answer, AnswerBody, CallBody, CallRequest, call_service, find_call};
-use crate::shared::Shared;
 use bytes::Bytes;
 use futures::{StreamExt, TryStreamExt};
 use rocket::data::{Data, DataStream, ToByteUnit};
@@ -15,7 +14,6 @@
 use rocket::route::{Handler, Outcome, Route};
 use rocket::{Request, async_trait};
 use std::io::Cursor;
-use std::sync::Arc;
 use tokio::io::AsyncReadExt;
 use tokio::sync::mpsc;
 use tokio_util::io::StreamReader;
@@ -233,6 +231,3 @@
     }
     response.ok::<std::convert::Infallible>().map_err(|never| match never {})
 }
-
-/// Shares the node's state with the functions of [`ticket`].
-pub(crate) type SharedNode = Arc<Shared>;
--- a/crates/node/src/api/ticket.rs
+++ b/crates/node/src/api/ticket.rs
@@ -1,14 +1,15 @@
 //! Calls with a ticket: run at most once, by the node life that the ticket names.
 
 use crate::api::answer::Problem;
-use crate::api::call::SharedNode;
+
 use crate::edge::calls::{Answer, AnswerBody, CallRequest, admit, call_service};
-use crate::shared::lock;
+use crate::shared::{Shared, lock};
 use bytes::Bytes;
 use catkinmast_config::CallClass;
 use catkinmast_model::{Refusal, UnixMs, Verdict};
 use catkinmast_route::{Begin, RecordedAnswer, Ticket};
 use rocket::Request;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// The header in which a caller sends its ticket.
@@ -24,7 +25,7 @@
 
 /// Runs a call whose ticket names this life, or passes it to the node that the ticket names.
 pub(crate) async fn call_once(
-    shared: &SharedNode,
+    shared: &Arc<Shared>,
     call: CallRequest<'_>,
     text: &str,
     request: &Request<'_>,
@@ -41,7 +42,7 @@
 }
 
 async fn run_once(
-    shared: &SharedNode,
+    shared: &Arc<Shared>,
     call: CallRequest<'_>,
     ticket: &Ticket,
 ) -> Result<Answer, Problem> {
@@ -87,7 +88,7 @@
 /// the handler may be dropped in the middle, and a repetition must not run then.
 struct TicketGuard<'a> {
     settled: bool,
-    shared: &'a SharedNode,
+    shared: &'a Arc<Shared>,
     ticket: &'a Ticket,
 }
 
@@ -110,7 +111,7 @@
 }
 
 async fn replay(
-    shared: &SharedNode,
+    shared: &Arc<Shared>,
     team: &str,
     recorded: RecordedAnswer,
 ) -> Result<Answer, Problem> {
@@ -136,7 +137,7 @@
 /// Whatever goes wrong on the way is `MayHaveRun`: an earlier sending of the same ticket may have
 /// reached that node, even if this one did not.
 async fn forward(
-    shared: &SharedNode,
+    shared: &Arc<Shared>,
     call: CallRequest<'_>,
     ticket: &Ticket,
     request: &Request<'_>,
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -58,7 +58,6 @@
 /// A running node.
 #[derive(Debug)]
 pub struct Node {
-    control_thread: Option<std::thread::JoinHandle<()>>,
     inputs: Sender<Input>,
     peers_task: tokio::task::JoinHandle<()>,
     shared: Arc<Shared>,
@@ -112,8 +111,9 @@
         receive_datagrams(&socket, &shared, &stopped)?;
         let runtime = Handle::current();
         let start = Start { inputs: received, me, runtime, shared: Arc::clone(&shared), socket };
-        let control_thread = control::spawn(start).map_err(failed("control thread"))?;
-        Ok(Self { control_thread: Some(control_thread), inputs, peers_task, shared, stopped, web })
+        // The thread ends when it is told to stop; nobody joins it.
+        control::spawn(start).map_err(failed("control thread"))?;
+        Ok(Self { inputs, peers_task, shared, stopped, web })
     }
 
     /// Returns the node's name.
@@ -177,7 +177,6 @@
         {
             log::warn!("the control thread did not stop in time");
         }
-        self.control_thread = None;
     }
 
     /// Stops without a word to anybody, as a crash would. For tests and demonstrations.
--- a/crates/rollout/src/batches.rs
+++ b/crates/rollout/src/batches.rs
@@ -58,7 +58,7 @@
     }
 
     /// Binds the next batch as soon as enough whole groups of the oldest step are safe.
-    pub(crate) fn bind_ready(&mut self, _now: UnixMs) {
+    pub(crate) fn bind_ready(&mut self) {
         if self.fence.is_none() {
             return;
         }
@@ -170,7 +170,7 @@
         (*held == attempt).then(|| BoundView { attempt, finished: finished.clone(), id })
     }
 
-    pub(crate) fn answer_waiting(&mut self, _now: UnixMs) {
+    pub(crate) fn answer_waiting(&mut self) {
         for waiter in std::mem::take(&mut self.waiting) {
             match self.batch_reply(waiter.batch) {
                 Some(reply) => self.reply(waiter.reply_to, reply),
--- a/crates/rollout/src/owner.rs
+++ b/crates/rollout/src/owner.rs
@@ -159,11 +159,11 @@
         self.apply(now, event);
         if self.phase == Phase::Active && stirs != Stirs::Nothing {
             if stirs == Stirs::Samples {
-                self.bind_ready(now);
+                self.bind_ready();
             }
             self.dispatch(now);
         }
-        self.flush(now);
+        self.flush();
         std::mem::take(&mut self.effects)
     }
 
@@ -200,11 +200,11 @@
                     view.version = Some(version);
                 }
             }
-            Event::Holdings(found) => self.holdings_found(now, found),
+            Event::Holdings(found) => self.holdings_found(found),
             Event::Lease { fence } => self.lease_changed(fence),
             Event::LedgerConflict | Event::LedgerUnknown => self.ledger_unsettled(now),
-            Event::LedgerRead(read) => self.ledger_read(now, read),
-            Event::LedgerWritten { version } => self.ledger_written(now, version),
+            Event::LedgerRead(read) => self.ledger_read(read),
+            Event::LedgerWritten { version } => self.ledger_written(version),
             Event::Nodes(nodes) => self.set_nodes(nodes),
             Event::OrderFence(fence) => self.order_fence = fence,
             Event::RunFailed { attempt, engine_at_fault, partial_kept, sample } => {
@@ -217,7 +217,7 @@
                 self.run_safe(sample, attempt, finished);
             }
             Event::RunWhole { attempt, sample } => self.run_whole(now, sample, attempt),
-            Event::StepLoaded { spec, step } => self.step_loaded(now, step, spec),
+            Event::StepLoaded { spec, step } => self.step_loaded(step, spec),
             Event::StepStored { step, stored } => self.step_stored(now, step, stored),
             Event::Tick => self.tick(now),
         }
--- a/crates/rollout/src/recovery.rs
+++ b/crates/rollout/src/recovery.rs
@@ -12,7 +12,7 @@
 use crate::sample::{Finished, Partial, SampleState};
 use crate::spec::{Reply, StepSpec};
 use crate::writer::Intent;
-use catkinmast_model::{Fence, Name, Refusal, SampleId, UnixMs};
+use catkinmast_model::{Fence, Name, Refusal, SampleId};
 
 /// How many nodes should hold a whole sample.
 const HOLDERS_WANTED: usize = 2;
@@ -36,7 +36,7 @@
         }
     }
 
-    pub(crate) fn ledger_read(&mut self, now: UnixMs, read: Option<(Box<Ledger>, u64)>) {
+    pub(crate) fn ledger_read(&mut self, read: Option<(Box<Ledger>, u64)>) {
         self.writer.busy = false;
         self.writer.retry_at = None;
         let (ledger, version) = match read {
@@ -45,7 +45,7 @@
         };
         let written = self.writer.pending.as_ref().map(|pending| pending.ledger.write_id.clone());
         if let (Some(version), true) = (version, written.as_ref() == Some(&ledger.write_id)) {
-            return self.ledger_written(now, version);
+            return self.ledger_written(version);
         }
         if ledger.fence > self.last_fence {
             // A later owner stands in the ledger: ours must not be written over it, even if our
@@ -104,7 +104,7 @@
     }
 
     /// Our fencing number stands in the ledger.
-    pub(crate) fn taken_over(&mut self, now: UnixMs) {
+    pub(crate) fn taken_over(&mut self) {
         if self.phase != Phase::TakingOver {
             return;
         }
@@ -122,7 +122,7 @@
             self.effects.push(Effect::LoadStep { digest, step });
         }
         self.mark_settled_samples();
-        self.finish_loading(now);
+        self.finish_loading();
     }
 
     /// Claimed samples of open steps are not made again.
@@ -134,7 +134,7 @@
         });
     }
 
-    pub(crate) fn step_loaded(&mut self, now: UnixMs, step: u64, spec: Option<StepSpec>) {
+    pub(crate) fn step_loaded(&mut self, step: u64, spec: Option<StepSpec>) {
         if !self.loading.contains(&step) {
             return;
         }
@@ -142,7 +142,7 @@
             Some(spec) => {
                 self.loading.shift_remove(&step);
                 self.specs.insert(step, spec);
-                self.finish_loading(now);
+                self.finish_loading();
             }
             None => {
                 // The service does not answer; the step is there, since the ledger names it.
@@ -154,14 +154,14 @@
         }
     }
 
-    pub(crate) fn holdings_found(&mut self, now: UnixMs, found: Vec<HoldingReport>) {
+    pub(crate) fn holdings_found(&mut self, found: Vec<HoldingReport>) {
         if !std::mem::take(&mut self.holdings_awaited) {
             return;
         }
         for report in found {
             self.take_holding(report);
         }
-        self.finish_loading(now);
+        self.finish_loading();
     }
 
     fn take_holding(&mut self, report: HoldingReport) {
@@ -203,7 +203,7 @@
         samples.find(|bound| bound.0 == id.group && bound.1 == id.index).map(|bound| bound.2)
     }
 
-    fn finish_loading(&mut self, _now: UnixMs) {
+    fn finish_loading(&mut self) {
         if self.phase != Phase::Loading || self.holdings_awaited || !self.loading.is_empty() {
             return;
         }
--- a/crates/rollout/src/writer.rs
+++ b/crates/rollout/src/writer.rs
@@ -87,7 +87,7 @@
 
 impl Rollout {
     /// Writes the waiting changes, if no write is in flight and the lease is held.
-    pub(crate) fn flush(&mut self, _now: UnixMs) {
+    pub(crate) fn flush(&mut self) {
         let Some(fence) = self.fence else { return };
         let idle = !self.writer.busy && self.writer.pending.is_none();
         if !idle || self.writer.intents.is_empty() {
@@ -115,14 +115,14 @@
         self.effects.push(Effect::WriteLedger { expect: self.writer.version, ledger });
     }
 
-    pub(crate) fn ledger_written(&mut self, now: UnixMs, version: u64) {
+    pub(crate) fn ledger_written(&mut self, version: u64) {
         self.writer.busy = false;
         self.writer.retry_at = None;
         self.writer.version = Some(version);
         if let Some(pending) = self.writer.pending.take() {
             self.ledger = pending.ledger;
             for (intent, settled) in pending.intents {
-                self.committed(now, intent, &settled);
+                self.committed(intent, &settled);
             }
         }
     }
@@ -143,7 +143,7 @@
     }
 
     /// Answers what a confirmed change was asked for by.
-    fn committed(&mut self, now: UnixMs, intent: Intent, settled: &[(SampleId, Attempt)]) {
+    fn committed(&mut self, intent: Intent, settled: &[(SampleId, Attempt)]) {
         match intent {
             Intent::AddStep { group_size, groups, reply_to, step, .. } => {
                 self.add_samples(step, groups, group_size);
@@ -151,9 +151,9 @@
                     self.reply(receiver, Reply::Accepted { step });
                 }
             }
-            Intent::Bind { .. } => self.answer_waiting(now),
+            Intent::Bind { .. } => self.answer_waiting(),
             Intent::Claim { batch, reply_to } => {
-                self.batch_settled(now, batch, Some(reply_to), settled);
+                self.batch_settled(batch, Some(reply_to), settled);
             }
             Intent::Publish { reply_to, version } => {
                 self.reply(reply_to, Reply::Published { version });
@@ -162,9 +162,9 @@
             Intent::Register { registration, reply_to } => {
                 self.reply(reply_to, Reply::Registered(registration));
             }
-            Intent::TakeOver => self.taken_over(now),
+            Intent::TakeOver => self.taken_over(),
             Intent::Void { batch, reply_to, .. } => {
-                self.batch_settled(now, batch, reply_to, settled);
+                self.batch_settled(batch, reply_to, settled);
             }
         }
     }
@@ -173,7 +173,6 @@
     /// and a void of the same batch can meet in one write, and the first of them counts.
     fn batch_settled(
         &mut self,
-        now: UnixMs,
         batch: u64,
         reply_to: Option<u64>,
         settled: &[(SampleId, Attempt)],
@@ -189,7 +188,7 @@
         if let Some(receiver) = reply_to {
             self.reply(receiver, reply);
         }
-        self.answer_waiting(now);
+        self.answer_waiting();
     }
 }
 
