--- /dev/null
+++ b/crates/serve/src/trail.rs
@@ -0,0 +1,154 @@
+//! The audit trail: one JSON object a line, on standard output.
+//!
+//! A line is written for each decision that touches a request or changes what the process
+//! believes. Lines pass through a bounded queue to a thread that writes them, so that a reader
+//! that does not read never blocks a request; what does not fit is dropped and counted.
+
+use catkinmast_model::UnixMs;
+use serde_json::{Map, Value, json};
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::io::Write;
+use std::sync::{Arc, Condvar, Mutex, PoisonError};
+use std::time::Duration;
+
+/// Lines that may wait for the writer: at the 200 bytes of a usual line, 200 KB.
+const QUEUE_MAX_LINES: usize = 1_000;
+/// Lines of one kind a second; more are counted and left out. It is four times what a node writes
+/// of its busiest kind on the heaviest day measured.
+const KIND_MAX_LINES_PER_S: u32 = 100;
+/// The writer waits this long for more lines, so that it wakes up a few times a second at most.
+const WRITE_EVERY: Duration = Duration::from_millis(250);
+
+#[derive(Debug, Default)]
+struct Queue {
+    dropped: u64,
+    lines: VecDeque<String>,
+    stopped: bool,
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    changed: Condvar,
+    queue: Mutex<Queue>,
+}
+
+#[derive(Debug)]
+struct Kind {
+    left_out: u32,
+    name: &'static str,
+    second: u64,
+    written: u32,
+}
+
+/// Writes the audit trail.
+#[derive(Debug)]
+pub(crate) struct Trail {
+    kinds: RefCell<Vec<Kind>>,
+    node: String,
+}
+
+impl Trail {
+    /// Starts the writer and returns the trail.
+    pub(crate) fn open(node: &str) -> Self {
+        let shared = Arc::new(Shared::default());
+        let sink = Arc::clone(&shared);
+        let output = fern::Output::call(move |record| sink.push(record.args().to_string()));
+        let dispatch = fern::Dispatch::new()
+            .level(log::LevelFilter::Warn)
+            .level_for(module_path!(), log::LevelFilter::Info)
+            .chain(output);
+        // A second start in one process keeps the first writer; both write the same lines.
+        if dispatch.apply().is_ok() {
+            std::thread::spawn(move || shared.write_all());
+        }
+        Self { kinds: RefCell::new(Vec::new()), node: node.to_owned() }
+    }
+
+    /// Writes one line; `fields` must be an object.
+    pub(crate) fn note(&self, now: UnixMs, event: &'static str, fields: Value) {
+        let Some(left_out) = self.admit(now, event) else { return };
+        let mut line = Map::new();
+        line.insert("at_ms".into(), json!(now.0));
+        line.insert("node".into(), json!(self.node));
+        line.insert("event".into(), json!(event));
+        if let Value::Object(fields) = fields {
+            line.extend(fields);
+        }
+        if left_out > 0 {
+            line.insert("left_out_before".into(), json!(left_out));
+        }
+        log::info!("{}", Value::Object(line));
+    }
+
+    /// Counts a line of a kind against its rate; returns how many were left out before it.
+    fn admit(&self, now: UnixMs, name: &'static str) -> Option<u32> {
+        let mut kinds = self.kinds.borrow_mut();
+        let second = now.0 / 1_000;
+        let at = match kinds.iter().position(|kind| kind.name == name) {
+            Some(at) => at,
+            None => {
+                kinds.push(Kind { left_out: 0, name, second, written: 0 });
+                kinds.len() - 1
+            }
+        };
+        let kind = &mut kinds[at];
+        if kind.second != second {
+            kind.second = second;
+            kind.written = 0;
+        }
+        if kind.written >= KIND_MAX_LINES_PER_S {
+            kind.left_out += 1;
+            return None;
+        }
+        kind.written += 1;
+        Some(std::mem::take(&mut kind.left_out))
+    }
+}
+
+impl Shared {
+    fn push(&self, line: String) {
+        let mut queue = self.queue.lock().unwrap_or_else(PoisonError::into_inner);
+        if queue.lines.len() >= QUEUE_MAX_LINES {
+            queue.dropped += 1;
+            return;
+        }
+        queue.lines.push_back(line);
+        if queue.lines.len() == 1 {
+            self.changed.notify_one();
+        }
+    }
+
+    fn write_all(&self) {
+        loop {
+            let mut queue = self.queue.lock().unwrap_or_else(PoisonError::into_inner);
+            while queue.lines.is_empty() && !queue.stopped {
+                queue = self.changed.wait(queue).unwrap_or_else(PoisonError::into_inner);
+            }
+            drop(queue);
+            std::thread::sleep(WRITE_EVERY);
+            let mut queue = self.queue.lock().unwrap_or_else(PoisonError::into_inner);
+            let lines = std::mem::take(&mut queue.lines);
+            let dropped = std::mem::take(&mut queue.dropped);
+            drop(queue);
+            if !write_lines(&lines, dropped) {
+                return;
+            }
+        }
+    }
+}
+
+/// Writes lines to standard output; returns false when nobody can read them any more.
+fn write_lines(lines: &VecDeque<String>, dropped: u64) -> bool {
+    let mut text = String::new();
+    for line in lines {
+        text.push_str(line);
+        text.push('\n');
+    }
+    if dropped > 0 {
+        text.push_str(&json!({ "event": "trail_dropped", "lines": dropped }).to_string());
+        text.push('\n');
+    }
+    let mut output = std::io::stdout().lock();
+    output.write_all(text.as_bytes()).and_then(|()| output.flush()).is_ok()
+}
--- /dev/null
+++ b/src/bin/catkinmast-standby.rs
@@ -0,0 +1,20 @@
+//! `catkinmast-standby`: the process on a machine that holds nothing for us.
+
+use argh::FromArgs;
+use catkinmast_adapter::UsersPlatform;
+use std::process::ExitCode;
+
+/// Stays up on a store machine and holds nothing: all that lasts is in the platform's store.
+#[derive(Debug, FromArgs)]
+struct Arguments {}
+
+fn main() -> ExitCode {
+    let Arguments {} = argh::from_env();
+    match catkinmast_serve::run_standby::<UsersPlatform>() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("catkinmast-standby: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
