A cut watch reads the whole instead of going on

Ruled out: a silent connection (the calls were answered), peers (the direct calls waited as long). Change: a watch is tried one way only; after any failure the feed reads its prefix whole.

--- a/crates/serve/src/node.rs
+++ b/crates/serve/src/node.rs
@@ -177,8 +177,15 @@
     }
 
     /// Makes a call of the store, directly or by way of a peer.
+    ///
+    /// A watch is tried one way only. One that was cut must not go on from its revision: the
+    /// store may have dropped the history meanwhile, and tells so only with the next change. It
+    /// would be noticed as a configuration that is seconds old; the feed reads the whole instead.
     pub(crate) async fn store(&self, call: &StoreCall) -> Result<StoreAnswer, StoreRefusal> {
         let rests = clock::now() < self.store_rests_until.get();
+        if matches!(call, StoreCall::Watch { .. }) {
+            return if rests { self.store_by_peers(call).await } else { self.store_here(call).await };
+        }
         let first =
             if rests { self.store_by_peers(call).await } else { self.store_here(call).await };
         let first = match first {
@@ -256,7 +263,8 @@
             StoreRefusal { message: "no peer to ask".to_owned(), verdict: Verdict::NotRun };
         let wait_ms = if let StoreCall::Watch { wait_ms, .. } = call { *wait_ms } else { 0 };
         let max = STORE_MAX + Duration::from_millis(wait_ms + WATCH_SLACK_MS);
-        for peer in self.live_peers().into_iter().take(STORE_PEERS) {
+        let peers = if wait_ms > 0 { 1 } else { STORE_PEERS };
+        for peer in self.live_peers().into_iter().take(peers) {
             match self.ask_peer(peer, &PeerCall::Store(call.clone()), max).await {
                 Ok(PeerAnswer::Store(Ok(answer))) => return Ok(answer),
                 Ok(PeerAnswer::Store(Err(refusal))) => last = refusal,
