Two nodes watch the store and pass changes on by datagrams

Weighed: stale reads (may bring back a target that left), one watcher (its death is a second of old configuration), a tree of relays (not needed up to some hundred nodes). Change: two watchers by rank; a datagram names the revisions it covers, a gap is asked for at a peer, a second without news makes a node watch for itself.

--- a/crates/serve/src/feed.rs
+++ b/crates/serve/src/feed.rs
@@ -1,79 +1,371 @@
 //! Follows what others write to the store: the operators' configuration, the trainers' versions
 //! and the targets' entries.
 //!
-//! A feed reads its prefix whole, then waits for changes after that revision. When the history
-//! is lost it reads the whole again; reads that may be old are never used here, because an old
-//! entry would bring back a target that has left.
+//! Each call of the store is priced, and its rate does not grow with the fleet. So two nodes watch,
+//! and pass on what they see to all others by datagrams; two, so that the death of one is not even
+//! noticed. A datagram names the revisions that it covers: a node that misses some asks a peer for
+//! what came since. A node that hears from no watcher for [`SILENCE_MAX_MS`] watches for itself.
+//!
+//! Reads that may be old are never used here: an old entry would bring back a target that has left.
 
 use crate::clock;
 use crate::node::Node;
+use crate::peers::{self, Datagram, PeerAnswer, PeerCall};
 use crate::platform::{OperatorNotice, Platform};
 use crate::store::{StoreAnswer, StoreCall, StoreEvent, StoreRefusal, StoredItem};
 use catkinmast_dispatch::{Document, TargetChange};
+use catkinmast_model::UnixMs;
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
 use serde_json::json;
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::sleep;
-
-/// How long one wait for changes lasts. A connection that has gone silent is noticed by then, and
-/// each wait costs a call of the store.
-const WAIT_MS: u64 = 10_000;
-/// Changes that come within this time cost one call instead of several. A configuration must be in
-/// force within two seconds, a leaving target out of use within two.
-const GATHER: Duration = Duration::from_millis(200);
+use tokio::sync::Notify;
+use tokio::time::{sleep, timeout};
+
+/// Nodes that watch.
+const WATCHERS: usize = 2;
+/// How long one wait for changes lasts. A connection that has gone silent is noticed by then.
+const WAIT_MS: u64 = 2_000;
+/// How often a watcher says that it still watches.
+const ALIVE_EVERY: Duration = Duration::from_millis(400);
+/// After this silence a node watches for itself: two lost datagrams of both watchers, and half of
+/// the time within which a configuration must be in force.
+const SILENCE_MAX_MS: u64 = 1_000;
+/// Changes of targets that come within this time cost one call and one datagram instead of several.
+/// A leaving target must be out of use within two seconds.
+const GATHER_TARGETS: Duration = Duration::from_millis(300);
+/// The same for what operators and trainers write; a trainer waits for its version.
+const GATHER_OPERATORS: Duration = Duration::from_millis(60);
+/// Bytes of changes in one datagram.
+const DATAGRAM_CHANGES_BYTES: usize = 1_200;
+/// Changes kept for peers that missed a datagram.
+const LOG_MAX: usize = 512;
 /// First pause after a failure; doubled up to [`PAUSE_MAX_MS`], with jitter.
 const PAUSE_MS: u64 = 100;
 const PAUSE_MAX_MS: u64 = 800;
+/// How long a peer may take to tell what came since.
+const CATCH_UP_MAX: Duration = Duration::from_millis(500);
 /// When more than one target in this many vanishes at once, the registry forgot them; targets
 /// that leave do so one by one.
 const VANISHED_PART: usize = 3;
 
-/// Follows the operators' keys until the process ends.
-pub(crate) async fn follow_operators<P: Platform>(node: Rc<Node<P>>) {
-    let mut pause_ms = PAUSE_MS;
-    loop {
-        let failed = match read_whole(&node, P::OPERATOR_PREFIX).await {
-            Ok((items, as_of)) => {
-                pause_ms = PAUSE_MS;
-                for item in &items {
-                    take_operator_item(&node, item);
+/// What a feed follows.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub(crate) enum Subject {
+    /// Configuration and versions.
+    Operators,
+    /// Entries of targets.
+    Targets,
+}
+
+/// Changes of a feed, as they go between nodes.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(crate) struct Changes {
+    /// The revision after which they begin.
+    pub after: u64,
+    /// Whether the store was away before them, so that what vanished may be back soon.
+    pub after_outage: bool,
+    /// The revision up to which they are complete.
+    pub as_of: u64,
+    /// The changes; left out where they do not fit a datagram.
+    pub events: Option<Vec<StoreEvent>>,
+}
+
+/// What a node knows of a feed.
+#[derive(Debug, Default)]
+struct Known {
+    as_of: u64,
+    heard_at: UnixMs,
+    items: IndexMap<String, (u64, Vec<u8>)>,
+    log: VecDeque<StoreEvent>,
+    log_from: u64,
+    started: bool,
+}
+
+/// A feed.
+#[derive(Debug, Default)]
+pub(crate) struct Feed {
+    behind: Notify,
+    behind_of: RefCell<Option<SocketAddr>>,
+    known: RefCell<Known>,
+}
+
+/// The feeds of a node.
+#[derive(Debug, Default)]
+pub(crate) struct Feeds {
+    operators: Feed,
+    targets: Feed,
+}
+
+impl Feeds {
+    const fn of(&self, subject: Subject) -> &Feed {
+        match subject {
+            Subject::Operators => &self.operators,
+            Subject::Targets => &self.targets,
+        }
+    }
+}
+
+impl Known {
+    /// Returns the changes that turn what is known into a list read whole at `as_of`.
+    fn difference(&self, items: &[StoredItem], as_of: u64) -> Vec<StoreEvent> {
+        let listed = |key: &String| items.iter().any(|item| item.key == *key);
+        let gone = self.items.keys().filter(|key| !listed(key));
+        let gone = gone.map(|key| StoreEvent::Deleted { key: key.clone(), revision: as_of });
+        let held = |item: &StoredItem| self.items.get(&item.key).map_or(0, |(held, _)| *held);
+        let new = items.iter().filter(|item| item.revision > held(item));
+        gone.chain(new.cloned().map(StoreEvent::Written)).collect()
+    }
+
+    /// Takes changes; returns those that were news.
+    fn take(&mut self, events: Vec<StoreEvent>, as_of: u64) -> Vec<StoreEvent> {
+        let news: Vec<StoreEvent> =
+            events.into_iter().filter(|event| self.take_one(event)).collect();
+        for event in &news {
+            self.log.push_back(event.clone());
+        }
+        while self.log.len() > LOG_MAX {
+            if let Some(event) = self.log.pop_front() {
+                self.log_from = self.log_from.max(event.revision());
+            }
+        }
+        self.as_of = self.as_of.max(as_of);
+        news
+    }
+
+    fn take_one(&mut self, event: &StoreEvent) -> bool {
+        let held = self.items.get(event.key()).map(|(revision, _)| *revision);
+        match event {
+            StoreEvent::Written(item) => {
+                let is_news = held.is_none_or(|held| item.revision > held);
+                if is_news {
+                    self.items.insert(item.key.clone(), (item.revision, item.value.clone()));
                 }
-                watch(&node, P::OPERATOR_PREFIX, as_of, |event| {
-                    if let StoreEvent::Written(item) = event {
-                        take_operator_item(&node, item);
-                    }
-                })
-                .await
+                is_news
             }
-            Err(refusal) => Some(refusal),
-        };
-        if failed.is_some() {
-            pause_ms = pause(&node, pause_ms).await;
+            StoreEvent::Deleted { key, revision } => {
+                let is_news = held.is_some_and(|held| *revision > held);
+                if is_news {
+                    self.items.swap_remove(key);
+                }
+                is_news
+            }
+        }
+    }
+}
+
+impl StoreEvent {
+    fn key(&self) -> &str {
+        match self {
+            Self::Deleted { key, .. } => key,
+            Self::Written(item) => &item.key,
+        }
+    }
+
+    const fn revision(&self) -> u64 {
+        match self {
+            Self::Deleted { revision, .. } => *revision,
+            Self::Written(item) => item.revision,
         }
     }
 }
 
-/// Follows the targets' entries until the process ends.
-pub(crate) async fn follow_targets<P: Platform>(node: Rc<Node<P>>) {
+/// Follows a subject until the process ends.
+pub(crate) async fn follow<P: Platform>(node: Rc<Node<P>>, subject: Subject) {
     let mut pause_ms = PAUSE_MS;
-    let mut away = false;
+    let mut after_outage = false;
     loop {
-        let failed = match read_whole(&node, P::TARGETS_PREFIX).await {
+        let heard_at = node.feeds.of(subject).known.borrow().heard_at;
+        let started = node.feeds.of(subject).known.borrow().started;
+        let silent_ms = clock::now().since_ms(heard_at);
+        if started && !is_watcher(&node) && silent_ms < SILENCE_MAX_MS {
+            listen(&node, subject, SILENCE_MAX_MS - silent_ms).await;
+            continue;
+        }
+        match read_whole(&node, prefix::<P>(subject)).await {
             Ok((items, as_of)) => {
                 pause_ms = PAUSE_MS;
-                replace_targets(&node, &items, std::mem::take(&mut away));
-                watch(&node, P::TARGETS_PREFIX, as_of, |event| take_target_event(&node, event))
-                    .await
+                let events = node.feeds.of(subject).known.borrow().difference(&items, as_of);
+                arrived(&node, subject, events, as_of, std::mem::take(&mut after_outage));
+                if let Some(refusal) = watch(&node, subject).await {
+                    after_outage = true;
+                    let why = json!({ "subject": format!("{subject:?}"), "why": refusal.message });
+                    node.note("feed_lost", why);
+                }
             }
-            Err(refusal) => Some(refusal),
-        };
-        if failed.is_some() {
-            away = true;
+            Err(_) => after_outage = true,
+        }
+        if after_outage {
             pause_ms = pause(&node, pause_ms).await;
         }
     }
 }
 
+const fn prefix<P: Platform>(subject: Subject) -> &'static str {
+    match subject {
+        Subject::Operators => P::OPERATOR_PREFIX,
+        Subject::Targets => P::TARGETS_PREFIX,
+    }
+}
+
+fn is_watcher<P: Platform>(node: &Node<P>) -> bool {
+    peers::rank_for(node, "feeds").is_none_or(|rank| rank < WATCHERS)
+}
+
+/// Waits for news of the watchers; catches up when some were missed.
+async fn listen<P: Platform>(node: &Rc<Node<P>>, subject: Subject, wait_ms: u64) {
+    let feed = node.feeds.of(subject);
+    if timeout(Duration::from_millis(wait_ms), feed.behind.notified()).await.is_err() {
+        return;
+    }
+    let Some(peer) = feed.behind_of.borrow_mut().take() else { return };
+    let after = feed.known.borrow().as_of;
+    let call = PeerCall::Changes { after, subject };
+    match node.ask_peer(peer, &call, CATCH_UP_MAX).await {
+        Ok(PeerAnswer::Changes(changes)) => {
+            let events = changes.events.unwrap_or_default();
+            take_changes(node, subject, events, changes.as_of, changes.after_outage);
+        }
+        // Unheard, the next round watches for itself.
+        _ => feed.known.borrow_mut().heard_at = UnixMs(0),
+    }
+}
+
+/// Answers a peer that missed changes.
+pub(crate) fn changes_since<P: Platform>(
+    node: &Node<P>,
+    subject: Subject,
+    after: u64,
+) -> Option<Changes> {
+    let known = node.feeds.of(subject).known.borrow();
+    if !known.started || after > known.as_of {
+        return None;
+    }
+    let events = if after >= known.log_from {
+        known.log.iter().filter(|event| event.revision() > after).cloned().collect()
+    } else {
+        // What was deleted since cannot be told any more; the whole list is read from the store.
+        return None;
+    };
+    Some(Changes { after, after_outage: false, as_of: known.as_of, events: Some(events) })
+}
+
+/// Takes a watcher's datagram.
+pub(crate) fn told<P: Platform>(
+    node: &Node<P>,
+    subject: Subject,
+    changes: Changes,
+    from: SocketAddr,
+) {
+    let feed = node.feeds.of(subject);
+    let as_of = feed.known.borrow().as_of;
+    if changes.after > as_of || (changes.events.is_none() && changes.as_of > as_of) {
+        *feed.behind_of.borrow_mut() = Some(from);
+        feed.behind.notify_one();
+        return;
+    }
+    feed.known.borrow_mut().heard_at = clock::now();
+    if changes.as_of > as_of {
+        let events = changes.events.unwrap_or_default();
+        take_changes(node, subject, events, changes.as_of, changes.after_outage);
+    }
+}
+
+/// Takes changes that this node saw itself, and passes them on.
+fn arrived<P: Platform>(
+    node: &Node<P>,
+    subject: Subject,
+    events: Vec<StoreEvent>,
+    as_of: u64,
+    after_outage: bool,
+) {
+    let after = {
+        let mut known = node.feeds.of(subject).known.borrow_mut();
+        if !known.started {
+            known.started = true;
+            known.log_from = as_of;
+        }
+        known.as_of
+    };
+    take_changes(node, subject, events.clone(), as_of, after_outage);
+    if is_watcher(node) {
+        pass_on(node, subject, Changes { after, after_outage, as_of, events: Some(events) });
+    }
+}
+
+fn pass_on<P: Platform>(node: &Node<P>, subject: Subject, changes: Changes) {
+    let peers = node.live_peers();
+    for part in datagrams(changes) {
+        let datagram = Datagram::Changes { changes: part, subject };
+        for peer in &peers {
+            peers::send(node, &datagram, *peer);
+        }
+    }
+}
+
+/// Cuts changes into parts that fit a datagram each; one change that does not fit is left out of
+/// its part, and the receiver asks for it.
+fn datagrams(changes: Changes) -> Vec<Changes> {
+    let Changes { after, after_outage, as_of, events } = changes;
+    let mut parts = Vec::new();
+    let mut part: Vec<StoreEvent> = Vec::new();
+    let mut part_after = after;
+    let mut spent_bytes = 0;
+    for event in events.unwrap_or_default() {
+        let size_bytes = event.size_bytes();
+        if size_bytes > DATAGRAM_CHANGES_BYTES {
+            return vec![Changes { after, after_outage, as_of, events: None }];
+        }
+        if spent_bytes + size_bytes > DATAGRAM_CHANGES_BYTES {
+            let until = part.last().map_or(part_after, StoreEvent::revision).max(part_after);
+            let events = Some(std::mem::take(&mut part));
+            parts.push(Changes { after: part_after, after_outage, as_of: until, events });
+            part_after = until;
+            spent_bytes = 0;
+        }
+        spent_bytes += size_bytes;
+        part.push(event);
+    }
+    parts.push(Changes { after: part_after, after_outage, as_of, events: Some(part) });
+    parts
+}
+
+impl StoreEvent {
+    fn size_bytes(&self) -> usize {
+        const FRAMING_BYTES: usize = 16;
+        let value = if let Self::Written(item) = self { item.value.len() } else { 0 };
+        self.key().len() + value + FRAMING_BYTES
+    }
+}
+
+fn take_changes<P: Platform>(
+    node: &Node<P>,
+    subject: Subject,
+    events: Vec<StoreEvent>,
+    as_of: u64,
+    after_outage: bool,
+) {
+    let news = {
+        let mut known = node.feeds.of(subject).known.borrow_mut();
+        known.heard_at = clock::now();
+        known.take(events, as_of)
+    };
+    match subject {
+        Subject::Operators => {
+            for event in &news {
+                if let StoreEvent::Written(item) = event {
+                    take_operator_item(node, item);
+                }
+            }
+        }
+        Subject::Targets => take_target_events(node, &news, after_outage),
+    }
+}
+
 async fn pause<P: Platform>(node: &Node<P>, pause_ms: u64) -> u64 {
     let jittered_ms = pause_ms / 2 + node.draw() % pause_ms;
     sleep(Duration::from_millis(jittered_ms)).await;
@@ -106,31 +398,53 @@
     }
 }
 
-/// Waits for changes until the history is lost (none) or the store does not answer.
-async fn watch<P: Platform>(
-    node: &Node<P>,
-    prefix: &str,
-    mut after: u64,
-    take: impl Fn(&StoreEvent),
-) -> Option<StoreRefusal> {
+/// Waits for changes until the history is lost, the store does not answer, or others watch.
+async fn watch<P: Platform>(node: &Rc<Node<P>>, subject: Subject) -> Option<StoreRefusal> {
+    let gather = match subject {
+        Subject::Operators => GATHER_OPERATORS,
+        Subject::Targets => GATHER_TARGETS,
+    };
     loop {
-        let call = StoreCall::Watch { after, prefix: prefix.to_owned(), wait_ms: WAIT_MS };
+        let after = node.feeds.of(subject).known.borrow().as_of;
+        let prefix = prefix::<P>(subject).to_owned();
+        let call = StoreCall::Watch { after, prefix, wait_ms: WAIT_MS };
         match node.store(&call).await {
             Ok(StoreAnswer::Events { as_of, events }) => {
-                events.iter().for_each(&take);
-                after = after.max(as_of);
-                if !events.is_empty() {
-                    sleep(GATHER).await;
+                let any = !events.is_empty();
+                arrived(node, subject, events, as_of, false);
+                if any {
+                    sleep(gather).await;
                 }
             }
             Ok(_) => {
-                node.note("feed_restarted", json!({ "prefix": prefix, "after": after }));
+                let why = json!({ "subject": format!("{subject:?}"), "after": after });
+                node.note("feed_restarted", why);
                 return None;
             }
-            Err(refusal) => {
-                let why = json!({ "prefix": prefix, "after": after, "why": refusal.message });
-                node.note("feed_lost", why);
-                return Some(refusal);
+            Err(refusal) => return Some(refusal),
+        }
+        if !is_watcher(node) {
+            return None;
+        }
+    }
+}
+
+/// Tells the others that this node still watches, as long as it hears the store.
+pub(crate) async fn say_alive<P: Platform>(node: Rc<Node<P>>) {
+    loop {
+        sleep(ALIVE_EVERY).await;
+        if !is_watcher(&node) || node.leaving.get() {
+            continue;
+        }
+        for subject in [Subject::Operators, Subject::Targets] {
+            let (as_of, heard_at) = {
+                let known = node.feeds.of(subject).known.borrow();
+                (known.as_of, known.heard_at)
+            };
+            if clock::now().since_ms(heard_at) <= WAIT_MS + SILENCE_MAX_MS {
+                let changes =
+                    Changes { after: as_of, after_outage: false, as_of, events: Some(Vec::new()) };
+                pass_on(&node, subject, changes);
             }
         }
     }
@@ -185,32 +499,24 @@
     node.work.notify_one();
 }
 
-fn replace_targets<P: Platform>(node: &Node<P>, items: &[StoredItem], was_away: bool) {
+fn take_target_events<P: Platform>(node: &Node<P>, events: &[StoreEvent], after_outage: bool) {
     let now = clock::now();
-    let entries = items.iter().filter_map(|item| decode_target(node, item)).collect::<Vec<_>>();
-    let changes = {
-        let mut targets = node.targets.borrow_mut();
-        if was_away || targets.vanish_count(&entries) * VANISHED_PART > targets.count() {
-            targets.registry_was_away(now);
-        }
-        targets.replaced(now, entries)
-    };
-    for change in &changes {
-        node.target_changed(change, "list");
+    let gone = events.iter().filter(|event| matches!(event, StoreEvent::Deleted { .. })).count();
+    if after_outage || (gone > 1 && gone * VANISHED_PART > node.targets.borrow().count()) {
+        node.targets.borrow_mut().registry_was_away(now);
+    }
+    for event in events {
+        let change = match event {
+            StoreEvent::Deleted { key, .. } => {
+                node.targets.borrow_mut().removed(now, P::target_id(key))
+            }
+            StoreEvent::Written(item) => match decode_target(node, item) {
+                Some(entry) => node.targets.borrow_mut().seen(entry),
+                None => TargetChange::None,
+            },
+        };
+        node.target_changed(&change, "registry");
     }
-}
-
-fn take_target_event<P: Platform>(node: &Node<P>, event: &StoreEvent) {
-    let change = match event {
-        StoreEvent::Deleted { key, .. } => {
-            node.targets.borrow_mut().removed(clock::now(), P::target_id(key))
-        }
-        StoreEvent::Written(item) => match decode_target(node, item) {
-            Some(entry) => node.targets.borrow_mut().seen(entry),
-            None => TargetChange::None,
-        },
-    };
-    node.target_changed(&change, "event");
 }
 
 fn decode_target<P: Platform>(
--- a/crates/serve/src/node.rs
+++ b/crates/serve/src/node.rs
@@ -2,6 +2,7 @@
 
 use crate::batches::Batches;
 use crate::clock;
+use crate::feed::Feeds;
 use crate::metrics::{Metrics, count};
 use crate::peers::{PeerAnswer, PeerCall};
 use crate::platform::Platform;
@@ -48,6 +49,7 @@
     pub batches: Batches,
     pub datagrams: UdpSocket,
     pub document: RefCell<Option<Rc<Document>>>,
+    pub feeds: Feeds,
     pub in_flight: Cell<usize>,
     pub key: SharedKey,
     pub leaving: Cell<bool>,
@@ -76,6 +78,7 @@
             batches: Batches::default(),
             datagrams,
             document: RefCell::new(None),
+            feeds: Feeds::default(),
             in_flight: Cell::new(0),
             // The platform gives no secret to share; the tag still refuses what is not a frame.
             key: SharedKey::derive(""),
--- a/crates/serve/src/peers.rs
+++ b/crates/serve/src/peers.rs
@@ -1,6 +1,7 @@
 //! The other nodes: who lives, and calls between nodes.
 
 use crate::clock;
+use crate::feed::{self, Changes, Subject};
 use crate::node::Node;
 use crate::platform::Platform;
 use crate::pool::CallError;
@@ -41,6 +42,8 @@
 pub(crate) enum PeerCall {
     /// Gives a batch to the receiver, which the store names as its owner already.
     Adopt { batch: String },
+    /// Asks for the changes of a feed that came after a revision.
+    Changes { after: u64, subject: Subject },
     /// Ends a batch that the receiver owns.
     End { batch: String },
     /// Reads the body of an item of a batch that the receiver owns.
@@ -58,6 +61,8 @@
     Adopting,
     /// The body of an item.
     Body(Vec<u8>),
+    /// Changes of a feed.
+    Changes(Changes),
     /// The batch is ended, and that is durable.
     Ended,
     /// No such item.
@@ -77,6 +82,8 @@
 pub(crate) enum Datagram {
     /// A batch has a new owner.
     BatchOwned { batch: String, owner: Owner },
+    /// Changes of a feed.
+    Changes { changes: Changes, subject: Subject },
     /// Membership.
     Member(Message),
 }
@@ -144,6 +151,7 @@
         Ok(Datagram::Member(message)) => {
             with_members(node, |members, now| members.receive(now, from, message));
         }
+        Ok(Datagram::Changes { changes, subject }) => feed::told(node, subject, changes, from),
         Ok(Datagram::BatchOwned { batch, owner }) => node.batches.note_owner(&batch, owner),
         Err(error) => {
             node.note("datagram_refused", json!({ "from": from, "why": error.to_string() }));
@@ -190,7 +198,7 @@
 }
 
 /// Sends a datagram; one that is lost is made good by the next probe.
-fn send<P: Platform>(node: &Node<P>, datagram: &Datagram, to: SocketAddr) {
+pub(crate) fn send<P: Platform>(node: &Node<P>, datagram: &Datagram, to: SocketAddr) {
     match wire::seal(&node.key, datagram, wire::DATAGRAM_MAX_BYTES) {
         Ok(frame) => {
             if let Err(error) = node.datagrams.try_send_to(&frame, to) {
@@ -231,16 +239,22 @@
     found.map(|peer| peer.control)
 }
 
-/// Tells whether this node comes first for a duty among those that live.
-pub(crate) fn is_first_for<P: Platform>(node: &Node<P>, duty: &str) -> bool {
+/// Returns this node's rank for a duty among those that live; none before it has joined.
+///
+/// All who see the same nodes agree on the order without a word, and a node that comes or goes
+/// changes little of it.
+pub(crate) fn rank_for<P: Platform>(node: &Node<P>, duty: &str) -> Option<usize> {
     let members = node.members.borrow();
-    let Some(members) = members.as_ref() else { return false };
+    let members = members.as_ref()?;
     let rank = |name: &Name| xxhash_rust::xxh3::xxh3_64(format!("{duty}/{name}").as_bytes());
-    let first = members
-        .nodes()
-        .filter(|peer| peer.state == NodeState::Live)
-        .min_by_key(|peer| rank(&peer.name));
-    first.is_some_and(|first| first.name == members.me().name)
+    let mine = rank(&members.me().name);
+    let live = members.nodes().filter(|peer| peer.state == NodeState::Live);
+    Some(live.filter(|peer| rank(&peer.name) < mine).count())
+}
+
+/// Tells whether this node comes first for a duty among those that live.
+pub(crate) fn is_first_for<P: Platform>(node: &Node<P>, duty: &str) -> bool {
+    rank_for(node, duty) == Some(0)
 }
 
 /// Returns the holder of a duty that all are told of, if it lives.
@@ -286,6 +300,8 @@
             crate::batches::adopt(&node, batch);
             PeerAnswer::Adopting
         }
+        PeerCall::Changes { after, subject } => feed::changes_since(&node, subject, after)
+            .map_or(PeerAnswer::Unavailable, PeerAnswer::Changes),
         PeerCall::End { batch } => crate::batches::end_owned(&node, &batch).await,
         PeerCall::ItemBody { batch, item } => crate::batches::item_body_owned(&node, &batch, &item),
     };
--- a/crates/serve/src/process.rs
+++ b/crates/serve/src/process.rs
@@ -2,7 +2,7 @@
 
 use crate::batches;
 use crate::clock;
-use crate::feed;
+use crate::feed::{self, Subject};
 use crate::listener::{self, ADDRESSES_TTL_MS};
 use crate::node::Node;
 use crate::orders;
@@ -105,8 +105,9 @@
     let mut stop = signal(SignalKind::terminate()).map_err(start_error("SIGTERM"))?;
     listen(&node, metrics_port).await?;
     spawn_local(reload_on_signal(Rc::clone(&node)));
-    spawn_local(feed::follow_operators(Rc::clone(&node)));
-    spawn_local(feed::follow_targets(Rc::clone(&node)));
+    spawn_local(feed::follow(Rc::clone(&node), Subject::Operators));
+    spawn_local(feed::follow(Rc::clone(&node), Subject::Targets));
+    spawn_local(feed::say_alive(Rc::clone(&node)));
     spawn_local(take_part(Rc::clone(&node)));
     stop.recv().await;
     leave(&node).await;
