One owner a model, longest items first, moved runs, texts kept for groups that come again

Change: the first in rank for a model owns its batches; items start by their length hint, groups beyond the target last; a run on a target 1.8 times slower than a free one goes on there; what an ended batch has of an item's text is used when the group comes again and its versions fit.

--- a/crates/dispatch/src/batch.rs
+++ b/crates/dispatch/src/batch.rs
@@ -6,9 +6,9 @@
 //! and the other takes the winner's results as they are. So no position ever changes and no item
 //! stands twice, without a lease that could lapse.
 
-use crate::submission::{ItemResult, Progress, Submission};
+use crate::submission::{Item, ItemResult, Progress, Submission};
 use catkinmast_model::UnixMs;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 
 /// The terms on which a batch runs.
@@ -24,6 +24,42 @@
     pub single_version: bool,
 }
 
+/// The order in which items are started.
+///
+/// A trainer waits for its target of complete groups, and a group is complete with its longest
+/// item, so the longest items are started first. Groups beyond the target need not be whole: those with the longest items go last. Groups that
+/// an earlier batch left go first, because the trainer waits for them in any case.
+fn running_order(submission: &Submission, carried: impl Fn(&str) -> bool) -> Vec<usize> {
+    let length = |item: &Item| item.length_hint_tokens.unwrap_or(item.tokens);
+    let mut longest: IndexMap<&str, u64> = IndexMap::new();
+    for item in &submission.items {
+        let held = longest.entry(group_of(item)).or_insert(0);
+        *held = (*held).max(length(item));
+    }
+    let spare = longest.len().saturating_sub(
+        submission.target_groups.map_or(longest.len(), |groups| groups as usize),
+    );
+    let mut by_length: Vec<(&str, u64)> = longest
+        .iter()
+        .map(|(group, tokens)| (*group, *tokens))
+        .filter(|(group, _)| !carried(group))
+        .collect();
+    by_length.sort_by_key(|(_, tokens)| std::cmp::Reverse(*tokens));
+    let last: IndexSet<&str> = by_length.iter().take(spare).map(|(group, _)| *group).collect();
+    let mut order: Vec<usize> = (0..submission.items.len()).collect();
+    order.sort_by_key(|index| {
+        let item = &submission.items[*index];
+        let group = group_of(item);
+        let turn = if carried(group) { 0 } else { 1 + u8::from(last.contains(group)) };
+        (turn, std::cmp::Reverse(length(item)))
+    });
+    order
+}
+
+fn group_of(item: &Item) -> &str {
+    item.group.as_deref().unwrap_or(&item.id)
+}
+
 /// Results that are made durable together.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Chunk {
@@ -71,14 +107,20 @@
     flushing: Option<Chunk>,
     index: IndexMap<String, usize>,
     listed: Vec<ItemResult>,
+    order: Vec<usize>,
     places: Vec<Place>,
     submission: Submission,
     terms: BatchTerms,
 }
 
 impl Batch {
-    /// Opens a batch of which nothing has run.
-    pub fn open(submission: Submission, terms: BatchTerms) -> Self {
+    /// Opens a batch of which nothing has run; `carried` tells of groups that an earlier batch
+    /// left incomplete.
+    pub fn open(
+        submission: Submission,
+        terms: BatchTerms,
+        carried: impl Fn(&str) -> bool,
+    ) -> Self {
         let waiting = Place::Waiting { from: UnixMs(0), progress: Progress::default() };
         let index =
             submission.items.iter().enumerate().map(|(at, item)| (item.id.clone(), at)).collect();
@@ -90,6 +132,7 @@
             flushing: None,
             index,
             listed: Vec::new(),
+            order: running_order(&submission, carried),
             places: vec![waiting; submission.items.len()],
             submission,
             terms,
@@ -122,16 +165,15 @@
         self.ended = true;
     }
 
-    /// Takes the next item to run: the first in the submitted order, so that groups become whole
-    /// one after the other.
+    /// Takes the next item to run.
     pub fn next_item(&mut self, now: UnixMs) -> Option<NextItem> {
         if self.ended || now >= self.terms.give_up_at {
             return None;
         }
-        let index = self
-            .places
-            .iter()
-            .position(|place| matches!(place, Place::Waiting { from, .. } if *from <= now))?;
+        let waits = |index: &usize| {
+            matches!(&self.places[*index], Place::Waiting { from, .. } if *from <= now)
+        };
+        let index = self.order.iter().copied().find(waits)?;
         let Place::Waiting { progress, .. } =
             std::mem::replace(&mut self.places[index], Place::Running)
         else {
@@ -182,6 +224,53 @@
         count
     }
 
+    /// Returns the groups of which an item has no durable result.
+    pub fn incomplete_groups(&self) -> Vec<String> {
+        let mut groups: IndexSet<&String> = IndexSet::new();
+        for (place, item) in self.places.iter().zip(&self.submission.items) {
+            if let Some(group) = &item.group
+                && !matches!(place, Place::Listed)
+            {
+                groups.insert(group);
+            }
+        }
+        groups.into_iter().cloned().collect()
+    }
+
+    /// Tells whether an item waits to be run.
+    pub fn has_waiting(&self) -> bool {
+        self.places.iter().any(|place| matches!(place, Place::Waiting { .. }))
+    }
+
+    /// Gives out what is held of the texts of items that wait; for a later batch of the same
+    /// items.
+    pub fn take_progress(&mut self) -> Vec<(String, Progress)> {
+        let mut held = Vec::new();
+        for (place, item) in self.places.iter_mut().zip(&self.submission.items) {
+            if let Place::Waiting { progress, .. } = place
+                && progress.last_event_id.is_some()
+            {
+                held.push((item.id.clone(), std::mem::take(progress)));
+            }
+        }
+        held
+    }
+
+    /// Lets an item that waits go on from a text that an earlier batch left, where its versions
+    /// fit; returns whether they do.
+    pub fn resume_from(&mut self, id: &str, progress: Progress) -> bool {
+        let oldest = progress.versions.first().copied().unwrap_or(0);
+        let fits = oldest >= self.submission.oldest_version && !self.terms.single_version;
+        let Some(at) = self.index.get(id).copied() else { return false };
+        if let Place::Waiting { progress: held, .. } = &mut self.places[at]
+            && fits
+        {
+            *held = progress;
+            return true;
+        }
+        false
+    }
+
     /// Returns whether results wait to be written.
     pub const fn has_finished(&self) -> bool {
         !self.finished.is_empty()
@@ -267,7 +356,7 @@
     }
 
     /// Returns an item by its id.
-    pub fn item(&self, id: &str) -> Option<&crate::Item> {
+    pub fn item(&self, id: &str) -> Option<&Item> {
         self.index.get(id).map(|at| &self.submission.items[*at])
     }
 
--- a/crates/dispatch/src/load.rs
+++ b/crates/dispatch/src/load.rs
@@ -109,30 +109,39 @@
             .map(|(_, pick)| **pick)
     }
 
-    /// Chooses a target that has a free slot by our own count, preferring `preferred`.
+    /// Chooses a target that has a free slot by our own count: the fastest, by steps of a quarter
+    /// of the fastest's pace, then `preferred`, then the emptiest.
+    ///
+    /// Runs at one target hardly slow each other down, while a target that is slow delays the
+    /// whole group of the item that it runs.
     pub fn choose_free<'a>(
         &self,
         now: UnixMs,
         candidates: &[Pick<'a>],
-        tried: &[String],
         preferred: Option<&str>,
         draw: u64,
     ) -> Option<Pick<'a>> {
-        let free: Vec<Pick<'a>> = candidates
+        let fastest_us = self.fastest_us(candidates);
+        let free: Vec<&Pick<'a>> = candidates
             .iter()
             .filter(|pick| self.in_flight(pick.id) < pick.slots)
             .filter(|pick| self.rests_until(pick.id) <= now)
-            .copied()
             .collect();
-        let fastest_us = self.fastest_us(candidates);
-        let kept = preferred
-            .filter(|id| !tried.iter().any(|other| other == id))
-            .and_then(|id| free.iter().find(|pick| pick.id == id))
-            .filter(|pick| self.slowness(pick.id, fastest_us) < 2 * SLOWNESS_UNIT);
-        match kept {
-            Some(pick) => Some(*pick),
-            None => self.choose(now, &free, tried, draw),
-        }
+        let count = free.len() as u64;
+        free.iter()
+            .enumerate()
+            .min_by_key(|(index, pick)| {
+                let step = self.slowness(pick.id, fastest_us) * 4 / SLOWNESS_UNIT;
+                let other = u8::from(preferred != Some(pick.id));
+                let load = self.in_flight(pick.id) * 100 / pick.slots.max(1);
+                (step, other, load, (*index as u64 + draw) % count.max(1))
+            })
+            .map(|(_, pick)| **pick)
+    }
+
+    /// Tells how many tenths of the fastest candidate's pace a target takes.
+    pub fn slowness_of(&self, candidates: &[Pick<'_>], id: &str) -> u64 {
+        self.slowness(id, self.fastest_us(candidates))
     }
 
     /// Counts a call as sent.
@@ -214,7 +223,7 @@
 }
 
 /// The resolution of slowness: a tenth of the fastest latency.
-const SLOWNESS_UNIT: u64 = 10;
+pub(crate) const SLOWNESS_UNIT: u64 = 10;
 
 impl Seen {
     const fn answered(&mut self, latency_ms: u64) {
--- a/crates/dispatch/src/submission.rs
+++ b/crates/dispatch/src/submission.rs
@@ -103,6 +103,8 @@
     pub text: String,
     /// The versions that produced them, rising.
     pub versions: Vec<u64>,
+    /// Whether the text is whole and waits for its score only.
+    pub whole: bool,
 }
 
 impl Progress {
--- a/crates/serve/src/batches.rs
+++ b/crates/serve/src/batches.rs
@@ -11,7 +11,7 @@
 use crate::peers::{self, Owner, PeerAnswer, PeerCall};
 use crate::platform::Platform;
 use crate::store::{Expectation, Put, StoreAnswer, StoreCall, StoreRefusal, StoredItem};
-use catkinmast_dispatch::{Batch, BatchTerms, Chunk, ItemResult, Merge, Route, Submission};
+use catkinmast_dispatch::{Batch, BatchTerms, Chunk, ItemResult, Merge, Progress, Route, Submission};
 use catkinmast_model::{UnixMs, Verdict};
 use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
@@ -51,6 +51,11 @@
 const KEPT_MS: u64 = 180_000;
 /// How long running items may take to finish before a leaving owner hands their batch over.
 const HAND_OVER_MAX_MS: u64 = 1_200;
+/// How long texts of ended batches are kept: a trainer that asks for a group again does so within
+/// a few steps.
+const LEFTOVER_KEPT_MS: u64 = 30_000;
+/// How long the owner of a model may take to accept a batch before this node does it.
+const SUBMIT_MAX: Duration = Duration::from_millis(1_000);
 /// Keys that one transaction may change.
 const TRANSACTION_MAX_KEYS: usize = 30;
 
@@ -84,8 +89,8 @@
     pub id: String,
     /// Whether this node still owns it.
     pub owned: bool,
-    /// The runs in progress.
-    pub runs: IndexMap<usize, AbortHandle>,
+    /// The runs in progress, by the item's index.
+    pub runs: IndexMap<usize, Run>,
     settled_at: Option<UnixMs>,
 }
 
@@ -95,17 +100,49 @@
         (&self.head.host, &self.head.path)
     }
 
-    /// Stops all runs.
+    /// Stops all runs; what they hold of their texts stays.
     fn stop_runs(&mut self) {
-        for (_, run) in self.runs.drain(..) {
-            run.abort();
+        let indices: Vec<usize> = self.runs.keys().copied().collect();
+        for index in indices {
+            self.stop_run(index);
         }
     }
+
+    /// Stops one run; its item waits again, with what is held of its text.
+    pub(crate) fn stop_run(&mut self, index: usize) {
+        let Some(run) = self.runs.swap_remove(&index) else { return };
+        run.task.abort();
+        let progress = run.progress.borrow().clone();
+        self.batch.put_back(index, UnixMs(0), progress);
+    }
+}
+
+/// A run of an item in progress.
+#[derive(Debug)]
+pub(crate) struct Run {
+    /// When it began.
+    pub began_at: UnixMs,
+    /// What is held of the text.
+    pub progress: Rc<RefCell<Progress>>,
+    /// Whether its text is whole and it is being scored.
+    pub scoring: bool,
+    /// The target.
+    pub target: String,
+    /// Its task.
+    pub task: AbortHandle,
+}
+
+/// What ended batches left of their items' texts.
+#[derive(Debug, Default)]
+struct Leftovers {
+    groups: IndexMap<String, UnixMs>,
+    texts: IndexMap<String, (Progress, UnixMs)>,
 }
 
 /// All batches that this node knows of.
 #[derive(Debug, Default)]
 pub(crate) struct Batches {
+    leftovers: RefCell<Leftovers>,
     owned: RefCell<IndexMap<String, Rc<RefCell<Held>>>>,
     owners: RefCell<IndexMap<String, Owner>>,
     taking: RefCell<IndexSet<String>>,
@@ -198,6 +235,37 @@
     route.unwrap_or(0)
 }
 
+/// Has a submission accepted by the node that owns the batches of its model, else by this one.
+///
+/// With one owner for a model, its runs share that node's connections and its view of each target's
+/// load, and a group that comes again finds the texts that were begun.
+pub(crate) async fn submit<P: Platform>(
+    node: &Rc<Node<P>>,
+    id: &str,
+    host: &str,
+    path: &str,
+    submission: Submission,
+) -> Acceptance {
+    let duty = format!("batches/{}", submission.model.as_deref().unwrap_or(path));
+    let owner = peers::first_for(node, &duty);
+    let Some(owner) = owner.filter(|_| node.batches.get(id).is_none()) else {
+        return accept(node, id, host, path, submission).await;
+    };
+    let call = PeerCall::Submit {
+        batch: id.to_owned(),
+        host: host.to_owned(),
+        path: path.to_owned(),
+        submission: Box::new(submission),
+    };
+    let answer = node.ask_peer(owner, &call, SUBMIT_MAX).await;
+    if matches!(answer, Ok(PeerAnswer::Accepted)) {
+        return Acceptance::Kept;
+    }
+    // The batch is created once, whoever does it; so this node may try whatever became of the call.
+    let PeerCall::Submit { submission, .. } = call else { unreachable!("it was made above") };
+    accept(node, id, host, path, *submission).await
+}
+
 /// Accepts a submission: writes it to the store, and owns it.
 pub(crate) async fn accept<P: Platform>(
     node: &Rc<Node<P>>,
@@ -322,19 +390,15 @@
         return;
     };
     let terms = terms(&route, reward_attempts(node, &submission), accepted_at, slack_ms);
-    node.note(
-        "batch_owned",
-        json!({
-            "request": id, "items": submission.items.len(), "model": submission.model,
-            "step": submission.step, "oldest_version": submission.oldest_version,
-            "target_groups": submission.target_groups, "chunks": chunks.len(),
-            "head_revision": head_revision, "route": route.name,
-        }),
-    );
-    let mut batch = Batch::open(submission, terms);
-    for chunk in chunks {
-        batch.merge(chunk);
-    }
+    let mut line = json!({
+        "request": id, "items": submission.items.len(), "model": submission.model,
+        "step": submission.step, "oldest_version": submission.oldest_version,
+        "target_groups": submission.target_groups, "chunks": chunks.len(),
+        "head_revision": head_revision, "route": route.name,
+    });
+    let (batch, resumed) = open_batch(node, submission, terms, chunks);
+    line["resumed"] = json!(resumed);
+    node.note("batch_owned", line);
     let held = Rc::new(RefCell::new(Held {
         accepted_at,
         batch,
@@ -355,6 +419,47 @@
     tokio::task::spawn_local(write_results(Rc::clone(node), held));
 }
 
+/// Opens a batch with what is durable of it, and with the texts that an earlier batch left of its
+/// items; returns how many of those fit.
+fn open_batch<P: Platform>(
+    node: &Node<P>,
+    submission: Submission,
+    terms: BatchTerms,
+    chunks: &[Chunk],
+) -> (Batch, usize) {
+    let mut leftovers = node.batches.leftovers.borrow_mut();
+    let now = clock::now();
+    leftovers.texts.retain(|_, (_, at)| now.since_ms(*at) < LEFTOVER_KEPT_MS);
+    leftovers.groups.retain(|_, at| now.since_ms(*at) < LEFTOVER_KEPT_MS);
+    let ids: Vec<String> = submission.items.iter().map(|item| item.id.clone()).collect();
+    let mut batch =
+        Batch::open(submission, terms, |group| leftovers.groups.contains_key(group));
+    for chunk in chunks {
+        batch.merge(chunk);
+    }
+    let mut resumed = 0;
+    for id in ids {
+        if let Some((progress, _)) = leftovers.texts.swap_remove(&id)
+            && batch.resume_from(&id, progress)
+        {
+            resumed += 1;
+        }
+    }
+    (batch, resumed)
+}
+
+/// Keeps what an ended batch leaves of its items: a later one may ask for the same ones.
+fn keep_leftovers<P: Platform>(node: &Node<P>, held: &mut Held) {
+    let now = clock::now();
+    let mut leftovers = node.batches.leftovers.borrow_mut();
+    for group in held.batch.incomplete_groups() {
+        leftovers.groups.insert(group, now);
+    }
+    for (id, progress) in held.batch.take_progress() {
+        leftovers.texts.insert(id, (progress, now));
+    }
+}
+
 /// Writes the results of a batch as they come, until it is settled or another owns it.
 async fn write_results<P: Platform>(node: Rc<Node<P>>, held: Rc<RefCell<Held>>) {
     let finished = Rc::clone(&held.borrow().finished);
@@ -469,6 +574,7 @@
     if head.ended && !held.batch.is_ended() {
         held.batch.end();
         held.stop_runs();
+        keep_leftovers(node, &mut held);
     }
     if me.as_ref() != Some(&head.owner) {
         held.owned = false;
@@ -667,6 +773,7 @@
         if !held.batch.is_ended() {
             held.batch.end();
             held.stop_runs();
+            keep_leftovers(node, &mut held);
             let (waiting, running, finished) = held.batch.counts();
             node.note(
                 "batch_ended",
--- a/crates/serve/src/caller.rs
+++ b/crates/serve/src/caller.rs
@@ -312,7 +312,7 @@
         }
     };
     drop(body);
-    match batches::accept(node, &id, host, head.uri.path(), submission).await {
+    match batches::submit(node, &id, host, head.uri.path(), submission).await {
         Acceptance::Kept => {
             let ms = clock::now().since_ms(began_at);
             node.note("batch_accepted", json!({ "request": id, "route": route.name, "ms": ms }));
--- a/crates/serve/src/peers.rs
+++ b/crates/serve/src/peers.rs
@@ -1,5 +1,6 @@
 //! The other nodes: who lives, and calls between nodes.
 
+use crate::batches;
 use crate::clock;
 use crate::feed::{self, Changes, Subject};
 use crate::node::Node;
@@ -8,7 +9,7 @@
 use crate::settings::Settings;
 use crate::store::{StoreAnswer, StoreCall, StoreRefusal};
 use bytes::Bytes;
-use catkinmast_dispatch::ItemResult;
+use catkinmast_dispatch::{ItemResult, Submission};
 use catkinmast_member::{
     Fact, Membership, MembershipSettings, Message, NodeFact, NodeState, Output, OwnerFact,
 };
@@ -52,11 +53,15 @@
     Read { after: usize, batch: String, wait_ms: u64 },
     /// Makes a call of the store for a node that the store turns away.
     Store(StoreCall),
+    /// Hands a submission to the owner of its model's batches.
+    Submit { batch: String, host: String, path: String, submission: Box<Submission> },
 }
 
 /// The answer to a [`PeerCall`].
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub(crate) enum PeerAnswer {
+    /// The batch is kept.
+    Accepted,
     /// The receiver takes the batch.
     Adopting,
     /// The body of an item.
@@ -257,6 +262,16 @@
     rank_for(node, duty) == Some(0)
 }
 
+/// Returns where the node that comes first for a duty is reached; none if it is this one.
+pub(crate) fn first_for<P: Platform>(node: &Node<P>, duty: &str) -> Option<SocketAddr> {
+    let members = node.members.borrow();
+    let members = members.as_ref()?;
+    let rank = |name: &Name| xxhash_rust::xxh3::xxh3_64(format!("{duty}/{name}").as_bytes());
+    let live = members.nodes().filter(|peer| peer.state == NodeState::Live);
+    let first = live.min_by_key(|peer| rank(&peer.name))?;
+    (first.name != members.me().name).then_some(first.control)
+}
+
 /// Returns the holder of a duty that all are told of, if it lives.
 pub(crate) fn holder_of<P: Platform>(node: &Node<P>, duty: &Name) -> Option<Name> {
     let members = node.members.borrow();
@@ -291,19 +306,27 @@
     };
     let answer = match call {
         PeerCall::Store(call) => PeerAnswer::Store(node.store_here(&call).await),
-        PeerCall::Read { after, batch, wait_ms } => crate::batches::read_owned(
+        PeerCall::Submit { batch, host, path, submission } => {
+            let accepted = batches::accept(&node, &batch, &host, &path, *submission).await;
+            if matches!(accepted, batches::Acceptance::Kept) {
+                PeerAnswer::Accepted
+            } else {
+                PeerAnswer::Unavailable
+            }
+        }
+        PeerCall::Read { after, batch, wait_ms } => batches::read_owned(
             &node, &batch, after, wait_ms,
         )
         .await
         .map_or(PeerAnswer::NotOwner, |(total, results)| PeerAnswer::Page { results, total }),
         PeerCall::Adopt { batch } => {
-            crate::batches::adopt(&node, batch);
+            batches::adopt(&node, batch);
             PeerAnswer::Adopting
         }
         PeerCall::Changes { after, subject } => feed::changes_since(&node, subject, after)
             .map_or(PeerAnswer::Unavailable, PeerAnswer::Changes),
-        PeerCall::End { batch } => crate::batches::end_owned(&node, &batch).await,
-        PeerCall::ItemBody { batch, item } => crate::batches::item_body_owned(&node, &batch, &item),
+        PeerCall::End { batch } => batches::end_owned(&node, &batch).await,
+        PeerCall::ItemBody { batch, item } => batches::item_body_owned(&node, &batch, &item),
     };
     match postcard::to_stdvec(&answer) {
         Ok(body) => *response.body_mut() = Full::new(Bytes::from(body)),
--- a/crates/serve/src/runs.rs
+++ b/crates/serve/src/runs.rs
@@ -1,6 +1,6 @@
 //! Runs the items of batches: which next, where, what their streams say, and their scores.
 
-use crate::batches::Held;
+use crate::batches::{Held, Run};
 use crate::clock;
 use crate::forward::{self, Chosen, InFlight, Outgoing};
 use crate::metrics::count;
@@ -16,6 +16,7 @@
 use hyper::body::Incoming;
 use serde_json::json;
 use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{sleep, timeout};
@@ -34,6 +35,13 @@
 const SILENCE_MAX: Duration = Duration::from_millis(1_500);
 /// How long a run may take that its caller has not bounded.
 const RUN_MAX_MS: u64 = 30_000;
+/// A run stays where it is for this long: by then its target's pace is known.
+const MOVE_AFTER_MS: u64 = 300;
+/// A run moves from a target that takes at least this many tenths of the time of the free one; the
+/// way of a move costs about as much as one event.
+const MOVE_FROM_TENTHS: u64 = 18;
+/// Runs moved in one look, so that they do not all meet at one target.
+const MOVES_AT_ONCE: usize = 4;
 /// How long one scoring call may take.
 const SCORE_MAX_MS: u64 = 3_000;
 /// Pause between two tries of a scoring call; doubled up to [`SCORE_PAUSE_MAX_MS`].
@@ -47,10 +55,10 @@
     Failed,
     /// The item can never be done.
     Impossible,
-    /// It broke off; another target can go on from `progress`.
-    Broken { outcome: Outcome, progress: Progress, why: String },
+    /// It broke off; another target can go on from the text so far.
+    Broken { outcome: Outcome, why: String },
     /// The text is whole.
-    Whole(Progress),
+    Whole,
 }
 
 /// Starts items as targets become free, until the process ends.
@@ -68,6 +76,7 @@
         }
         for held in node.batches.open() {
             start_items(&node, &held);
+            move_slow_runs(&node, &held);
         }
     }
 }
@@ -82,6 +91,10 @@
     }
     loop {
         let Some(next) = held.borrow_mut().batch.next_item(now) else { return };
+        if next.progress.whole {
+            start_scoring(node, held, next);
+            continue;
+        }
         let Some(chosen) = choose(node, held, &next) else {
             held.borrow_mut().batch.put_back(next.index, now, next.progress);
             return;
@@ -91,22 +104,92 @@
             held.borrow_mut().group_targets.insert(group, chosen.id.clone());
         }
         let in_flight = InFlight::begin(node, &chosen.id);
-        let index = next.index;
-        let run = run_item(Rc::clone(node), Rc::clone(held), next, chosen, in_flight);
-        let task = tokio::task::spawn_local(run);
-        held.borrow_mut().runs.insert(index, task.abort_handle());
+        let NextItem { index, progress } = next;
+        let progress = Rc::new(RefCell::new(progress));
+        let target = chosen.id.clone();
+        let shared = Rc::clone(&progress);
+        let run = run_item(Rc::clone(node), Rc::clone(held), index, shared, chosen, in_flight);
+        let task = tokio::task::spawn_local(run).abort_handle();
+        let run = Run { began_at: now, progress, scoring: false, target, task };
+        held.borrow_mut().runs.insert(index, run);
     }
 }
 
-/// Chooses a target with a free slot whose weights are new enough.
+/// Scores an item whose whole text an earlier run has left.
+fn start_scoring<P: Platform>(node: &Rc<Node<P>>, held: &Rc<RefCell<Held>>, next: NextItem) {
+    let NextItem { index, progress } = next;
+    let text = progress.clone();
+    let (node, shared) = (Rc::clone(node), Rc::clone(held));
+    let task = tokio::task::spawn_local(async move {
+        let item = shared.borrow().batch.submission().items[index].clone();
+        score_item(&node, &shared, index, &item, text).await;
+        shared.borrow_mut().runs.swap_remove(&index);
+    });
+    let run = Run {
+        began_at: clock::now(),
+        progress: Rc::new(RefCell::new(progress)),
+        scoring: true,
+        target: String::new(),
+        task: task.abort_handle(),
+    };
+    held.borrow_mut().runs.insert(index, run);
+}
+
+/// Moves runs from slow targets to free fast ones once nothing waits: a group is complete with its
+/// slowest item, and a text goes on elsewhere from its last event for some milliseconds of reading.
+fn move_slow_runs<P: Platform>(node: &Rc<Node<P>>, held: &Rc<RefCell<Held>>) {
+    if held.borrow().batch.has_waiting() {
+        return;
+    }
+    let now = clock::now();
+    let slow: Vec<usize> = held
+        .borrow()
+        .runs
+        .iter()
+        .filter(|(_, run)| !run.scoring && now.since_ms(run.began_at) >= MOVE_AFTER_MS)
+        .filter(|(index, run)| is_worth_moving(node, held, **index, &run.target))
+        .map(|(index, _)| *index)
+        .take(MOVES_AT_ONCE)
+        .collect();
+    for index in slow {
+        let mut held = held.borrow_mut();
+        let target = held.runs.get(&index).map(|run| run.target.clone());
+        let item = held.batch.submission().items[index].id.clone();
+        node.note("item_moved", json!({ "request": item, "batch": held.id, "from": target }));
+        count(&node.metrics.item_runs, "moved");
+        held.stop_run(index);
+    }
+}
+
+fn is_worth_moving<P: Platform>(
+    node: &Rc<Node<P>>,
+    held: &RefCell<Held>,
+    index: usize,
+    target: &str,
+) -> bool {
+    let Some((id, _)) = pick_free(node, held, index) else { return false };
+    let load = node.load.borrow();
+    let (here_ms, there_ms) = (load.latency_ms(target), load.latency_ms(&id));
+    there_ms > 0 && here_ms * 10 >= there_ms * MOVE_FROM_TENTHS
+}
+
 fn choose<P: Platform>(
     node: &Rc<Node<P>>,
     held: &RefCell<Held>,
     next: &NextItem,
 ) -> Option<Chosen> {
+    pick_free(node, held, next.index).map(|(id, address)| Chosen { address, id })
+}
+
+/// Chooses a target with a free slot whose weights are new enough.
+fn pick_free<P: Platform>(
+    node: &Rc<Node<P>>,
+    held: &RefCell<Held>,
+    index: usize,
+) -> Option<(String, SocketAddr)> {
     let held = held.borrow();
     let submission = held.batch.submission();
-    let item = &submission.items[next.index];
+    let item = &submission.items[index];
     let document = node.document()?;
     let (host, _) = held.origin();
     let route = document.route(host, &item.path)?;
@@ -120,51 +203,57 @@
             .and_then(|model| entry.models.iter().find(|(name, _)| name == model));
         held_version.is_none_or(|(_, version)| *version >= submission.oldest_version)
     };
-    let chosen = node.pick(service, fits, |load, now, picks| {
+    node.pick(service, fits, |load, now, picks| {
         let preferred = preferred.map(String::as_str);
-        load.choose_free(now, picks, &[], preferred, draw).map(|pick| pick.id.to_owned())
-    });
-    chosen.map(|(id, address)| Chosen { address, id })
+        load.choose_free(now, picks, preferred, draw).map(|pick| pick.id.to_owned())
+    })
 }
 
 async fn run_item<P: Platform>(
     node: Rc<Node<P>>,
     held: Rc<RefCell<Held>>,
-    next: NextItem,
+    index: usize,
+    progress: Rc<RefCell<Progress>>,
     chosen: Chosen,
     in_flight: InFlight<P>,
 ) {
-    let index = next.index;
     let began_at = clock::now();
-    let resumed_after = next.progress.last_event_id;
+    let resumed_after = progress.borrow().last_event_id;
     let item = held.borrow().batch.submission().items[index].clone();
-    let end = run(&node, &held, &item, next.progress, &chosen).await;
+    let end = run(&node, &held, &item, &progress, &chosen).await;
+    let text = progress.borrow().clone();
     let outcome = match &end {
-        RunEnd::Whole(_) | RunEnd::Failed | RunEnd::Impossible => Outcome::Cancelled,
+        RunEnd::Whole | RunEnd::Failed | RunEnd::Impossible => Outcome::Cancelled,
         RunEnd::Broken { outcome, .. } => *outcome,
     };
     in_flight.end(outcome);
-    let (label, why, versions) = match &end {
-        RunEnd::Whole(progress) => ("whole", String::new(), progress.versions.clone()),
-        RunEnd::Failed => ("failed", String::new(), Vec::new()),
-        RunEnd::Impossible => ("impossible", String::new(), Vec::new()),
-        RunEnd::Broken { why, progress, .. } => ("broken", why.clone(), progress.versions.clone()),
+    let (label, why) = match &end {
+        RunEnd::Whole => ("whole", ""),
+        RunEnd::Failed => ("failed", ""),
+        RunEnd::Impossible => ("impossible", ""),
+        RunEnd::Broken { why, .. } => ("broken", why.as_str()),
     };
     count(&node.metrics.item_runs, label);
     node.note(
         "item_run",
         json!({
             "request": item.id, "batch": held.borrow().id, "target": chosen.id, "outcome": label,
-            "why": why, "versions": versions, "resumed_after": resumed_after,
+            "why": why, "versions": text.versions, "resumed_after": resumed_after,
+            "last_event": text.last_event_id,
             "ms": clock::now().since_ms(began_at),
         }),
     );
     match end {
-        RunEnd::Whole(progress) => score_item(&node, &held, index, &item, progress).await,
-        RunEnd::Broken { outcome, progress, .. } => {
+        RunEnd::Whole => {
+            if let Some(run) = held.borrow_mut().runs.get_mut(&index) {
+                run.scoring = true;
+            }
+            score_item(&node, &held, index, &item, text).await;
+        }
+        RunEnd::Broken { outcome, .. } => {
             let pause_ms = if outcome == Outcome::Full { FULL_PAUSE_MS } else { FAILED_PAUSE_MS };
             let from = clock::now().plus(pause_ms);
-            held.borrow_mut().batch.put_back(index, from, progress);
+            held.borrow_mut().batch.put_back(index, from, text);
         }
         RunEnd::Impossible => finish(&node, &held, ItemResult::errored(item.id)),
         RunEnd::Failed => {
@@ -217,22 +306,21 @@
     node: &Rc<Node<P>>,
     held: &RefCell<Held>,
     item: &Item,
-    progress: Progress,
+    progress: &Rc<RefCell<Progress>>,
     chosen: &Chosen,
 ) -> RunEnd {
     let (request, oldest_version, model) = {
         let held = held.borrow();
         let give_up_at = held.batch.terms().give_up_at;
-        let request = outgoing(item, held.origin().0, give_up_at, progress.last_event_id);
+        let request = outgoing(item, held.origin().0, give_up_at, progress.borrow().last_event_id);
         let submission = held.batch.submission();
         (request, submission.oldest_version, submission.model.clone())
     };
-    let broken =
-        |why: &str, outcome, progress| RunEnd::Broken { outcome, progress, why: why.to_owned() };
+    let broken = |why: &str, outcome| RunEnd::Broken { outcome, why: why.to_owned() };
     let opened = match timeout(FIRST_EVENT_MAX, forward::open(node, chosen, &request)).await {
         Ok(Ok(opened)) => opened,
-        Ok(Err(error)) => return broken(&error.message, Outcome::Failed, progress),
-        Err(_) => return broken("no head in time", Outcome::Failed, progress),
+        Ok(Err(error)) => return broken(&error.message, Outcome::Failed),
+        Err(_) => return broken("no head in time", Outcome::Failed),
     };
     let (response, connection, marks) = opened;
     let (head, body) = response.into_parts();
@@ -244,7 +332,7 @@
         if crate::pool::read_whole(body, forward::HELD_MAX_BYTES).await.is_ok() {
             node.pool.keep(connection, &head.headers);
         }
-        return broken(&refusal.message, Outcome::Full, progress);
+        return broken(&refusal.message, Outcome::Full);
     }
     match head.status {
         StatusCode::UNPROCESSABLE_ENTITY => return RunEnd::Impossible,
@@ -255,20 +343,22 @@
             return RunEnd::Failed;
         }
         status if !status.is_success() => {
-            return broken(&format!("answered {status}"), Outcome::Failed, progress);
+            return broken(&format!("answered {status}"), Outcome::Failed);
         }
         _ => {}
     }
     if marks.signature.is_none() || marks.request_id.is_none() {
-        return broken("an answer without a target's signature", Outcome::Failed, progress);
+        return broken("an answer without a target's signature", Outcome::Failed);
     }
+    let progress = Rc::clone(progress);
     let mut stream = TokenStream { body, model, oldest_version, progress, version: marks.version };
     match stream.read(node, chosen).await {
         Ok(()) => {
             node.pool.keep(connection, &head.headers);
-            RunEnd::Whole(stream.progress)
+            stream.progress.borrow_mut().whole = true;
+            RunEnd::Whole
         }
-        Err(why) => broken(&why, Outcome::Failed, stream.progress),
+        Err(why) => broken(&why, Outcome::Failed),
     }
 }
 
@@ -277,7 +367,7 @@
     body: Incoming,
     model: Option<String>,
     oldest_version: u64,
-    progress: Progress,
+    progress: Rc<RefCell<Progress>>,
     version: Option<u64>,
 }
 
@@ -319,7 +409,8 @@
         if let Some(version) = P::event_version(event) {
             self.version = Some(version);
         }
-        let expected = self.progress.last_event_id.map(|last| last + 1);
+        let mut progress = self.progress.borrow_mut();
+        let expected = progress.last_event_id.map(|last| last + 1);
         if expected.is_some() && event.id.is_some() && event.id != expected {
             return Err(format!("event {:?} where {expected:?} is due", event.id));
         }
@@ -330,9 +421,9 @@
             if version < self.oldest_version {
                 return Err(format!("version {version} is older than {}", self.oldest_version));
             }
-            self.progress.note_version(version);
+            progress.note_version(version);
         }
-        self.progress.push(&event.data, event.id);
+        progress.push(&event.data, event.id);
         Ok(())
     }
 }
