Nodes with half a view take nothing from owners that live; ends are told to all; orders come back sooner

And after a restart the orders waited 6 s. Change: a node greets all that are registered; an owner nothing was heard of counts as dead only after 3 s; a batch's end and new owner are told to all, the suspected too; an owner that was paused or suspected asks the store before it shows anything. An earlier life's lease is retaken at once, the lease's margin replaces a part of the wait; models with few current targets load first.

--- a/crates/dispatch/src/batch.rs
+++ b/crates/dispatch/src/batch.rs
@@ -36,9 +36,9 @@
         let held = longest.entry(group_of(item)).or_insert(0);
         *held = (*held).max(length(item));
     }
-    let spare = longest.len().saturating_sub(
-        submission.target_groups.map_or(longest.len(), |groups| groups as usize),
-    );
+    let spare = longest
+        .len()
+        .saturating_sub(submission.target_groups.map_or(longest.len(), |groups| groups as usize));
     let mut by_length: Vec<(&str, u64)> = longest
         .iter()
         .map(|(group, tokens)| (*group, *tokens))
@@ -116,11 +116,7 @@
 impl Batch {
     /// Opens a batch of which nothing has run; `carried` tells of groups that an earlier batch
     /// left incomplete.
-    pub fn open(
-        submission: Submission,
-        terms: BatchTerms,
-        carried: impl Fn(&str) -> bool,
-    ) -> Self {
+    pub fn open(submission: Submission, terms: BatchTerms, carried: impl Fn(&str) -> bool) -> Self {
         let waiting = Place::Waiting { from: UnixMs(0), progress: Progress::default() };
         let index =
             submission.items.iter().enumerate().map(|(at, item)| (item.id.clone(), at)).collect();
@@ -170,9 +166,7 @@
         if self.ended || now >= self.terms.give_up_at {
             return None;
         }
-        let waits = |index: &usize| {
-            matches!(&self.places[*index], Place::Waiting { from, .. } if *from <= now)
-        };
+        let waits = |index: &usize| matches!(&self.places[*index], Place::Waiting { from, .. } if *from <= now);
         let index = self.order.iter().copied().find(waits)?;
         let Place::Waiting { progress, .. } =
             std::mem::replace(&mut self.places[index], Place::Running)
--- a/crates/dispatch/src/rollout.rs
+++ b/crates/dispatch/src/rollout.rs
@@ -106,7 +106,14 @@
         let at_once = (targets.len() / self.settings.part_at_once).max(self.settings.least_at_once);
         let mut behind: Vec<(u64, LoadOrder)> =
             targets.iter().filter_map(|target| self.lag(now, target)).collect();
-        behind.sort_by_key(|(lag, _)| std::cmp::Reverse(*lag));
+        // A model that has few targets for its next step goes first: without one its step stands
+        // still, while another model only loses some of its slots.
+        let current: IndexMap<String, usize> =
+            models.iter().map(|model| (model.clone(), self.current_of(targets, model))).collect();
+        behind.sort_by_key(|(lag, order)| {
+            let current = current.get(&order.model).copied().unwrap_or(0);
+            (*lag < 2, current, std::cmp::Reverse(*lag))
+        });
         let mut orders = Vec::new();
         for (_, order) in behind {
             if self.loading.len() >= at_once {
@@ -140,6 +147,16 @@
         Some((lag, order))
     }
 
+    /// Counts a model's targets that may serve the step that the named version belongs to.
+    fn current_of(&self, targets: &[RolloutTarget], model: &str) -> usize {
+        let named = self.named.get(model).copied().unwrap_or(0);
+        targets
+            .iter()
+            .filter(|target| self.assigned.get(&target.id).is_some_and(|of| of == model))
+            .filter(|target| target.version(model) + 1 >= named)
+            .count()
+    }
+
     fn loading_of(&self, model: &str) -> usize {
         self.loading.values().filter(|(order, _)| order.model == model).count()
     }
--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -97,6 +97,9 @@
     Renewed,
     /// The key was created under this fencing number.
     Taken(Fence),
+    /// The key was taken over from an earlier life on the same machine: no order of another holder
+    /// can be on its way, so orders need not wait.
+    TakenFromSelf(Fence),
     /// The reply was lost, or the service does not answer.
     Unknown,
 }
@@ -198,6 +201,13 @@
         let sent = self.in_flight.take();
         match report {
             Report::Taken(fence) => self.gain(now, *fence),
+            Report::TakenFromSelf(fence) => {
+                let change = self.gain(now, *fence);
+                if let Phase::Held { since, .. } = &mut self.phase {
+                    *since = UnixMs(now.0.saturating_sub(self.settings.order_flight_ms));
+                }
+                change
+            }
             Report::Renewed => self.renewed(sent),
             Report::Refused => self.lose(),
             // A renewal whose reply is lost may still have worked; the next one tells. A lost
--- a/crates/member/src/membership.rs
+++ b/crates/member/src/membership.rs
@@ -31,6 +31,8 @@
 const GONE_KEPT_MS: u64 = 600_000;
 /// Time between two tries to reach a node that was lost, or a seed that is no peer.
 const REJOIN_EVERY_MS: u64 = 5_000;
+/// Most seeds that a node that joins tells of itself at once; rumours reach the others.
+const GREETED_MAX: usize = 128;
 /// How many addresses of lost nodes are remembered.
 const FORMER_MAX: usize = 512;
 
@@ -210,6 +212,25 @@
         self.observe(now, Fact::Node(self.me.clone()))
     }
 
+    /// Tells the seeds of this node, and asks some of them for what they know.
+    ///
+    /// When a whole fleet starts at once, rumours alone take seconds to tell each node of all
+    /// others; until then nodes with half a view would take duties from owners that live.
+    pub fn greet(&mut self) -> Vec<Output> {
+        let seeds: Vec<SocketAddr> =
+            self.seeds.choose_multiple(&mut self.rng, GREETED_MAX).copied().collect();
+        let facts = vec![Fact::Node(self.me.clone())];
+        let mut outputs: Vec<Output> = seeds
+            .iter()
+            .map(|to| Output::Send { message: Message::Facts { facts: facts.clone() }, to: *to })
+            .collect();
+        for to in seeds.iter().take(PUSH_FANOUT) {
+            self.sequence += 1;
+            self.ping(*to, self.sequence, &mut outputs);
+        }
+        outputs
+    }
+
     /// Takes a fact that this node found out itself, and pushes it to some peers at once.
     pub fn observe(&mut self, now: UnixMs, fact: Fact) -> Vec<Output> {
         let mut outputs = Vec::new();
--- a/crates/serve/src/batches.rs
+++ b/crates/serve/src/batches.rs
@@ -8,10 +8,12 @@
 use crate::feed;
 use crate::metrics::count;
 use crate::node::Node;
-use crate::peers::{self, Owner, PeerAnswer, PeerCall};
+use crate::peers::{self, Datagram, Life, Owner, PeerAnswer, PeerCall};
 use crate::platform::Platform;
 use crate::store::{Expectation, Put, StoreAnswer, StoreCall, StoreRefusal, StoredItem};
-use catkinmast_dispatch::{Batch, BatchTerms, Chunk, ItemResult, Merge, Progress, Route, Submission};
+use catkinmast_dispatch::{
+    Batch, BatchTerms, Chunk, ItemResult, Merge, Progress, Route, Submission,
+};
 use catkinmast_model::{UnixMs, Verdict};
 use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
@@ -40,13 +42,17 @@
 const PAGE_MAX_BYTES: usize = 900_000;
 /// How often old heads are looked through for batches that nobody runs.
 const SWEEP: Duration = Duration::from_millis(4_000);
-/// How long after joining a node waits before it takes others for dead: several probes.
-const SETTLE: Duration = Duration::from_millis(1_200);
+/// How long after joining a node first looks for batches to take: several probes.
+const SETTLE: Duration = Duration::from_millis(700);
+/// How long a node that nothing was heard of is given before its batches are taken.
+const UNHEARD_MAX_MS: u64 = 3_000;
 /// How much later than the operator allows an item is given up by an owner that did not accept
 /// the batch itself: the acceptance was timed by another machine's wall clock.
 const SKEW_MAX_MS: u64 = 6_000;
 /// What a call to an owner may take beyond its wait.
 const OWNER_SLACK: Duration = Duration::from_millis(700);
+/// How long after it was told first an end is told again.
+const TELL_AGAIN: Duration = Duration::from_millis(600);
 /// How long a settled batch is kept for readers.
 const KEPT_MS: u64 = 180_000;
 /// How long running items may take to finish before a leaving owner hands their batch over.
@@ -87,11 +93,16 @@
     head_revision: u64,
     /// Its id.
     pub id: String,
+    /// Whether another may have taken it meanwhile; until the store was asked, nothing is said of
+    /// it. A paused owner would otherwise show fewer results than its successor has listed.
+    doubted: bool,
     /// Whether this node still owns it.
     pub owned: bool,
     /// The runs in progress, by the item's index.
     pub runs: IndexMap<usize, Run>,
     settled_at: Option<UnixMs>,
+    /// Whether it had an owner before, who may live.
+    taken_over: bool,
 }
 
 impl Held {
@@ -148,7 +159,7 @@
     taking: RefCell<IndexSet<String>>,
     /// Wakes the search for batches without an owner.
     pub orphaned: Notify,
-    settled_joining: Cell<bool>,
+    started_at: Cell<UnixMs>,
 }
 
 impl Batches {
@@ -403,6 +414,7 @@
         accepted_at,
         batch,
         changed: Rc::new(Notify::new()),
+        doubted: false,
         finished: Rc::new(Notify::new()),
         group_targets: IndexMap::new(),
         head,
@@ -411,10 +423,13 @@
         owned: true,
         runs: IndexMap::new(),
         settled_at: None,
+        taken_over: slack_ms > 0,
     }));
     node.batches.owned.borrow_mut().insert(id.to_owned(), Rc::clone(&held));
     node.metrics.batches_open.set(node.batches.owned.borrow().len() as i64);
-    peers::announce_owner(node, id);
+    if let Some(owner) = peers::me(node) {
+        peers::tell_all(node, &Datagram::BatchOwned { batch: id.to_owned(), owner });
+    }
     node.work.notify_one();
     tokio::task::spawn_local(write_results(Rc::clone(node), held));
 }
@@ -432,8 +447,7 @@
     leftovers.texts.retain(|_, (_, at)| now.since_ms(*at) < LEFTOVER_KEPT_MS);
     leftovers.groups.retain(|_, at| now.since_ms(*at) < LEFTOVER_KEPT_MS);
     let ids: Vec<String> = submission.items.iter().map(|item| item.id.clone()).collect();
-    let mut batch =
-        Batch::open(submission, terms, |group| leftovers.groups.contains_key(group));
+    let mut batch = Batch::open(submission, terms, |group| leftovers.groups.contains_key(group));
     for chunk in chunks {
         batch.merge(chunk);
     }
@@ -590,6 +604,63 @@
     held.head = head;
 }
 
+/// Takes the word that a batch has another owner: asks the store whether it is so.
+pub(crate) fn told_owner<P: Platform>(node: &Rc<Node<P>>, batch: &str, owner: Owner) {
+    match node.batches.get(batch) {
+        Some(held) => doubt(node, &held),
+        None => node.batches.note_owner(batch, owner),
+    }
+}
+
+/// Takes the word that a batch is ended, which is only given once that is durable.
+pub(crate) fn told_ended<P: Platform>(node: &Rc<Node<P>>, batch: &str) {
+    let Some(held) = node.batches.get(batch) else { return };
+    {
+        let mut held = held.borrow_mut();
+        if held.batch.is_ended() {
+            return;
+        }
+        held.batch.end();
+        held.stop_runs();
+        keep_leftovers(node, &mut held);
+        held.finished.notify_one();
+        held.changed.notify_waiters();
+    }
+    node.note("batch_ended_elsewhere", json!({ "request": batch }));
+    doubt(node, &held);
+}
+
+/// Asks the store whether this node still owns its batches, after a sign that others may have
+/// taken it for dead.
+pub(crate) fn doubt_all<P: Platform>(node: &Rc<Node<P>>) {
+    let all: Vec<Rc<RefCell<Held>>> = node.batches.owned.borrow().values().cloned().collect();
+    node.note("ownership_doubted", json!({ "batches": all.len() }));
+    for held in all {
+        doubt(node, &held);
+    }
+}
+
+fn doubt<P: Platform>(node: &Rc<Node<P>>, held: &Rc<RefCell<Held>>) {
+    if std::mem::replace(&mut held.borrow_mut().doubted, true) {
+        return;
+    }
+    let (node, held) = (Rc::clone(node), Rc::clone(held));
+    tokio::task::spawn_local(async move {
+        loop {
+            let id = held.borrow().id.clone();
+            match read_head(&node, &id).await {
+                Ok(Some((head, revision))) => {
+                    take_head(&node, &held, head, revision);
+                    held.borrow_mut().doubted = false;
+                    return;
+                }
+                Ok(None) => return,
+                Err(_) => sleep(RETRY).await,
+            }
+        }
+    });
+}
+
 /// Reads results of a batch that this node owns; waits up to `wait_ms` for the first.
 pub(crate) async fn read_owned<P: Platform>(
     node: &Rc<Node<P>>,
@@ -604,7 +675,7 @@
         let changed = changed.notified();
         {
             let held = held.borrow();
-            if !held.owned {
+            if !held.owned || held.doubted {
                 return None;
             }
             let page = held.batch.page(after, PAGE_MAX_BYTES);
@@ -736,8 +807,10 @@
     if peers::me(node).as_ref() == Some(owner) {
         return None;
     }
-    let address = peers::address_of(node, owner)?;
-    match node.ask_peer(address, call, max).await {
+    if peers::life_of(node, owner) == Life::Over {
+        return None;
+    }
+    match node.ask_peer(owner.address, call, max).await {
         Ok(PeerAnswer::NotOwner) => None,
         Ok(answer) => Some(answer),
         Err(error) => {
@@ -798,6 +871,9 @@
         match write_head(node, batch, &head, revision).await {
             Ok(HeadWrite::Done(revision)) => {
                 take_head(node, &held, head, revision);
+                if held.borrow().taken_over {
+                    tell_ended(node, batch);
+                }
                 return PeerAnswer::Ended;
             }
             Ok(HeadWrite::Changed(found, revision)) => {
@@ -879,7 +955,7 @@
                 "batch_ended_for_owner",
                 json!({ "request": batch, "owner": ended.owner.node }),
             );
-            tokio::task::spawn_local(tell_owner(Rc::clone(node), batch.to_owned(), ended.owner));
+            tell_ended(node, batch);
             Lookup::Found(())
         }
         Ok(HeadWrite::Changed(found, _)) if found.ended => Lookup::Found(()),
@@ -888,17 +964,18 @@
     }
 }
 
-/// Tells an owner that could not be reached that its batch is ended. It would run items on that
-/// nobody wants; it may live, cut off from us alone.
-async fn tell_owner<P: Platform>(node: Rc<Node<P>>, batch: String, owner: Owner) {
-    const TRIES: u32 = 20;
-    for _ in 0..TRIES {
-        sleep(RETRY * 3).await;
-        let call = PeerCall::End { batch: batch.clone() };
-        if ask_one(&node, &owner, &call, OWNER_SLACK).await.is_some() {
-            return;
+/// Tells all nodes that a batch is ended: one that owned it may live, cut off from the store or
+/// from us alone, and would run items on that nobody wants. Datagrams are lost at times.
+fn tell_ended<P: Platform>(node: &Rc<Node<P>>, batch: &str) {
+    const TIMES: u32 = 3;
+    let datagram = Datagram::BatchEnded { batch: batch.to_owned() };
+    let node = Rc::clone(node);
+    tokio::task::spawn_local(async move {
+        for _ in 0..TIMES {
+            peers::tell_all(&node, &datagram);
+            sleep(TELL_AGAIN).await;
         }
-    }
+    });
 }
 
 /// Reads the body of an item of a batch that this node owns.
@@ -958,8 +1035,8 @@
 
 /// Looks for batches that nobody runs, and takes those that fall to this node.
 pub(crate) async fn adopt_orphans<P: Platform>(node: Rc<Node<P>>) {
+    node.batches.started_at.set(clock::now());
     sleep(SETTLE).await;
-    node.batches.settled_joining.set(true);
     let mut at_once = true;
     loop {
         if !node.leaving.get() {
@@ -998,8 +1075,7 @@
     }
     node.batches.note_owner(id, head.owner.clone());
     let mine = peers::me(node).is_some_and(|me| me == head.owner);
-    let lives = peers::address_of(node, &head.owner).is_some();
-    let falls_here = mine || (!lives && peers::is_first_for(node, id));
+    let falls_here = mine || (is_dead(node, &head.owner) && peers::is_first_for(node, id));
     if head.ended || !falls_here || !node.batches.taking.borrow_mut().insert(id.to_owned()) {
         return;
     }
@@ -1013,12 +1089,22 @@
     });
 }
 
+/// Tells whether an owner is dead. One that nothing was heard of is not, until this node has been
+/// there long enough to have heard of all: after a restart of the whole fleet each node's view is
+/// partial for a moment, and owners that live would lose their batches over and over.
+fn is_dead<P: Platform>(node: &Node<P>, owner: &Owner) -> bool {
+    match peers::life_of(node, owner) {
+        Life::Over => true,
+        Life::GoesOn => false,
+        Life::Unheard => clock::now().since_ms(node.batches.started_at.get()) > UNHEARD_MAX_MS,
+    }
+}
+
 /// Becomes the owner of a batch, by its head as it stands now.
 async fn take_over<P: Platform>(node: &Rc<Node<P>>, id: &str) -> Result<(), StoreRefusal> {
     let Some(me) = peers::me(node) else { return Ok(()) };
     let Some((head, revision)) = read_head(node, id).await? else { return Ok(()) };
-    let lives = head.owner != me && peers::address_of(node, &head.owner).is_some();
-    if head.ended || lives {
+    if head.ended || (head.owner != me && !is_dead(node, &head.owner)) {
         node.batches.note_owner(id, head.owner);
         return Ok(());
     }
@@ -1077,11 +1163,9 @@
     match write_head(node, &id, &head, revision).await {
         Ok(HeadWrite::Done(revision) | HeadWrite::Changed(_, revision)) => {
             take_head(node, held, head, revision);
-            if let Some(address) = peers::address_of(node, &successor) {
-                let call = PeerCall::Adopt { batch: id };
-                // A lost call is made good by the successor's own search.
-                drop(node.ask_peer(address, &call, OWNER_SLACK).await);
-            }
+            let call = PeerCall::Adopt { batch: id };
+            // A lost call is made good by the successor's own search.
+            drop(node.ask_peer(successor.address, &call, OWNER_SLACK).await);
         }
         Err(refusal) => {
             node.note("batch_not_handed_over", json!({ "request": id, "why": refusal.message }));
@@ -1097,7 +1181,11 @@
     let live: Vec<Owner> = members
         .nodes()
         .filter(|peer| peer.name != me && peer.state == catkinmast_member::NodeState::Live)
-        .map(|peer| Owner { incarnation: peer.incarnation, node: peer.name.clone() })
+        .map(|peer| Owner {
+            address: peer.control,
+            incarnation: peer.incarnation,
+            node: peer.name.clone(),
+        })
         .collect();
     let count = live.len().max(1) as u64;
     live.get((draw % count) as usize).cloned()
--- a/crates/serve/src/node.rs
+++ b/crates/serve/src/node.rs
@@ -13,7 +13,7 @@
 use bytes::Bytes;
 use catkinmast_dispatch::{Document, Load, LoadSettings, Pick, TargetChange, TargetTable};
 use catkinmast_member::{Membership, NodeState};
-use catkinmast_model::{UnixMs, Verdict};
+use catkinmast_model::{Incarnation, Name, UnixMs, Verdict};
 use catkinmast_wire::SharedKey;
 use http::Request;
 use http_body_util::Full;
@@ -58,6 +58,8 @@
     pub metrics: Metrics,
     pub pool: Pool,
     pub ready: Cell<bool>,
+    /// The incarnations under which nodes were registered when this one started.
+    pub registered: RefCell<IndexMap<Name, Incarnation>>,
     pub rng: RefCell<Pcg64Mcg>,
     pub settings: RefCell<Rc<Settings>>,
     pub store_rests_until: Cell<UnixMs>,
@@ -88,6 +90,7 @@
             metrics,
             pool,
             ready: Cell::new(false),
+            registered: RefCell::new(IndexMap::new()),
             rng: RefCell::new(Pcg64Mcg::from_os_rng()),
             settings: RefCell::new(Rc::new(settings)),
             store_rests_until: Cell::new(UnixMs(0)),
@@ -187,7 +190,11 @@
     pub(crate) async fn store(&self, call: &StoreCall) -> Result<StoreAnswer, StoreRefusal> {
         let rests = clock::now() < self.store_rests_until.get();
         if matches!(call, StoreCall::Watch { .. }) {
-            return if rests { self.store_by_peers(call).await } else { self.store_here(call).await };
+            return if rests {
+                self.store_by_peers(call).await
+            } else {
+                self.store_here(call).await
+            };
         }
         let first =
             if rests { self.store_by_peers(call).await } else { self.store_here(call).await };
--- a/crates/serve/src/orders.rs
+++ b/crates/serve/src/orders.rs
@@ -13,7 +13,7 @@
 use crate::peers;
 use crate::platform::{EngineReport, OrderCall, Platform};
 use crate::pool::{CallError, read_whole};
-use crate::store::{Expectation, LeaseId, Put, StoreAnswer, StoreCall};
+use crate::store::{Expectation, LeaseId, Put, StoreAnswer, StoreCall, StoreRefusal};
 use bytes::Bytes;
 use catkinmast_dispatch::{LoadOrder, OrderOutcome, Rollout, RolloutSettings, RolloutTarget};
 use catkinmast_lease::{Action, Change, HolderRecord, Report, Tenure, TenureSettings};
@@ -37,9 +37,11 @@
 /// The lease lasts this long without renewal: long enough for a slow store's half second, short
 /// enough that a dead holder's successor begins before the next step of a trainer.
 const LEASE_TTL_MS: u64 = 2_500;
-/// The holder stops this long before the lapse: an order is on its way for milliseconds.
-const LEASE_MARGIN_MS: u64 = 500;
-const LEASE_RENEW_MS: u64 = 700;
+/// The holder stops this long before the lapse. A successor need not wait again for what the
+/// holder has waited, so a large margin brings the orders back sooner; what is left of the lease
+/// covers one renewal that is lost and one that a slow store answers after half a second.
+const LEASE_MARGIN_MS: u64 = 1_200;
+const LEASE_RENEW_MS: u64 = 500;
 const LEASE_RETRY_MS: u64 = 300;
 /// Added to the time that a new holder waits, for orders on their way.
 const ORDER_FLIGHT_MS: u64 = 200;
@@ -80,7 +82,8 @@
         record.clone(),
         TenureSettings {
             margin_ms: LEASE_MARGIN_MS,
-            order_flight_ms: settings.order_lease_ms + ORDER_FLIGHT_MS,
+            order_flight_ms: (settings.order_lease_ms + ORDER_FLIGHT_MS)
+                .saturating_sub(LEASE_MARGIN_MS),
             renew_every_ms: LEASE_RENEW_MS,
             retry_every_ms: LEASE_RETRY_MS,
             ttl_ms: LEASE_TTL_MS.max(settings.lease_min_ms),
@@ -93,12 +96,15 @@
         tenure: RefCell::new(tenure),
         vacated: RefCell::new(Vec::new()),
     });
+    let held_before = held_before(&node, &record).await;
+    let mut gained = false;
     loop {
         sleep(TICK).await;
         let now = clock::now();
-        let wanted = !node.leaving.get() && is_wanted(&node);
+        gained |= holder.tenure.borrow().fence(now).is_some();
+        let wanted = !node.leaving.get() && (is_wanted(&node) || (held_before && !gained));
         let (action, change) = holder.tenure.borrow_mut().tick(now, wanted);
-        note_change(&node, &me, change);
+        note_change(&node, &record, change);
         if let Some(action) = action {
             let call = keep_lease(Rc::clone(&node), Rc::clone(&holder), record.clone(), action);
             tokio::task::spawn_local(call);
@@ -112,6 +118,14 @@
     }
 }
 
+/// Tells whether an earlier life of this node held the lease when it ended. It takes up the orders
+/// at once; another would have to wait for the lapse, and then for orders on their way.
+async fn held_before<P: Platform>(node: &Node<P>, record: &HolderRecord) -> bool {
+    let found = node.store(&StoreCall::Get { key: LEASE_KEY.to_owned() }).await;
+    let Ok(StoreAnswer::Item(Some(item))) = found else { return false };
+    postcard::from_bytes::<HolderRecord>(&item.value).is_ok_and(|held| held.node == record.node)
+}
+
 /// The holder stays while it lives; if none is known to, the first in rank follows.
 fn is_wanted<P: Platform>(node: &Node<P>) -> bool {
     match peers::holder_of(node, &duty()) {
@@ -120,7 +134,7 @@
     }
 }
 
-fn note_change<P: Platform>(node: &Node<P>, me: &peers::Owner, change: Option<Change>) {
+fn note_change<P: Platform>(node: &Node<P>, me: &HolderRecord, change: Option<Change>) {
     match change {
         None => {}
         Some(Change::Lapsed) => node.note("orders_lease_lost", json!({})),
@@ -156,33 +170,54 @@
         }
     };
     let change = holder.tenure.borrow_mut().report(clock::now(), &report);
-    let me = peers::Owner { incarnation: record.incarnation, node: record.node };
-    note_change(&node, &me, change);
+    note_change(&node, &record, change);
 }
 
 async fn take<P: Platform>(node: &Node<P>, holder: &Holder, record: &HolderRecord) -> Report {
     let ttl_ms = LEASE_TTL_MS.max(node.settings().lease_min_ms);
     let lease = match node.store(&StoreCall::LeaseOpen { ttl_ms }).await {
         Ok(StoreAnswer::Lease { lease: Some(lease), .. }) => lease,
-        Ok(_) => return Report::Refused,
-        Err(refusal) if refusal.verdict == Verdict::NotRun => return Report::Refused,
-        Err(_) => return Report::Refused,
+        Ok(_) | Err(_) => return Report::Refused,
     };
     holder.lease.set(Some(lease));
     let Ok(value) = postcard::to_stdvec(record) else { return Report::Refused };
-    let call = StoreCall::Transaction {
-        deletes: Vec::new(),
-        expected: vec![Expectation { key: LEASE_KEY.to_owned(), revision: 0 }],
-        puts: vec![Put { key: LEASE_KEY.to_owned(), lease: Some(lease), value }],
-    };
-    match node.store(&call).await {
+    match create(node, lease, 0, &value).await {
         Ok(StoreAnswer::Committed { revision }) => Report::Taken(Fence(revision)),
+        Ok(StoreAnswer::Conflict { items }) => {
+            let Some(item) = items.first() else { return Report::Refused };
+            let held = postcard::from_bytes::<HolderRecord>(&item.value);
+            let mine_before = held.is_ok_and(|held| {
+                held.node == record.node && held.incarnation < record.incarnation
+            });
+            if !mine_before {
+                return Report::Refused;
+            }
+            match create(node, lease, item.revision, &value).await {
+                Ok(StoreAnswer::Committed { revision }) => Report::TakenFromSelf(Fence(revision)),
+                Ok(_) => Report::Refused,
+                Err(_) => Report::Unknown,
+            }
+        }
         Ok(_) => Report::Refused,
         Err(refusal) if refusal.verdict == Verdict::NotRun => Report::Refused,
         Err(_) => Report::Unknown,
     }
 }
 
+async fn create<P: Platform>(
+    node: &Node<P>,
+    lease: LeaseId,
+    revision: u64,
+    value: &[u8],
+) -> Result<StoreAnswer, StoreRefusal> {
+    let call = StoreCall::Transaction {
+        deletes: Vec::new(),
+        expected: vec![Expectation { key: LEASE_KEY.to_owned(), revision }],
+        puts: vec![Put { key: LEASE_KEY.to_owned(), lease: Some(lease), value: value.to_vec() }],
+    };
+    node.store(&call).await
+}
+
 async fn read<P: Platform>(node: &Node<P>) -> Report {
     match node.store(&StoreCall::Get { key: LEASE_KEY.to_owned() }).await {
         Ok(StoreAnswer::Item(Some(item))) => {
--- a/crates/serve/src/peers.rs
+++ b/crates/serve/src/peers.rs
@@ -13,7 +13,7 @@
 use catkinmast_member::{
     Fact, Membership, MembershipSettings, Message, NodeFact, NodeState, Output, OwnerFact,
 };
-use catkinmast_model::{Incarnation, Name, Verdict};
+use catkinmast_model::{Incarnation, Name, UnixMs, Verdict};
 use catkinmast_wire as wire;
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
@@ -35,6 +35,8 @@
     MembershipSettings { probe_every_ms: 300, probe_timeout_ms: 200, suspicion_ms: 900 };
 /// How often membership does what is due.
 const TICK: Duration = Duration::from_millis(100);
+/// A tick that comes this late tells of a pause in which others may have suspected this node.
+const PAUSED_MS: u64 = 700;
 /// The largest call between nodes: a page of results or a value of the store.
 const PEER_CALL_MAX_BYTES: usize = 4 << 20;
 
@@ -85,6 +87,8 @@
 /// A datagram between nodes.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub(crate) enum Datagram {
+    /// A batch was ended, and that is durable.
+    BatchEnded { batch: String },
     /// A batch has a new owner.
     BatchOwned { batch: String, owner: Owner },
     /// Changes of a feed.
@@ -96,6 +100,8 @@
 /// A life of a node.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub(crate) struct Owner {
+    /// Where it is reached.
+    pub address: SocketAddr,
     pub incarnation: Incarnation,
     pub node: Name,
 }
@@ -139,9 +145,16 @@
     let mut ticks = interval(TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut buffer = vec![0; wire::DATAGRAM_MAX_BYTES + 64];
+    let mut doubts = Doubts { refutation: 0, ticked_at: clock::now() };
+    with_members(&node, |members, _| members.greet());
     loop {
         tokio::select! {
-            _ = ticks.tick() => with_members(&node, Membership::tick),
+            _ = ticks.tick() => {
+                with_members(&node, Membership::tick);
+                if doubts.arise(&node) {
+                    batches::doubt_all(&node);
+                }
+            }
             received = node.datagrams.recv_from(&mut buffer) => {
                 if let Ok((length, from)) = received {
                     receive(&node, &buffer[..length], from);
@@ -151,13 +164,31 @@
     }
 }
 
-fn receive<P: Platform>(node: &Node<P>, frame: &[u8], from: SocketAddr) {
+/// Signs that others may take this node for dead, and may have taken its batches.
+struct Doubts {
+    refutation: u32,
+    ticked_at: UnixMs,
+}
+
+impl Doubts {
+    fn arise<P: Platform>(&mut self, node: &Node<P>) -> bool {
+        let now = clock::now();
+        let paused = now.since_ms(std::mem::replace(&mut self.ticked_at, now)) > PAUSED_MS;
+        let refutation =
+            node.members.borrow().as_ref().map_or(0, |members| members.me().refutation);
+        let suspected = std::mem::replace(&mut self.refutation, refutation) != refutation;
+        paused || suspected
+    }
+}
+
+fn receive<P: Platform>(node: &Rc<Node<P>>, frame: &[u8], from: SocketAddr) {
     match wire::open::<Datagram>(&node.key, frame, wire::DATAGRAM_MAX_BYTES) {
         Ok(Datagram::Member(message)) => {
             with_members(node, |members, now| members.receive(now, from, message));
         }
         Ok(Datagram::Changes { changes, subject }) => feed::told(node, subject, changes, from),
-        Ok(Datagram::BatchOwned { batch, owner }) => node.batches.note_owner(&batch, owner),
+        Ok(Datagram::BatchEnded { batch }) => batches::told_ended(node, &batch),
+        Ok(Datagram::BatchOwned { batch, owner }) => batches::told_owner(node, &batch, owner),
         Err(error) => {
             node.note("datagram_refused", json!({ "from": from, "why": error.to_string() }));
         }
@@ -167,7 +198,7 @@
 /// Runs membership's outputs.
 pub(crate) fn with_members<P: Platform>(
     node: &Node<P>,
-    act: impl FnOnce(&mut Membership, catkinmast_model::UnixMs) -> Vec<Output>,
+    act: impl FnOnce(&mut Membership, UnixMs) -> Vec<Output>,
 ) {
     let outputs = match node.members.borrow_mut().as_mut() {
         Some(members) => act(members, clock::now()),
@@ -217,12 +248,16 @@
     }
 }
 
-/// Tells all peers who owns a batch, so that their readers find it without the store.
-pub(crate) fn announce_owner<P: Platform>(node: &Node<P>, batch: &str) {
-    let Some(owner) = me(node) else { return };
-    let datagram = Datagram::BatchOwned { batch: batch.to_owned(), owner };
-    for peer in node.live_peers() {
-        send(node, &datagram, peer);
+/// Sends a datagram to all nodes that were ever heard of: one that is taken for dead may live.
+pub(crate) fn tell_all<P: Platform>(node: &Node<P>, datagram: &Datagram) {
+    let all: Vec<SocketAddr> = {
+        let members = node.members.borrow();
+        let Some(members) = members.as_ref() else { return };
+        let me = members.me().control;
+        members.nodes().map(|peer| peer.control).filter(|peer| *peer != me).collect()
+    };
+    for peer in all {
+        send(node, datagram, peer);
     }
 }
 
@@ -230,18 +265,35 @@
 pub(crate) fn me<P: Platform>(node: &Node<P>) -> Option<Owner> {
     let members = node.members.borrow();
     let me = members.as_ref()?.me();
-    Some(Owner { incarnation: me.incarnation, node: me.name.clone() })
+    Some(Owner { address: me.control, incarnation: me.incarnation, node: me.name.clone() })
+}
+
+/// What is known of a node's life.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Life {
+    /// It is over.
+    Over,
+    /// It goes on.
+    GoesOn,
+    /// Nothing was heard of it yet.
+    Unheard,
 }
 
-/// Returns where an owner is reached, if that life of it is not known to be over.
-pub(crate) fn address_of<P: Platform>(node: &Node<P>, owner: &Owner) -> Option<SocketAddr> {
+/// Returns what is known of an owner's life.
+pub(crate) fn life_of<P: Platform>(node: &Node<P>, owner: &Owner) -> Life {
+    let registered = node.registered.borrow().get(&owner.node).copied();
+    if registered.is_some_and(|incarnation| incarnation > owner.incarnation) {
+        return Life::Over;
+    }
     let members = node.members.borrow();
-    let found = members.as_ref()?.nodes().find(|peer| {
-        peer.name == owner.node
-            && peer.incarnation == owner.incarnation
-            && peer.state != NodeState::Gone
-    });
-    found.map(|peer| peer.control)
+    let Some(members) = members.as_ref() else { return Life::Unheard };
+    match members.nodes().find(|peer| peer.name == owner.node) {
+        None => Life::Unheard,
+        Some(peer) if peer.incarnation > owner.incarnation => Life::Over,
+        Some(peer) if peer.incarnation < owner.incarnation => Life::Unheard,
+        Some(peer) if peer.state == NodeState::Gone => Life::Over,
+        Some(_) => Life::GoesOn,
+    }
 }
 
 /// Returns this node's rank for a duty among those that live; none before it has joined.
--- a/crates/serve/src/process.rs
+++ b/crates/serve/src/process.rs
@@ -31,7 +31,7 @@
 /// Callers keep addresses for up to three times as long as they are told.
 const KEPT_TIMES: u64 = 3;
 /// Left for the exit itself.
-const EXIT_MS: u64 = 500;
+const EXIT_MS: u64 = 1_000;
 /// How often a stop looks whether all is served.
 const LOOK: Duration = Duration::from_millis(50);
 
@@ -175,6 +175,11 @@
         if let Ok(StoreAnswer::Committed { revision }) = node.store(&call).await
             && let Ok((items, _)) = feed::read_whole(node, NODES).await
         {
+            let registered = items.iter().filter_map(|item| {
+                let name = item.key.strip_prefix(NODES)?;
+                Some((peers::name_of(name), Incarnation(item.revision)))
+            });
+            *node.registered.borrow_mut() = registered.collect();
             let seeds = items
                 .iter()
                 .filter_map(|item| std::str::from_utf8(&item.value).ok()?.parse().ok())
