--- a/crates/dispatch/src/rollout.rs
+++ b/crates/dispatch/src/rollout.rs
@@ -135,16 +135,23 @@
         }
     }
 
+    /// The load that a target needs most, and by how many versions it is behind.
     fn lag(&self, now: UnixMs, target: &RolloutTarget) -> Option<(u64, LoadOrder)> {
-        let model = self.assigned.get(&target.id)?;
-        let named = *self.named.get(model)?;
-        let lag = named.saturating_sub(target.version(model));
         let rests = self.rests_until.get(&target.id).is_some_and(|until| *until > now);
-        if lag == 0 || rests || self.loading.contains_key(&target.id) {
+        if rests || self.loading.contains_key(&target.id) {
             return None;
         }
-        let order = LoadOrder { model: model.clone(), target: target.id.clone(), version: named };
-        Some((lag, order))
+        let served = self.named.iter().filter(|(model, _)| self.serves(&target.id, model));
+        let (lag, model, version) = served
+            .map(|(model, named)| (named.saturating_sub(target.version(model)), model, *named))
+            .max_by_key(|(lag, _, _)| *lag)?;
+        let order = LoadOrder { model: model.clone(), target: target.id.clone(), version };
+        (lag > 0).then_some((lag, order))
+    }
+
+    /// A target is kept current for its own model, and for models that have no target at all.
+    fn serves(&self, target: &str, model: &str) -> bool {
+        self.assigned.get(target).is_some_and(|of| of == model) || self.count_of(model) == 0
     }
 
     /// Counts a model's targets that may serve the step that the named version belongs to.
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -14,3 +14,4 @@
 mod rollout_faults;
 mod routing;
 mod scenarios;
+mod site;
--- /dev/null
+++ b/tests/all/site/bad_input.rs
@@ -0,0 +1,95 @@
+//! Bad input: a clear answer or a close, bounded memory, and the node serves on.
+
+use super::harness::{HOST, Site};
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::time::Duration;
+
+fn exchange(address: std::net::SocketAddr, bytes: &[u8]) -> String {
+    let mut stream = TcpStream::connect(address).expect("a connection");
+    stream.set_read_timeout(Some(Duration::from_secs(10))).expect("a time-out");
+    // A node may close before it has read all; what it answered counts.
+    let _closed_early = stream.write_all(bytes);
+    let _closed_early = stream.shutdown(std::net::Shutdown::Write);
+    let mut answer = Vec::new();
+    let _reset = stream.read_to_end(&mut answer);
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+#[yare::parameterized(
+    garbage = { b"\x16\x03\x01 what is this\r\n\r\n".to_vec(), "400" },
+    bad_chunk = { b"POST /lookup/a HTTP/1.1\r\nHost: site.example\r\nX-Catkinmast-Request-Id: q1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n0\r\n\r\n".to_vec(), "400" },
+    cut_body = { b"POST /lookup/a HTTP/1.1\r\nHost: site.example\r\nX-Catkinmast-Request-Id: q1\r\nContent-Length: 50\r\n\r\nhalf".to_vec(), "" },
+    two_lengths = { b"POST /lookup/a HTTP/1.1\r\nHost: site.example\r\nX-Catkinmast-Request-Id: q1\r\nContent-Length: 4\r\nContent-Length: 9\r\n\r\nhalf".to_vec(), "400" },
+    batch_without_id = { b"POST /rollout/a HTTP/1.1\r\nHost: site.example\r\nContent-Length: 2\r\nConnection: close\r\n\r\n{}".to_vec(), "400" },
+    batch_not_json = { b"POST /rollout/a HTTP/1.1\r\nHost: site.example\r\nX-Catkinmast-Request-Id: b1\r\nContent-Length: 3\r\nConnection: close\r\n\r\n{{{".to_vec(), "400" },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread"))]
+async fn what_is_no_request_is_refused_and_reaches_no_target(bytes: Vec<u8>, status: &str) {
+    let site = Site::start(1, 1, 1).await;
+    let address = site.nodes[0].callers;
+
+    let answer = tokio::task::spawn_blocking(move || exchange(address, &bytes)).await;
+
+    let answer = answer.expect("the exchange ends");
+    assert!(
+        answer.is_empty() || answer.starts_with(&format!("HTTP/1.1 {status}")),
+        "answered {answer:?}"
+    );
+    assert!(site.runs.all().is_empty(), "no target was asked");
+    let sound = site.call(&site.nodes[0], "/lookup/a", "q2").await.expect("an answer");
+    assert_eq!(sound.status(), 200);
+}
+
+// Symptom: a target runs a request that no caller sent.
+// Sequence: a caller frames its body both by length and in chunks, with a request inside it.
+// Cause: the node and the target disagree about where the body ends.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_inside_a_body_never_runs() {
+    let site = Site::start(1, 0, 1).await;
+    let inner = "POST /lookup/x HTTP/1.1\r\nHost: site.example\r\nX-Catkinmast-Request-Id: \
+                 smuggled\r\nContent-Length: 0\r\n\r\n";
+    let request = format!(
+        "POST /lookup/a HTTP/1.1\r\nHost: {HOST}\r\nX-Catkinmast-Request-Id: q1\r\n\
+         Content-Length: 4\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n{:x}\r\n{inner}\r\n0\r\n\r\n",
+        inner.len()
+    );
+    let address = site.nodes[0].callers;
+
+    let _answer = tokio::task::spawn_blocking(move || exchange(address, request.as_bytes())).await;
+
+    assert!(site.runs.of("smuggled").is_empty());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_body_over_the_operators_limit_is_refused() {
+    let site = Site::start(1, 0, 1).await;
+    let request = site
+        .client
+        .post(format!("http://{}/lookup/a", site.nodes[0].callers))
+        .header("Host", HOST)
+        .header("X-Catkinmast-Request-Id", "q1")
+        .body(vec![b'x'; 2 << 20]);
+
+    let status = request.send().await.map(|answer| answer.status().as_u16());
+
+    assert!(status.as_ref().map_or(true, |status| *status == 413), "{status:?}");
+    assert!(site.runs.all().is_empty());
+}
+
+#[test]
+fn a_settings_file_that_is_wrong_is_named_with_its_value() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let path = folder.path().join("settings.toml");
+    std::fs::write(&path, "node = \"n\"\nportRange = [9, 3]\n").expect("the file is written");
+
+    let output = std::process::Command::new(env!("CARGO_BIN_EXE_catkinmast-front"))
+        .env("CATKINMAST_BOOT", &path)
+        .output()
+        .expect("the binary runs");
+
+    assert!(!output.status.success());
+    let error = String::from_utf8_lossy(&output.stderr);
+    assert!(error.contains("settings.toml"), "the file is named: {error}");
+    assert!(error.contains("missing field"), "the problem is named: {error}");
+}
--- /dev/null
+++ b/tests/all/site/batches.rs
@@ -0,0 +1,235 @@
+//! Batch submissions: accepted once, whole texts, fixed positions, whatever dies meanwhile.
+
+use super::harness::{Site, submission, until, whole_text};
+use super::store::Door;
+use super::worker::Conduct;
+use serde_json::Value;
+use std::collections::BTreeSet;
+use std::time::{Duration, Instant};
+
+const ITEMS: usize = 8;
+
+fn ids(results: &[Value]) -> BTreeSet<String> {
+    results.iter().map(|result| result["id"].as_str().unwrap_or_default().to_owned()).collect()
+}
+
+fn assert_whole(results: &[Value], events: u64) {
+    assert_eq!(ids(results).len(), results.len(), "no item stands twice");
+    for result in results {
+        let id = result["id"].as_str().expect("an id");
+        assert_eq!(result["state"], "completed", "{result}");
+        assert_eq!(result["text"], whole_text(id, events));
+        let score = result["score"].as_str().expect("a score");
+        assert!(score.starts_with("stamp.plain-"), "the score is the scorer's: {score}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_batch_is_run_scored_and_read_at_every_node() {
+    let site = Site::start(3, 3, 1).await;
+
+    let status = site.submit(&site.nodes[0], "b1", &submission("b1", ITEMS, 5, 1)).await;
+
+    assert_eq!(status, 202);
+    let first = site.read_all(&site.nodes[0], "b1", ITEMS).await;
+    assert_whole(&first, 5);
+    for node in &site.nodes {
+        assert_eq!(site.read_all(node, "b1", ITEMS).await, first);
+    }
+    assert!(first.iter().all(|result| result["versions"] == serde_json::json!([1])));
+    assert_eq!(site.end(&site.nodes[1], "b1").await, 200);
+    assert_eq!(site.end(&site.nodes[2], "b1").await, 200);
+    assert_eq!(site.end(&site.nodes[2], "nobody").await, 404);
+}
+
+// Symptom: a batch runs twice, or is lost, after its acceptance went unanswered.
+// Sequence: the store writes the submission and its answer is lost; the trainer sends it again.
+// Cause: the second submission is taken as a new one, or the first as not kept.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_submission_whose_write_went_unanswered_is_accepted_once() {
+    let site = Site::start(1, 2, 1).await;
+    let door = site.nodes[0].door;
+    site.store.set_door(door, Door::LosesAnswers);
+    let batch = submission("b1", ITEMS, 3, 1);
+    let opened = async {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        site.store.set_door(door, Door::Open);
+    };
+
+    let (status, ()) = tokio::join!(site.submit(&site.nodes[0], "b1", &batch), opened);
+    let again = site.submit(&site.nodes[0], "b1", &batch).await;
+
+    assert_eq!((status, again), (202, 202));
+    assert_whole(&site.read_all(&site.nodes[0], "b1", ITEMS).await, 3);
+    assert_eq!(site.store.keys("cm/h/").len(), 1);
+}
+
+// Symptom: a training step stalls because the node that ran its batch died.
+// Sequence: the owner is killed in the middle; some results are listed, some items run.
+// Cause: nobody else runs the batch, or positions change with the new owner.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_killed_owners_batch_goes_on_elsewhere_and_keeps_its_positions() {
+    let mut site = Site::start(3, 3, 1).await;
+    for engine in &site.engines {
+        engine.set_pace(30, 5);
+    }
+    let batch = submission("b1", 30, 12, 1);
+    assert_eq!(site.submit(&site.nodes[0], "b1", &batch).await, 202);
+    let owner = site.owner_of("b1").await;
+    let reader = (owner + 1) % 3;
+    let before = until("some results", || async {
+        site.read(&site.nodes[reader], "b1", 0).await.filter(|page| !page.is_empty())
+    })
+    .await;
+
+    site.nodes[owner].signal("KILL");
+
+    let all = site.read_all(&site.nodes[reader], "b1", 30).await;
+    assert_whole(&all, 12);
+    assert_eq!(all[..before.len()], before[..]);
+    site.nodes[owner].restart();
+    until("the restarted node serves the same", || async {
+        let read = site.read(&site.nodes[owner], "b1", 0).await?;
+        (read == all).then_some(())
+    })
+    .await;
+}
+
+// Symptom: results that were read are not there any more, or stand elsewhere.
+// Sequence: the owner is paused until another takes its batch, and wakes with old results.
+// Cause: it answers and writes as if nothing had happened.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_owner_that_wakes_from_a_pause_shows_nothing_old() {
+    let site = Site::start(3, 3, 1).await;
+    for engine in &site.engines {
+        engine.set_pace(20, 5);
+    }
+    let batch = submission("b1", 30, 10, 1);
+    assert_eq!(site.submit(&site.nodes[0], "b1", &batch).await, 202);
+    let owner = site.owner_of("b1").await;
+    let reader = (owner + 1) % 3;
+
+    site.nodes[owner].signal("STOP");
+    let all = site.read_all(&site.nodes[reader], "b1", 30).await;
+    site.nodes[owner].signal("CONT");
+
+    assert_whole(&all, 10);
+    let shown =
+        until("the woken node answers", || async { site.read(&site.nodes[owner], "b1", 0).await })
+            .await;
+    assert_eq!(shown, all);
+}
+
+// Symptom: items run long after their batch was ended.
+// Sequence: every node is killed and started again while a batch runs; then it is ended.
+// Cause: nodes that see only a part of the fleet take the batch from an owner that lives, and the
+// former owners run on.
+#[tokio::test(flavor = "multi_thread")]
+async fn after_a_restart_of_all_nodes_one_owner_runs_a_batch_and_an_end_stops_it() {
+    let mut site = Site::start(5, 4, 1).await;
+    for engine in &site.engines {
+        engine.set_pace(100, 5);
+    }
+    assert_eq!(site.submit(&site.nodes[0], "b1", &submission("b1", 24, 40, 1)).await, 202);
+    for node in &site.nodes {
+        node.signal("KILL");
+    }
+    for node in &mut site.nodes {
+        node.restart();
+    }
+    until("the batch runs again", || async {
+        let taken = site.nodes.iter().any(|node| !node.lines("batch_taken_over").is_empty());
+        taken.then_some(())
+    })
+    .await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let takers = site.nodes.iter().filter(|node| !node.lines("batch_taken_over").is_empty());
+
+    assert_eq!(takers.count(), 1, "one node has taken the batch");
+    until("the end is taken", || async {
+        (site.end(&site.nodes[1], "b1").await == 200).then_some(())
+    })
+    .await;
+    let ended = Instant::now();
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    let late = site.runs.all().into_iter().filter(|run| run.at > ended + Duration::from_secs(1));
+    assert_eq!(late.count(), 0, "nothing runs after the end");
+}
+
+// Symptom: trainers are refused while the store serves all other machines.
+// Sequence: the store turns one node away, with a refusal or with silence.
+// Cause: the node gives up instead of asking a peer to make its calls.
+#[yare::parameterized(
+    refused = { Door::Refuses },
+    silent = { Door::Silent },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread"))]
+async fn a_node_that_the_store_turns_away_works_by_way_of_its_peers(door: Door) {
+    let site = Site::start(3, 2, 1).await;
+    for index in 0..2 {
+        site.store.set_door(site.nodes[index].door, door);
+    }
+
+    let status = site.submit(&site.nodes[0], "b1", &submission("b1", ITEMS, 3, 1)).await;
+
+    assert_eq!(status, 202);
+    assert_whole(&site.read_all(&site.nodes[1], "b1", ITEMS).await, 3);
+    assert_eq!(site.end(&site.nodes[1], "b1").await, 200);
+}
+
+// Symptom: a step waits for one item until its trainer gives up.
+// Sequence: a target falls silent in the middle of a stream and keeps the connection open.
+// Cause: nobody notices, or the text starts over and joins pieces of two runs.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_silent_targets_texts_go_on_at_another() {
+    let site = Site::start(1, 2, 1).await;
+    site.engines[0].set_conduct(Conduct::SilentAfter(2));
+
+    assert_eq!(site.submit(&site.nodes[0], "b1", &submission("b1", ITEMS, 6, 1)).await, 202);
+
+    assert_whole(&site.read_all(&site.nodes[0], "b1", ITEMS).await, 6);
+    let resumed = site.engines[1].ran().into_iter().filter(|run| run.after == 2).count();
+    assert!(resumed > 0, "texts go on after their last event");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn no_item_runs_on_weights_that_are_too_old() {
+    let mut site = Site::start(1, 1, 1).await;
+    assert_eq!(site.submit(&site.nodes[0], "b1", &submission("b1", ITEMS, 3, 2)).await, 202);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    assert!(site.runs.of("b1i0").is_empty(), "version 1 is too old");
+
+    site.store.put("op/version/model-a", &serde_json::json!({ "model": "model-a", "version": 2 }));
+
+    let all = site.read_all(&site.nodes[0], "b1", ITEMS).await;
+    assert!(all.iter().all(|result| result["versions"] == serde_json::json!([2])));
+    site.engines[0].register("ready");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bodies_of_items_can_be_read_at_every_node() {
+    let site = Site::start(2, 0, 1).await;
+    assert_eq!(site.submit(&site.nodes[0], "b1", &submission("b1", ITEMS, 7, 1)).await, 202);
+
+    for node in &site.nodes {
+        let url = format!("http://{}/-/items/b1?id=b1i3", node.callers);
+        let answer = site.client.get(url).send().await.expect("an answer");
+        assert_eq!(answer.status(), 200);
+        assert_eq!(answer.bytes().await.expect("a body").to_vec(), vec![7_u8]);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_group_that_comes_again_goes_on_from_its_texts() {
+    let site = Site::start(1, 1, 1).await;
+    site.engines[0].set_pace(60, 5);
+    assert_eq!(site.submit(&site.nodes[0], "b1", &submission("x", 4, 20, 1)).await, 202);
+    until("the items run", || async { (site.runs.all().len() >= 4).then_some(()) }).await;
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    assert_eq!(site.end(&site.nodes[0], "b1").await, 200);
+
+    assert_eq!(site.submit(&site.nodes[0], "b2", &submission("x", 4, 20, 1)).await, 202);
+
+    assert_whole(&site.read_all(&site.nodes[0], "b2", 4).await, 20);
+    assert!(site.runs.of("xi0").iter().any(|run| run.after > 0), "the text went on");
+}
--- /dev/null
+++ b/tests/all/site/harness.rs
@@ -0,0 +1,349 @@
+//! A site: the store, workers and entry nodes, and the calls of their callers.
+
+use super::store::Store;
+use super::web::Server;
+use super::worker::{Runs, Worker};
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use serde_json::{Value, json};
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// How long a condition may take to come about before a test counts as hung.
+pub(crate) const HUNG_AFTER: Duration = Duration::from_mins(1);
+/// The host of all routes.
+pub(crate) const HOST: &str = "site.example";
+
+/// An entry node's process.
+pub(crate) struct Node {
+    pub(crate) callers: SocketAddr,
+    child: Child,
+    pub(crate) directory: SocketAddr,
+    pub(crate) door: usize,
+    _door_server: Server,
+    folder: tempfile::TempDir,
+    log: Arc<Mutex<Vec<Value>>>,
+    pub(crate) ready: SocketAddr,
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        let _already_dead = self.child.kill();
+        let _already_reaped = self.child.wait();
+    }
+}
+
+/// A site.
+pub(crate) struct Site {
+    pub(crate) client: reqwest::Client,
+    pub(crate) engines: Vec<Worker>,
+    pub(crate) nodes: Vec<Node>,
+    pub(crate) plain: Vec<Worker>,
+    pub(crate) runs: Runs,
+    pub(crate) store: Store,
+}
+
+/// The configuration that sites begin with.
+pub(crate) fn document(version: u64) -> Value {
+    json!({
+        "version": version,
+        "routes": [
+            { "name": "lookups", "host": HOST, "prefix": "/lookup/", "kind": "idempotent",
+              "timeoutMs": 3_000, "targetLatencyMs": 150, "priority": 2, "service": "plain",
+              "attempts": 3 },
+            { "name": "checks", "host": HOST, "prefix": "/check/", "kind": "non_idempotent",
+              "timeoutMs": 3_000, "targetLatencyMs": 150, "priority": 1, "service": "plain",
+              "attempts": 3 },
+            { "name": "rollouts", "host": HOST, "prefix": "/rollout/", "kind": "rollout",
+              "timeoutMs": 10_000, "targetLatencyMs": 400, "priority": 1, "service": "llm",
+              "attempts": 3, "runTargetMs": 7_500, "maxWaitS": 40, "resumable": true },
+            { "name": "streams", "host": HOST, "prefix": "/stream/", "kind": "stream",
+              "timeoutMs": 10_000, "targetLatencyMs": 400, "priority": 1, "service": "llm",
+              "attempts": 2 },
+        ],
+        "services": [
+            { "name": "plain", "healthPath": "/health", "maxConnections": 96, "protocol": "h1",
+              "tls": false },
+            { "name": "llm", "healthPath": "/health", "maxConnections": 96, "protocol": "h1",
+              "tls": false, "engine": { "slots": 4, "models": [{ "name": "model-a" },
+              { "name": "model-b" }] } },
+        ],
+        "limits": { "maxHeaderBytes": 16_384, "maxBodyBytes": 1_048_576, "headerTimeoutMs": 3_000,
+                    "idleTimeoutMs": 15_000 },
+    })
+}
+
+/// A batch submission of `items` items in groups of two, `events` events each.
+pub(crate) fn submission(prefix: &str, items: usize, events: u8, oldest_version: u64) -> Value {
+    let items: Vec<Value> = (0..items)
+        .map(|number| {
+            json!({
+                "id": format!("{prefix}i{number}"), "path": format!("/rollout/{prefix}"),
+                "headers": { "X-Catkinmast-Model": "model-a",
+                             "X-Catkinmast-Token-Count": "100,400" },
+                "body": STANDARD.encode([events]), "tokens": 500,
+                "group": format!("{prefix}g{}", number / 2),
+                "scorerUrl": { "id": format!("{prefix}r{number}"), "host": HOST,
+                               "path": "/lookup/score", "body": STANDARD.encode("score") },
+            })
+        })
+        .collect();
+    json!({ "step": 1, "model": "model-a", "minVersion": oldest_version, "targetGroups": 2,
+            "items": items })
+}
+
+/// Polls until `holds` gives a value.
+pub(crate) async fn until<T, F: Future<Output = Option<T>>>(
+    what: &str,
+    holds: impl Fn() -> F,
+) -> T {
+    let began = Instant::now();
+    loop {
+        if let Some(found) = holds().await {
+            return found;
+        }
+        assert!(began.elapsed() < HUNG_AFTER, "never came about: {what}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+fn free_ports(count: usize) -> Vec<u16> {
+    let held: Vec<std::net::TcpListener> = (0..count)
+        .map(|_| std::net::TcpListener::bind("127.0.0.1:0").expect("a free port"))
+        .collect();
+    held.iter().map(|listener| listener.local_addr().expect("a bound address").port()).collect()
+}
+
+fn settings(name: &str, ports: &[u16], store: SocketAddr) -> String {
+    format!(
+        r#"node = "{name}"
+role = "entry"
+machineClass = "front"
+serves = ["front", "directory"]
+ip = "127.0.0.1"
+zone = "zone-a"
+region = "region-a"
+portRange = [{peer}, {peer}]
+aFieldThatIsNotKnownHere = 1
+[listen]
+front = "127.0.0.1:{front}"
+readyAddr = "127.0.0.1:{ready}"
+directory = "127.0.0.1:{directory}"
+[bounds]
+graceS = 8
+leaseMs = 3000
+ttl_max_s = 5
+[platform]
+address = "{store}"
+valueBytes = 1048576
+ttlMinMs = 1000
+"#,
+        peer = ports[0],
+        front = ports[1],
+        ready = ports[2],
+        directory = ports[3],
+    )
+}
+
+impl Node {
+    async fn start(store: &Store, name: &str) -> Self {
+        let (door, door_server) = store.door().await;
+        let ports = free_ports(4);
+        let folder = tempfile::tempdir().expect("a folder for the settings");
+        let text = settings(name, &ports, door_server.address);
+        std::fs::write(folder.path().join("settings.toml"), text)
+            .expect("the settings are written");
+        let log = Arc::new(Mutex::new(Vec::new()));
+        let child = spawn(&folder, &log);
+        let at = |port: u16| SocketAddr::from(([127, 0, 0, 1], port));
+        Self {
+            callers: at(ports[1]),
+            child,
+            directory: at(ports[3]),
+            door,
+            _door_server: door_server,
+            folder,
+            log,
+            ready: at(ports[2]),
+        }
+    }
+
+    /// Sends a signal by name, e.g. `KILL`, `STOP`, `CONT` or `TERM`.
+    pub(crate) fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        let status = Command::new("kill").args([&format!("-{name}"), &pid]).status();
+        assert!(status.expect("kill runs").success(), "signal {name} to {pid}");
+    }
+
+    /// Starts the process again after it has ended.
+    pub(crate) fn restart(&mut self) {
+        let _already_dead = self.child.kill();
+        let _already_reaped = self.child.wait();
+        self.child = spawn(&self.folder, &self.log);
+    }
+
+    /// Returns the exit code once the process has ended.
+    pub(crate) fn exit_code(&mut self) -> Option<Option<i32>> {
+        self.child.try_wait().expect("the process can be asked").map(|status| status.code())
+    }
+
+    /// Returns the lines of the audit trail with this event.
+    pub(crate) fn lines(&self, event: &str) -> Vec<Value> {
+        let log = self.log.lock().expect("no test panics while it holds the log");
+        log.iter().filter(|line| line["event"] == event).cloned().collect()
+    }
+}
+
+fn spawn(folder: &tempfile::TempDir, log: &Arc<Mutex<Vec<Value>>>) -> Child {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_catkinmast-front"))
+        .env("CATKINMAST_BOOT", folder.path().join("settings.toml"))
+        .stdout(Stdio::piped())
+        .spawn()
+        .expect("the binary starts");
+    let output = child.stdout.take().expect("standard output is piped");
+    let log = Arc::clone(log);
+    std::thread::spawn(move || {
+        for line in BufReader::new(output).lines().map_while(Result::ok) {
+            let line = serde_json::from_str(&line).expect("each line is a JSON object");
+            log.lock().expect("no test panics while it holds the log").push(line);
+        }
+    });
+    child
+}
+
+impl Site {
+    /// Starts a site and waits until all nodes are ready and know each other.
+    pub(crate) async fn start(nodes: usize, engines: usize, plain: usize) -> Self {
+        let store = Store::open();
+        let runs = Runs::default();
+        let client = reqwest::Client::builder()
+            .no_proxy()
+            .pool_max_idle_per_host(0)
+            .timeout(HUNG_AFTER)
+            .build()
+            .expect("a client");
+        let mut site =
+            Self { client, engines: Vec::new(), nodes: Vec::new(), plain: Vec::new(), runs, store };
+        site.store.put("op/config", &document(3));
+        for number in 0..engines {
+            site.add_engine(&format!("engine-{number}")).await;
+        }
+        for number in 0..plain {
+            let id = format!("plain-{number}");
+            let worker = Worker::start(&site.store, &site.runs, "plain", &id).await;
+            site.plain.push(worker);
+        }
+        for number in 0..nodes {
+            site.nodes.push(Node::start(&site.store, &format!("node-{number}")).await);
+        }
+        site.wait_until_whole(nodes).await;
+        site
+    }
+
+    /// Starts one more engine.
+    pub(crate) async fn add_engine(&mut self, id: &str) {
+        let worker = Worker::start(&self.store, &self.runs, "llm", id).await;
+        self.engines.push(worker);
+    }
+
+    /// Waits until `count` nodes are in the directory of each node that answers.
+    pub(crate) async fn wait_until_whole(&self, count: usize) {
+        for node in &self.nodes {
+            until("all nodes in the directory", || async {
+                (self.directory(node).await.len() == count).then_some(())
+            })
+            .await;
+        }
+    }
+
+    /// Asks a node's directory; none where it does not answer with addresses.
+    pub(crate) async fn directory(&self, node: &Node) -> Vec<String> {
+        let url = format!("http://{}/-/resolve?name={HOST}&region=r&zone=zone-a", node.directory);
+        let Ok(response) = self.client.get(url).send().await else { return Vec::new() };
+        let Ok(answer) = response.json::<Value>().await else { return Vec::new() };
+        let addresses = answer["addresses"].as_array().cloned().unwrap_or_default();
+        addresses.iter().filter_map(|address| address.as_str().map(str::to_owned)).collect()
+    }
+
+    /// Tells whether a node says that it is ready.
+    pub(crate) async fn is_ready(&self, node: &Node) -> bool {
+        let url = format!("http://{}/-/ready", node.ready);
+        self.client.get(url).send().await.is_ok_and(|answer| answer.status() == 200)
+    }
+
+    /// Sends a request through a node.
+    pub(crate) async fn call(
+        &self,
+        node: &Node,
+        path: &str,
+        id: &str,
+    ) -> reqwest::Result<reqwest::Response> {
+        self.client
+            .post(format!("http://{}{path}", node.callers))
+            .header("Host", HOST)
+            .header("X-Catkinmast-Request-Id", id)
+            .header("X-Catkinmast-Deadline-Ms", "3000")
+            .body("question")
+            .send()
+            .await
+    }
+
+    /// Submits a batch at a node and returns the status.
+    pub(crate) async fn submit(&self, node: &Node, id: &str, batch: &Value) -> u16 {
+        let request = self
+            .client
+            .post(format!("http://{}/rollout/{id}", node.callers))
+            .header("Host", HOST)
+            .header("X-Catkinmast-Request-Id", id)
+            .body(batch.to_string());
+        request.send().await.map_or(0, |answer| answer.status().as_u16())
+    }
+
+    /// Reads a batch's results from a position; none where the node does not answer with them.
+    pub(crate) async fn read(&self, node: &Node, id: &str, after: usize) -> Option<Vec<Value>> {
+        let url = format!("http://{}/-/lots/{id}?after={after}", node.callers);
+        let answer =
+            self.client.get(url).header("X-Catkinmast-Wait-Ms", "200").send().await.ok()?;
+        if answer.status() != 200 {
+            return None;
+        }
+        let page: Value = answer.json().await.ok()?;
+        page["results"].as_array().cloned()
+    }
+
+    /// Reads a batch through a node until all of `count` results are there.
+    pub(crate) async fn read_all(&self, node: &Node, id: &str, count: usize) -> Vec<Value> {
+        until("all results", || async {
+            let mut results = Vec::new();
+            while let Some(page) = self.read(node, id, results.len()).await {
+                if page.is_empty() {
+                    break;
+                }
+                results.extend(page);
+            }
+            (results.len() == count).then_some(results)
+        })
+        .await
+    }
+
+    /// Ends a batch through a node and returns the status.
+    pub(crate) async fn end(&self, node: &Node, id: &str) -> u16 {
+        let request = self.client.delete(format!("http://{}/-/lots/{id}", node.callers));
+        request.send().await.map_or(0, |answer| answer.status().as_u16())
+    }
+
+    /// Returns the index of the node that owns a batch, by its trail.
+    pub(crate) async fn owner_of(&self, id: &str) -> usize {
+        let owns = |node: &Node| node.lines("batch_owned").iter().any(|line| line["request"] == id);
+        until("an owner", || async { self.nodes.iter().position(owns) }).await
+    }
+}
+
+/// The text that an item of `events` events has when it is whole.
+pub(crate) fn whole_text(item: &str, events: u64) -> String {
+    let lines: Vec<String> = (1..=events).map(|number| format!("{item}-{number}")).collect();
+    lines.join("\n")
+}
--- /dev/null
+++ b/tests/all/site/mod.rs
@@ -0,0 +1,16 @@
+//! The programs on the users' platform, as separate processes, with stand-ins of everything else.
+//!
+//! The stand-ins run in the test's process: the store and the workers that [`store`] and
+//! [`worker`] describe. Waits poll until a condition holds; their limit only guards against a hang.
+
+pub(crate) mod harness;
+pub(crate) mod store;
+pub(crate) mod web;
+pub(crate) mod worker;
+
+mod bad_input;
+mod batches;
+mod configuration;
+mod orders;
+mod requests;
+mod stops;
--- /dev/null
+++ b/tests/all/site/orders.rs
@@ -0,0 +1,79 @@
+//! Weight versions: one node gives the orders, and an order that comes late does no harm.
+
+use super::harness::{Site, until};
+use super::worker::Conduct;
+use serde_json::json;
+use std::time::Duration;
+
+async fn name_version(site: &Site, version: u64) {
+    let value = json!({ "model": "model-a", "version": version });
+    site.store.put("op/version/model-a", &value);
+}
+
+async fn wait_for_version(site: &Site, version: u64, engines: usize) {
+    until("the engines have the version", || async {
+        let current = site.engines.iter().filter(|engine| engine.version("model-a") == version);
+        (current.count() >= engines).then_some(())
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn named_versions_reach_the_engines_under_one_holder_and_a_rising_fence() {
+    // Two models share four engines, so each is kept current at two of them.
+    let mut site = Site::start(3, 4, 0).await;
+    name_version(&site, 2).await;
+    wait_for_version(&site, 2, 2).await;
+    let holder = site
+        .nodes
+        .iter()
+        .position(|node| !node.lines("order_sent").is_empty())
+        .expect("one node gives the orders");
+
+    site.nodes[holder].signal("KILL");
+    name_version(&site, 3).await;
+
+    wait_for_version(&site, 3, 2).await;
+    site.nodes[holder].restart();
+    let orders: Vec<serde_json::Value> =
+        site.engines.iter().flat_map(super::worker::Worker::orders_seen).collect();
+    let mut fences: Vec<(u64, String)> = orders
+        .iter()
+        .map(|order| (order["fence"].as_u64().expect("a fence"), order["holder"].to_string()))
+        .collect();
+    fences.sort();
+    fences.dedup();
+    let numbers: Vec<u64> = fences.iter().map(|(fence, _)| *fence).collect();
+    let mut distinct = numbers.clone();
+    distinct.dedup();
+    assert_eq!(numbers, distinct, "no fence belongs to two holders: {fences:?}");
+}
+
+// Symptom: an engine loads twice, or goes back to an older version.
+// Sequence: an order gets no answer and is carried out seconds later, after it was sent again.
+// Cause: the second order does not name how many orders came before it.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_order_that_is_carried_out_late_does_nothing_more() {
+    let site = Site::start(1, 1, 0).await;
+    site.engines[0].set_conduct(Conduct::OrdersLate);
+
+    name_version(&site, 2).await;
+
+    wait_for_version(&site, 2, 1).await;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    assert_eq!(site.engines[0].orders_seen().len(), 1, "one of the two orders was carried out");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_store_machine_that_is_to_be_emptied_is_reported_empty() {
+    let site = Site::start(2, 0, 0).await;
+
+    site.store.put("op/retire/store-1", &json!({ "durationS": 10 }));
+
+    until("the report", || async {
+        let value = site.store.get("status/retire/store-1")?;
+        let status: serde_json::Value = serde_json::from_slice(&value).ok()?;
+        (status["state"] == "completed").then_some(())
+    })
+    .await;
+}
--- /dev/null
+++ b/tests/all/site/requests.rs
@@ -0,0 +1,203 @@
+//! Requests of callers: answers whole and their own, refusals true, at most once.
+
+use super::harness::{HOST, Site, until};
+use super::worker::Conduct;
+use std::time::Duration;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lookup_is_answered_by_a_target() {
+    let site = Site::start(2, 0, 2).await;
+
+    let answer = site.call(&site.nodes[0], "/lookup/a", "q1").await.expect("an answer");
+
+    assert_eq!(answer.status(), 200);
+    let stamp = answer.headers()["x-catkinmast-server-stamp"].to_str().expect("text").to_owned();
+    let body = answer.text().await.expect("a body");
+    assert_eq!(stamp, format!("stamp.{}.q1", site.runs.of("q1")[0].worker));
+    assert!(body.starts_with("q1 by plain-"), "the body is the target's: {body}");
+}
+
+// Symptom: a caller reads bytes that no target signed, or the answer to somebody else.
+// Sequence: a target answers without its signature, or with the id of another request.
+// Cause: the answer is taken by its place on the connection.
+#[yare::parameterized(
+    unsigned = { Conduct::Garbled },
+    of_another = { Conduct::WrongId },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread"))]
+async fn an_answer_that_is_not_the_targets_is_asked_for_elsewhere(conduct: Conduct) {
+    let site = Site::start(1, 0, 2).await;
+    site.plain[0].set_conduct(conduct);
+
+    for number in 0..6 {
+        let id = format!("q{number}");
+        let answer = site.call(&site.nodes[0], "/lookup/a", &id).await.expect("an answer");
+
+        assert_eq!(answer.status(), 200);
+        assert_eq!(answer.text().await.expect("a body"), format!("{id} by plain-1"));
+    }
+}
+
+// Symptom: a mechanic is sent twice.
+// Sequence: a target runs a call that may not be repeated and closes the connection.
+// Cause: the call is sent again, or refused as not run.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_whose_answer_is_lost_is_not_repeated_and_not_called_unrun() {
+    let site = Site::start(1, 0, 2).await;
+    for worker in &site.plain {
+        worker.set_conduct(Conduct::LosesAnswers);
+    }
+
+    for number in 0..4 {
+        let id = format!("c{number}");
+        let answer = site.call(&site.nodes[0], "/check/a", &id).await.expect("an answer");
+
+        assert_eq!(answer.status(), 502);
+        assert_eq!(site.runs.of(&id).len(), 1);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_idempotent_call_whose_answer_is_lost_is_repeated_within_its_attempts() {
+    let site = Site::start(1, 0, 4).await;
+    for worker in &site.plain {
+        worker.set_conduct(Conduct::LosesAnswers);
+    }
+
+    let answer = site.call(&site.nodes[0], "/lookup/a", "q1").await.expect("an answer");
+
+    assert_eq!(answer.status(), 502);
+    assert_eq!(site.runs.of("q1").len(), 3, "the route allows three targets");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_that_all_targets_refuse_is_refused_as_not_run_with_a_time_to_come_back() {
+    let site = Site::start(1, 0, 2).await;
+    for worker in &site.plain {
+        worker.set_conduct(Conduct::Full);
+    }
+
+    let answer = site.call(&site.nodes[0], "/check/a", "c1").await.expect("an answer");
+
+    assert_eq!(answer.status(), 503);
+    assert!(answer.headers().contains_key("retry-after"));
+    assert!(site.runs.of("c1").is_empty());
+}
+
+// Symptom: targets work on for callers that have left.
+// Sequence: a caller closes its connection while a target works.
+// Cause: the handler is not dropped with the connection.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_leaves_takes_its_run_with_it() {
+    let site = Site::start(1, 0, 1).await;
+    site.plain[0].set_pace(10, 30_000);
+    let url = format!("http://{}/lookup/a", site.nodes[0].callers);
+    let request = site
+        .client
+        .post(url)
+        .header("Host", HOST)
+        .header("X-Catkinmast-Request-Id", "q1")
+        .header("X-Catkinmast-Deadline-Ms", "30000")
+        .timeout(Duration::from_millis(500));
+
+    let left = request.send().await;
+
+    assert!(left.is_err(), "the caller has left");
+    until("the run is dropped", || async { (site.plain[0].abandoned() == 1).then_some(()) }).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_ends_when_its_route_says_so() {
+    let site = Site::start(1, 0, 1).await;
+    site.plain[0].set_pace(10, 30_000);
+
+    let answer = site.call(&site.nodes[0], "/lookup/a", "q1").await.expect("an answer");
+
+    assert!([502, 504].contains(&answer.status().as_u16()), "a final answer: {answer:?}");
+}
+
+// Symptom: a target that leaves gets new work.
+// Sequence: its entry says that it drains, or is removed; a late heartbeat shows it as ready again.
+// Cause: the last message counts, whatever its age.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_target_that_leaves_gets_no_more_work_whatever_comes_late() {
+    let mut site = Site::start(2, 0, 2).await;
+    site.plain[0].register("draining");
+    for node in &site.nodes {
+        until("the node knows", || async {
+            let left = node.lines("target_left");
+            left.iter().any(|line| line["target"] == "plain-0").then_some(())
+        })
+        .await;
+    }
+    site.plain[0].register_late();
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    let before = site.plain[0].ran().len();
+
+    for number in 0..20 {
+        let node = &site.nodes[number % 2];
+        let answer = site.call(node, "/lookup/a", &format!("q{number}")).await.expect("an answer");
+        assert_eq!(answer.status(), 200);
+    }
+
+    assert_eq!(site.plain[0].ran().len(), before);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_target_whose_entry_is_removed_gets_no_more_work() {
+    let site = Site::start(1, 0, 2).await;
+    site.plain[0].deregister();
+    until("the node knows", || async {
+        let left = site.nodes[0].lines("target_left");
+        left.iter().any(|line| line["target"] == "plain-0").then_some(())
+    })
+    .await;
+    let before = site.plain[0].ran().len();
+
+    for number in 0..10 {
+        let id = format!("q{number}");
+        let answer = site.call(&site.nodes[0], "/lookup/a", &id).await.expect("an answer");
+        assert_eq!(answer.status(), 200);
+    }
+
+    assert_eq!(site.plain[0].ran().len(), before);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_is_passed_on_whole() {
+    let site = Site::start(1, 1, 0).await;
+    let request = site
+        .client
+        .post(format!("http://{}/stream/a", site.nodes[0].callers))
+        .header("Host", HOST)
+        .header("X-Catkinmast-Request-Id", "s1")
+        .header("X-Catkinmast-Model", "model-a")
+        .body(vec![4_u8]);
+
+    let answer = request.send().await.expect("an answer");
+
+    assert_eq!(answer.status(), 200);
+    let text = answer.text().await.expect("the whole stream");
+    assert_eq!(text.matches("data: s1-").count(), 4);
+}
+
+// Symptom: half a stream looks like a whole one.
+// Sequence: the target falls silent in the middle and its connection breaks.
+// Cause: the answer to the caller is ended as if it were complete.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_breaks_off_does_not_look_whole() {
+    let mut site = Site::start(1, 1, 0).await;
+    site.engines[0].set_conduct(Conduct::SilentAfter(2));
+    let request = site
+        .client
+        .post(format!("http://{}/stream/a", site.nodes[0].callers))
+        .header("Host", HOST)
+        .header("X-Catkinmast-Request-Id", "s1")
+        .header("X-Catkinmast-Model", "model-a")
+        .body(vec![9_u8]);
+    let answer = request.send().await.expect("an answer");
+
+    site.engines[0].crash();
+
+    assert!(answer.text().await.is_err(), "the caller sees that it was cut");
+}
--- /dev/null
+++ b/tests/all/site/stops.rs
@@ -0,0 +1,54 @@
+//! Planned stops cut nothing, and the directory names no node that leaves.
+
+use super::harness::{Site, submission, until, whole_text};
+
+// Symptom: requests are cut when a node is replaced.
+// Sequence: SIGTERM comes while a request is at a target.
+// Cause: the process ends, or closes the connection, before the answer is passed on.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_that_is_told_to_stop_answers_what_it_has_and_leaves_the_directory() {
+    let mut site = Site::start(3, 0, 1).await;
+    site.plain[0].set_pace(10, 1_500);
+    let leaving = site.nodes.remove(0);
+    let stopping = async {
+        until("the request is at the target", || async {
+            (!site.runs.of("q1").is_empty()).then_some(())
+        })
+        .await;
+        leaving.signal("TERM");
+    };
+
+    let (answer, ()) = tokio::join!(site.call(&leaving, "/lookup/a", "q1"), stopping);
+
+    let answer = answer.expect("the answer is passed on");
+    assert_eq!(answer.status(), 200);
+    assert_eq!(answer.headers()["connection"], "close");
+    assert!(!site.is_ready(&leaving).await);
+    site.wait_until_whole(2).await;
+    let mut leaving = leaving;
+    let mut code = None;
+    while code.is_none() {
+        code = leaving.exit_code();
+        tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+    }
+    assert_eq!(code, Some(Some(0)));
+    assert_eq!(leaving.lines("stopped").len(), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_owner_that_is_told_to_stop_hands_its_batches_over() {
+    let site = Site::start(3, 3, 1).await;
+    for engine in &site.engines {
+        engine.set_pace(60, 5);
+    }
+    assert_eq!(site.submit(&site.nodes[0], "b1", &submission("b1", 20, 20, 1)).await, 202);
+    let owner = site.owner_of("b1").await;
+
+    site.nodes[owner].signal("TERM");
+
+    let all = site.read_all(&site.nodes[(owner + 1) % 3], "b1", 20).await;
+    for result in &all {
+        let id = result["id"].as_str().expect("an id");
+        assert_eq!(result["text"], whole_text(id, 20));
+    }
+}
--- /dev/null
+++ b/tests/all/site/store.rs
@@ -0,0 +1,335 @@
+//! A stand-in of the platform's store: transactions, leases, watches, and its troubles.
+//!
+//! Each node is given a door of its own, so that the store can turn one node away.
+
+use super::web::{Answer, Server, answer};
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use futures::FutureExt;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use tokio::sync::Notify;
+
+/// How a door answers.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Door {
+    /// Writes are done, and their answers are lost.
+    LosesAnswers,
+    /// As it should.
+    Open,
+    /// Refuses with 503.
+    Refuses,
+    /// Takes calls and answers none.
+    Silent,
+}
+
+#[derive(Clone, Debug)]
+struct Item {
+    created: u64,
+    lease: u64,
+    revision: u64,
+    value: Vec<u8>,
+}
+
+#[derive(Default)]
+struct State {
+    calls: BTreeMap<String, u64>,
+    compacted: u64,
+    doors: Vec<Option<Door>>,
+    history: Vec<(u64, String, Option<Item>)>,
+    items: BTreeMap<String, Item>,
+    leases: BTreeMap<u64, (Duration, Instant)>,
+    revision: u64,
+    watch_epoch: u64,
+}
+
+/// The store.
+#[derive(Clone)]
+pub(crate) struct Store {
+    changed: Arc<Notify>,
+    state: Arc<Mutex<State>>,
+}
+
+fn wire_item(key: &str, item: &Item) -> Value {
+    json!({ "key": key, "value": STANDARD.encode(&item.value), "revision": item.revision,
+            "createdAt": item.created, "lease": item.lease })
+}
+
+impl State {
+    fn write(&mut self, key: &str, value: Vec<u8>, lease: u64) {
+        let created = self.items.get(key).map_or(self.revision, |item| item.created);
+        let item = Item { created, lease, revision: self.revision, value };
+        self.items.insert(key.to_owned(), item.clone());
+        self.history.push((self.revision, key.to_owned(), Some(item)));
+    }
+
+    fn delete(&mut self, key: &str) {
+        if self.items.remove(key).is_some() {
+            self.history.push((self.revision, key.to_owned(), None));
+        }
+    }
+
+    fn expire_leases(&mut self) {
+        let now = Instant::now();
+        let over: Vec<u64> =
+            self.leases.iter().filter(|(_, (_, at))| *at <= now).map(|(id, _)| *id).collect();
+        for lease in over {
+            self.end_lease(lease);
+        }
+    }
+
+    fn end_lease(&mut self, lease: u64) {
+        self.leases.remove(&lease);
+        let keys: Vec<String> = self
+            .items
+            .iter()
+            .filter(|(_, item)| item.lease == lease)
+            .map(|(key, _)| key.clone())
+            .collect();
+        if !keys.is_empty() {
+            self.revision += 1;
+        }
+        for key in keys {
+            self.delete(&key);
+        }
+    }
+}
+
+impl Store {
+    /// Opens an empty store.
+    pub(crate) fn open() -> Self {
+        Self { changed: Arc::new(Notify::new()), state: Arc::new(Mutex::new(State::default())) }
+    }
+
+    fn state(&self) -> std::sync::MutexGuard<'_, State> {
+        self.state.lock().expect("no test panics while it holds the store")
+    }
+
+    /// Opens a door; its server closes with the returned handle.
+    pub(crate) async fn door(&self) -> (usize, Server) {
+        let index = {
+            let mut state = self.state();
+            state.doors.push(Some(Door::Open));
+            state.doors.len() - 1
+        };
+        let store = self.clone();
+        let server = Server::bind(move |request| {
+            let store = store.clone();
+            async move { store.serve(index, request).await }.boxed()
+        });
+        (index, server.await)
+    }
+
+    /// Changes how a door answers.
+    pub(crate) fn set_door(&self, index: usize, door: Door) {
+        self.state().doors[index] = Some(door);
+    }
+
+    /// Writes a key as the operator or a worker does.
+    pub(crate) fn put(&self, key: &str, value: &Value) {
+        let mut state = self.state();
+        state.revision += 1;
+        state.write(key, value.to_string().into_bytes(), 0);
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
+    /// Removes a key as the platform does.
+    pub(crate) fn remove(&self, key: &str) {
+        let mut state = self.state();
+        state.revision += 1;
+        state.delete(key);
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
+    /// Returns a value.
+    pub(crate) fn get(&self, key: &str) -> Option<Vec<u8>> {
+        self.state().items.get(key).map(|item| item.value.clone())
+    }
+
+    /// Returns the keys under a prefix.
+    pub(crate) fn keys(&self, prefix: &str) -> Vec<String> {
+        self.state().items.keys().filter(|key| key.starts_with(prefix)).cloned().collect()
+    }
+
+    /// Returns how often a call was made.
+    pub(crate) fn calls(&self, call: &str) -> u64 {
+        self.state().calls.get(call).copied().unwrap_or(0)
+    }
+
+    /// Makes a change that no watch hears of, drops the history and cuts the watches.
+    pub(crate) fn lose_history_with(&self, key: &str, value: &Value) {
+        let mut state = self.state();
+        state.revision += 1;
+        state.write(key, value.to_string().into_bytes(), 0);
+        state.history.clear();
+        state.compacted = state.revision;
+        state.watch_epoch += 1;
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
+    async fn serve(&self, door: usize, request: http::Request<Incoming>) -> Answer {
+        let (head, body) = request.into_parts();
+        let body = body.collect().await.ok()?.to_bytes();
+        let name = head.uri.path().rsplit('/').find(|part| part.starts_with("kv-"))?.to_owned();
+        let mode = {
+            let mut state = self.state();
+            *state.calls.entry(name.clone()).or_insert(0) += 1;
+            state.expire_leases();
+            state.doors[door].unwrap_or(Door::Open)
+        };
+        match mode {
+            Door::Refuses => return Some(answer(503, "")),
+            Door::Silent => std::future::pending().await,
+            Door::Open | Door::LosesAnswers => {}
+        }
+        let query = head.uri.query().unwrap_or_default().to_owned();
+        let body: Value = serde_json::from_slice(&body).unwrap_or(Value::Null);
+        let id = head.uri.path().rsplit('/').next().and_then(|id| id.parse().ok()).unwrap_or(0);
+        let (status, value) = match name.as_str() {
+            "kv-watch" => self.watch(&query).await?,
+            "kv-key" => self.key(&query),
+            "kv-range" => self.range(&query),
+            "kv-txn" => self.transaction(&body),
+            _ => self.lease(&name, id, &body),
+        };
+        if mode == Door::LosesAnswers && name == "kv-txn" {
+            return None;
+        }
+        Some(answer(status, value.to_string()))
+    }
+
+    fn key(&self, query: &str) -> (u16, Value) {
+        let state = self.state();
+        let key = parameter(query, "key");
+        match state.items.get(&key) {
+            None => (404, json!({ "asOf": state.revision })),
+            Some(item) => {
+                let mut value = wire_item(&key, item);
+                value["asOf"] = json!(state.revision);
+                (200, value)
+            }
+        }
+    }
+
+    fn range(&self, query: &str) -> (u16, Value) {
+        let state = self.state();
+        let (prefix, after) = (parameter(query, "prefix"), parameter(query, "after"));
+        let items: Vec<Value> = state
+            .items
+            .iter()
+            .filter(|(key, _)| key.starts_with(&prefix) && **key > after)
+            .map(|(key, item)| wire_item(key, item))
+            .collect();
+        (200, json!({ "items": items, "truncated": false, "asOf": state.revision }))
+    }
+
+    async fn watch(&self, query: &str) -> Option<(u16, Value)> {
+        let prefix = parameter(query, "prefix");
+        let after: u64 = parameter(query, "after").parse().unwrap_or(0);
+        let wait_ms: u64 = parameter(query, "waitMs").parse().unwrap_or(0);
+        let until = Instant::now() + Duration::from_millis(wait_ms);
+        let epoch = self.state().watch_epoch;
+        loop {
+            let changed = self.changed.notified();
+            {
+                let state = self.state();
+                if state.watch_epoch != epoch {
+                    return None;
+                }
+                let events: Vec<Value> = state
+                    .history
+                    .iter()
+                    .filter(|(revision, key, _)| *revision > after && key.starts_with(&prefix))
+                    .map(|(revision, key, item)| match item {
+                        Some(item) => wire_item(key, item),
+                        None => json!({ "key": key, "revision": revision, "deleted": true }),
+                    })
+                    .collect();
+                // The platform tells of a lost history with the next change, or when the wait is
+                // over.
+                let over = Instant::now() >= until;
+                if !events.is_empty() || over {
+                    return Some(if after < state.compacted {
+                        (410, json!({}))
+                    } else {
+                        (200, json!({ "events": events, "asOf": state.revision }))
+                    });
+                }
+            }
+            let left = until.saturating_duration_since(Instant::now());
+            let _woken_or_over = tokio::time::timeout(left, changed).await;
+        }
+    }
+
+    fn transaction(&self, body: &Value) -> (u16, Value) {
+        let mut state = self.state();
+        let rows = body["expected"].as_array().cloned().unwrap_or_default();
+        let held = |state: &State, key: &str| state.items.get(key).map_or(0, |item| item.revision);
+        let key = |row: &Value| row["key"].as_str().unwrap_or_default().to_owned();
+        if rows.iter().any(|row| held(&state, &key(row)) != row["revision"].as_u64().unwrap_or(0)) {
+            let items: Vec<Value> = rows
+                .iter()
+                .map(|row| match state.items.get(&key(row)) {
+                    Some(item) => wire_item(&key(row), item),
+                    None => json!({ "key": key(row), "revision": 0 }),
+                })
+                .collect();
+            return (412, json!({ "items": items }));
+        }
+        let puts = body["puts"].as_array().cloned().unwrap_or_default();
+        let lease = |put: &Value| put["lease"].as_u64().unwrap_or(0);
+        if puts.iter().any(|put| lease(put) != 0 && !state.leases.contains_key(&lease(put))) {
+            return (404, json!({}));
+        }
+        state.revision += 1;
+        for put in &puts {
+            let value = STANDARD.decode(put["value"].as_str().unwrap_or_default());
+            state.write(&key(put), value.expect("values are base64"), lease(put));
+        }
+        for deleted in body["deletes"].as_array().into_iter().flatten() {
+            state.delete(deleted.as_str().unwrap_or_default());
+        }
+        let revision = state.revision;
+        drop(state);
+        self.changed.notify_waiters();
+        (200, json!({ "revision": revision }))
+    }
+
+    fn lease(&self, name: &str, id: u64, body: &Value) -> (u16, Value) {
+        let mut state = self.state();
+        match name {
+            "kv-lease" => {
+                let ttl_ms = body["ttlMs"].as_u64().unwrap_or(1_000);
+                let ttl = Duration::from_millis(ttl_ms);
+                let id = 70_000 + state.leases.len() as u64 + state.revision * 1_000;
+                state.leases.insert(id, (ttl, Instant::now() + ttl));
+                (200, json!({ "lease": id, "ttlMs": ttl_ms }))
+            }
+            "kv-keep" => match state.leases.get_mut(&id) {
+                None => (404, json!({})),
+                Some((ttl, at)) => {
+                    *at = Instant::now() + *ttl;
+                    (200, json!({ "ttlMs": ttl.as_millis() as u64 }))
+                }
+            },
+            _ => {
+                state.end_lease(id);
+                drop(state);
+                self.changed.notify_waiters();
+                (200, json!({}))
+            }
+        }
+    }
+}
+
+fn parameter(query: &str, name: &str) -> String {
+    let found = query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='));
+    found.unwrap_or_default().to_owned()
+}
--- /dev/null
+++ b/tests/all/site/worker.rs
@@ -0,0 +1,362 @@
+//! A stand-in of a worker: a plain service's or a model engine.
+//!
+//! An engine answers an item with as many events as the first byte of its body says. All that it
+//! runs is recorded, so that a test can tell what ran, how often and from where.
+
+use super::store::Store;
+use super::web::{Answer, AnswerBody, Server, answer};
+use bytes::Bytes;
+use futures::FutureExt;
+use futures::stream;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::{Frame, Incoming};
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// How a worker behaves.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Conduct {
+    /// Refuses everything for load.
+    Full,
+    /// Answers without its signature.
+    Garbled,
+    /// Runs requests and closes the connection without an answer.
+    LosesAnswers,
+    /// Takes orders without an answer and carries them out later.
+    OrdersLate,
+    /// As it should.
+    Sound,
+    /// Answers with the id of another request.
+    WrongId,
+    /// Falls silent after so many events of each stream.
+    SilentAfter(u64),
+}
+
+/// One run of a request.
+#[derive(Clone, Debug)]
+pub(crate) struct Run {
+    pub(crate) after: u64,
+    pub(crate) at: Instant,
+    pub(crate) request: String,
+    pub(crate) worker: String,
+}
+
+/// What all workers of a test have run.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Runs(Arc<Mutex<Vec<Run>>>);
+
+impl Runs {
+    /// Returns all runs so far.
+    pub(crate) fn all(&self) -> Vec<Run> {
+        self.0.lock().expect("no test panics while it holds the runs").clone()
+    }
+
+    /// Returns the runs of a request.
+    pub(crate) fn of(&self, request: &str) -> Vec<Run> {
+        self.all().into_iter().filter(|run| run.request == request).collect()
+    }
+
+    fn push(&self, run: Run) {
+        self.0.lock().expect("no test panics while it holds the runs").push(run);
+    }
+}
+
+struct State {
+    abandoned: u64,
+    busy_until: Option<Instant>,
+    conduct: Conduct,
+    event_ms: u64,
+    load_ms: u64,
+    orders: u64,
+    orders_seen: Vec<Value>,
+    versions: BTreeMap<String, u64>,
+    work_ms: u64,
+}
+
+/// A worker.
+pub(crate) struct Worker {
+    pub(crate) id: String,
+    runs: Runs,
+    server: Option<Server>,
+    service: String,
+    sequence: u64,
+    state: Arc<Mutex<State>>,
+    store: Store,
+}
+
+/// Counts a run that its caller has left.
+struct Abandon {
+    state: Arc<Mutex<State>>,
+    whole: bool,
+}
+
+impl Abandon {
+    const fn whole(&mut self) {
+        self.whole = true;
+    }
+}
+
+impl Drop for Abandon {
+    fn drop(&mut self) {
+        if !self.whole {
+            self.state.lock().expect("no test panics while it holds a worker").abandoned += 1;
+        }
+    }
+}
+
+impl Worker {
+    /// Starts a worker and registers it.
+    pub(crate) async fn start(store: &Store, runs: &Runs, service: &str, id: &str) -> Self {
+        let versions = BTreeMap::from([("model-a".to_owned(), 1), ("model-b".to_owned(), 1)]);
+        let state = Arc::new(Mutex::new(State {
+            abandoned: 0,
+            busy_until: None,
+            conduct: Conduct::Sound,
+            event_ms: 10,
+            load_ms: 200,
+            orders: 0,
+            orders_seen: Vec::new(),
+            versions,
+            work_ms: 5,
+        }));
+        let (shared, log, name) = (Arc::clone(&state), runs.clone(), id.to_owned());
+        let server = Server::bind(move |request| {
+            let (state, runs, id) = (Arc::clone(&shared), log.clone(), name.clone());
+            async move { serve(&state, &runs, &id, request).await }.boxed()
+        })
+        .await;
+        let mut worker = Self {
+            id: id.to_owned(),
+            runs: runs.clone(),
+            server: Some(server),
+            service: service.to_owned(),
+            sequence: 0,
+            state,
+            store: store.clone(),
+        };
+        worker.register("ready");
+        worker
+    }
+
+    /// Writes the worker's entry.
+    pub(crate) fn register(&mut self, state: &str) {
+        let Some(server) = &self.server else { return };
+        self.sequence += 1;
+        let models: Vec<Value> = self
+            .lock()
+            .versions
+            .iter()
+            .map(|(name, version)| json!({ "name": name, "version": version, "adapters": [] }))
+            .collect();
+        let entry = json!({
+            "service": self.service, "address": server.address, "zone": "zone-a", "version": "v1",
+            "slots": 4, "state": state, "coldLeftMs": 0, "models": models, "seq": self.sequence,
+        });
+        self.store.put(&format!("servers/{}", self.id), &entry);
+    }
+
+    /// Removes the worker's entry; it serves on.
+    pub(crate) fn deregister(&self) {
+        self.store.remove(&format!("servers/{}", self.id));
+    }
+
+    /// Writes an entry as an older heartbeat had it.
+    pub(crate) fn register_late(&mut self) {
+        self.sequence -= 1;
+        self.register("ready");
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, State> {
+        self.state.lock().expect("no test panics while it holds a worker")
+    }
+
+    /// Changes how the worker behaves.
+    pub(crate) fn set_conduct(&self, conduct: Conduct) {
+        self.lock().conduct = conduct;
+    }
+
+    /// Changes the time between events, and that of a plain request.
+    pub(crate) fn set_pace(&self, event_ms: u64, work_ms: u64) {
+        let mut state = self.lock();
+        state.event_ms = event_ms;
+        state.work_ms = work_ms;
+    }
+
+    /// Returns the version that the worker has of a model.
+    pub(crate) fn version(&self, model: &str) -> u64 {
+        settle(&mut self.lock());
+        self.lock().versions.get(model).copied().unwrap_or(0)
+    }
+
+    /// Returns all orders that reached the worker.
+    pub(crate) fn orders_seen(&self) -> Vec<Value> {
+        self.lock().orders_seen.clone()
+    }
+
+    /// Returns how many runs were left by their caller.
+    pub(crate) fn abandoned(&self) -> u64 {
+        self.lock().abandoned
+    }
+
+    /// Ends the worker without a word.
+    pub(crate) fn crash(&mut self) {
+        self.server = None;
+    }
+
+    /// Returns what this worker ran.
+    pub(crate) fn ran(&self) -> Vec<Run> {
+        self.runs.all().into_iter().filter(|run| run.worker == self.id).collect()
+    }
+}
+
+fn settle(state: &mut State) {
+    if state.busy_until.is_some_and(|until| until <= Instant::now()) {
+        state.busy_until = None;
+        if let Some(order) = state.orders_seen.last().cloned() {
+            apply(state, &order);
+        }
+    }
+}
+
+fn apply(state: &mut State, order: &Value) {
+    let model = order["model"].as_str().unwrap_or_default().to_owned();
+    state.versions.insert(model, order["version"].as_u64().unwrap_or(0));
+}
+
+fn text(head: &http::request::Parts, name: &str) -> Option<String> {
+    Some(head.headers.get(name)?.to_str().ok()?.to_owned())
+}
+
+async fn serve(
+    state: &Arc<Mutex<State>>,
+    runs: &Runs,
+    id: &str,
+    request: http::Request<Incoming>,
+) -> Answer {
+    let (head, body) = request.into_parts();
+    let body = body.collect().await.ok()?.to_bytes();
+    if text(&head, "x-catkinmast-expect-instance").is_some_and(|expected| expected != id) {
+        return Some(answer(421, ""));
+    }
+    match head.uri.path() {
+        "/-/report" => return Some(report(state)),
+        "/-/order" => return order(state, &body),
+        _ => {}
+    }
+    let request = text(&head, "x-catkinmast-request-id").unwrap_or_default();
+    let (conduct, busy, work_ms, event_ms) = {
+        let mut state = state.lock().expect("no test panics while it holds a worker");
+        settle(&mut state);
+        (state.conduct, state.busy_until.is_some(), state.work_ms, state.event_ms)
+    };
+    let streams = head.headers.contains_key("x-catkinmast-model");
+    if conduct == Conduct::Full || (busy && streams) {
+        let mut refusal = answer(503, "");
+        refusal.headers_mut().insert("x-catkinmast-not-run", "1".parse().ok()?);
+        return Some(refusal);
+    }
+    let after = text(&head, "last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
+    let run = Run { after, at: Instant::now(), request: request.clone(), worker: id.to_owned() };
+    runs.push(run);
+    if conduct == Conduct::LosesAnswers {
+        return None;
+    }
+    let mut abandon = Abandon { state: Arc::clone(state), whole: false };
+    let mut response = if streams {
+        let model = text(&head, "x-catkinmast-model").unwrap_or_default();
+        let version = {
+            let state = state.lock().expect("no test panics while it holds a worker");
+            state.versions.get(&model).copied().unwrap_or(0)
+        };
+        let events = body.first().copied().map_or(3, u64::from);
+        let body = event_body(&request, after, events, event_ms, conduct, abandon);
+        let mut response = http::Response::new(body);
+        response.headers_mut().insert("content-type", "text/event-stream".parse().ok()?);
+        response
+            .headers_mut()
+            .insert("x-catkinmast-weight-versions", version.to_string().parse().ok()?);
+        response
+    } else {
+        tokio::time::sleep(Duration::from_millis(work_ms)).await;
+        abandon.whole();
+        answer(200, format!("{request} by {id}"))
+    };
+    let echoed = if conduct == Conduct::WrongId { "another".to_owned() } else { request.clone() };
+    response.headers_mut().insert("x-catkinmast-request-id", echoed.parse().ok()?);
+    if conduct != Conduct::Garbled {
+        let stamp = format!("stamp.{id}.{request}");
+        response.headers_mut().insert("x-catkinmast-server-stamp", stamp.parse().ok()?);
+    }
+    Some(response)
+}
+
+fn event_body(
+    request: &str,
+    after: u64,
+    events: u64,
+    event_ms: u64,
+    conduct: Conduct,
+    abandon: Abandon,
+) -> AnswerBody {
+    let request = request.to_owned();
+    let silent_after = if let Conduct::SilentAfter(count) = conduct { count } else { u64::MAX };
+    let frames = stream::unfold((after + 1, abandon), move |(number, mut abandon)| {
+        let request = request.clone();
+        async move {
+            if number > events {
+                abandon.whole();
+                return None;
+            }
+            if number > after.saturating_add(silent_after) {
+                std::future::pending::<()>().await;
+            }
+            tokio::time::sleep(Duration::from_millis(event_ms)).await;
+            let event = format!("id: {number}\ndata: {request}-{number}\n\n");
+            let frame = Ok::<_, std::io::Error>(Frame::data(Bytes::from(event)));
+            Some((frame, (number + 1, abandon)))
+        }
+    });
+    BodyExt::boxed_unsync(StreamBody::new(frames))
+}
+
+fn report(state: &Arc<Mutex<State>>) -> http::Response<AnswerBody> {
+    let mut state = state.lock().expect("no test panics while it holds a worker");
+    settle(&mut state);
+    let models: Vec<Value> = state
+        .versions
+        .iter()
+        .map(|(name, version)| json!({ "name": name, "version": version }))
+        .collect();
+    let busy = state.busy_until.is_some();
+    let body = json!({ "stage": "hybrid", "models": models, "busy": busy, "seq": state.orders });
+    answer(200, body.to_string())
+}
+
+fn order(state: &Arc<Mutex<State>>, body: &[u8]) -> Answer {
+    let order: Value = serde_json::from_slice(body).ok()?;
+    let mut held = state.lock().expect("no test panics while it holds a worker");
+    settle(&mut held);
+    if held.busy_until.is_some() || order["expected"].as_u64() != Some(held.orders) {
+        return Some(answer(409, ""));
+    }
+    if held.conduct == Conduct::OrdersLate {
+        held.conduct = Conduct::Sound;
+        let state = Arc::clone(state);
+        tokio::spawn(async move {
+            tokio::time::sleep(Duration::from_millis(2_500)).await;
+            let mut held = state.lock().expect("no test panics while it holds a worker");
+            if order["expected"].as_u64() == Some(held.orders) {
+                held.orders += 1;
+                held.orders_seen.push(order.clone());
+                apply(&mut held, &order);
+            }
+        });
+        return None;
+    }
+    held.orders += 1;
+    held.orders_seen.push(order);
+    held.busy_until = Some(Instant::now() + Duration::from_millis(held.load_ms));
+    Some(answer(202, ""))
+}
