Texts are handed over and saved; loading targets rest longer; others serve where a model's own rest

Cause: a step whose owner stopped or died began its seven-second items again and ran out of time, and with it the steps after it. A third of the arrivals at engines were refusals while they loaded. Change: a leaving owner gives its texts to the successor, which is the one that new batches go to; texts older than a second are saved every 1.2 s; a target that refuses with free slots rests 250 ms. A test of silent targets failed with the model's own targets only and passes again.

--- a/crates/dispatch/src/load.rs
+++ b/crates/dispatch/src/load.rs
@@ -40,14 +40,18 @@
     pub rest_max_ms: u64,
     /// How long a target that refused for load is passed over.
     pub full_rest_ms: u64,
+    /// The same for one that has less than half of its slots taken by us: it refuses because it
+    /// loads weights, not because it is full.
+    pub loading_rest_ms: u64,
 }
 
 impl Default for LoadSettings {
     /// 400 ms: two consumers' attempts at most hit the same dead target; 3,200 ms: about the time
     /// that the registry takes to notice by itself; 60 ms: a full target frees a slot in about
-    /// one request's time.
+    /// one request's time; 250 ms: a load takes about a second, and asking fifteen times meanwhile
+    /// made a third of all arrivals at engines refusals.
     fn default() -> Self {
-        Self { rest_ms: 400, rest_max_ms: 3_200, full_rest_ms: 60 }
+        Self { rest_ms: 400, rest_max_ms: 3_200, full_rest_ms: 60, loading_rest_ms: 250 }
     }
 }
 
@@ -139,9 +143,9 @@
             .map(|(_, pick)| **pick)
     }
 
-    /// Tells how many tenths of the fastest candidate's pace a target takes.
-    pub fn slowness_of(&self, candidates: &[Pick<'_>], id: &str) -> u64 {
-        self.slowness(id, self.fastest_us(candidates))
+    /// Tells whether a target is passed over after a failure or a refusal.
+    pub fn rests(&self, now: UnixMs, id: &str) -> bool {
+        self.rests_until(id) > now
     }
 
     /// Counts a call as sent.
@@ -149,15 +153,20 @@
         self.entry(id).in_flight += 1;
     }
 
-    /// Counts the end of a call.
-    pub fn finished(&mut self, now: UnixMs, id: &str, outcome: Outcome) {
+    /// Counts the end of a call at a target that runs `slots` requests at once.
+    pub fn finished(&mut self, now: UnixMs, id: &str, slots: u32, outcome: Outcome) {
         let settings = self.settings;
         let seen = self.entry(id);
         seen.in_flight = seen.in_flight.saturating_sub(1);
+        let full_rest_ms = if seen.in_flight * 2 < slots {
+            settings.loading_rest_ms
+        } else {
+            settings.full_rest_ms
+        };
         match outcome {
             Outcome::Answered { latency_ms } => seen.answered(latency_ms),
             Outcome::Cancelled => {}
-            Outcome::Full => seen.rests_until = now.plus(settings.full_rest_ms),
+            Outcome::Full => seen.rests_until = now.plus(full_rest_ms),
             Outcome::Failed => seen.failed(now, settings),
         }
     }
--- a/crates/dispatch/src/submission.rs
+++ b/crates/dispatch/src/submission.rs
@@ -95,7 +95,7 @@
 }
 
 /// What is held of an item's text when its run broke off; another target goes on from there.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Progress {
     /// Number of the last whole event.
     pub last_event_id: Option<u64>,
--- a/crates/dispatch/src/targets.rs
+++ b/crates/dispatch/src/targets.rs
@@ -48,6 +48,11 @@
         self.models.iter().find(|(name, _)| name == model).map(|(_, version)| *version)
     }
 
+    /// Tells whether its weights of a model are new enough.
+    pub fn serves(&self, model: &str, oldest: u64) -> bool {
+        self.version(model).is_none_or(|version| version >= oldest)
+    }
+
     /// Returns the model that it is kept current for: the one whose version is the highest; where
     /// several are, that by its place among the targets.
     fn main_model(&self, place: usize) -> Option<&str> {
@@ -174,12 +179,12 @@
             .map(|known| &known.entry)
     }
 
-    /// Returns the ids of the targets that a model's work should go to, given the oldest version
-    /// that may serve it.
+    /// Returns the ids of the targets that are kept current for a model and may serve it, given the
+    /// oldest version that may.
     ///
     /// Owners of different models do not see each other's load. While all targets serve all models,
-    /// each keeps to the targets of its own model; only where less than half of a fair share is
-    /// there does it use all that may serve it.
+    /// each keeps to the targets of its own model. Where less than half of a fair share is there,
+    /// all that may serve it are returned.
     pub fn for_model<'a>(
         &'a self,
         now: UnixMs,
@@ -189,21 +194,21 @@
     ) -> Vec<&'a str> {
         let mut usable: Vec<&TargetEntry> = self.usable(now, service).collect();
         usable.sort_by(|a, b| (&a.data_centre, &a.id).cmp(&(&b.data_centre, &b.id)));
-        let serves = |entry: &TargetEntry| {
-            entry.version(model).is_none_or(|version| version >= oldest)
-        };
         let models = usable.iter().map(|entry| entry.models.len()).max().unwrap_or(1).max(1);
         let share = usable.len() / models;
         let own: Vec<&str> = usable
             .iter()
             .enumerate()
-            .filter(|(place, entry)| serves(entry) && entry.main_model(*place) == Some(model))
+            .filter(|(place, entry)| {
+                entry.serves(model, oldest) && entry.main_model(*place) == Some(model)
+            })
             .map(|(_, entry)| entry.id.as_str())
             .collect();
         if own.len() * 2 >= share.max(1) {
             return own;
         }
-        usable.into_iter().filter(|entry| serves(entry)).map(|entry| entry.id.as_str()).collect()
+        let serving = usable.into_iter().filter(|entry| entry.serves(model, oldest));
+        serving.map(|entry| entry.id.as_str()).collect()
     }
 
     /// Tells whether a target may receive work.
--- a/crates/serve/src/batches.rs
+++ b/crates/serve/src/batches.rs
@@ -59,8 +59,12 @@
 const TELL_AGAIN: Duration = Duration::from_millis(600);
 /// How long a settled batch is kept for readers.
 const KEPT_MS: u64 = 180_000;
-/// How long running items may take to finish before a leaving owner hands their batch over.
-const HAND_OVER_MAX_MS: u64 = 1_200;
+/// How often the texts of runs in progress are saved. A long item takes seven seconds, and a step
+/// whose owner dies waits for it again from the start: with texts saved the fleet's restart costs
+/// a step about this time instead. A call for it costs a thousandth of what the step is worth.
+const SAVE_EVERY: Duration = Duration::from_millis(1_200);
+/// Only texts of runs this old are saved; shorter ones are run again as quickly.
+const SAVE_AFTER_MS: u64 = 1_000;
 /// How long texts of ended batches are kept: a trainer that asks for a group again does so within
 /// a few steps.
 const LEFTOVER_KEPT_MS: u64 = 30_000;
@@ -115,6 +119,19 @@
         (&self.head.host, &self.head.path)
     }
 
+    /// Returns what runs of at least this age hold of their texts, by item.
+    fn texts(&self, least_age_ms: u64) -> Vec<(String, Progress)> {
+        let now = clock::now();
+        let items = &self.batch.submission().items;
+        let old = |run: &Run| now.since_ms(run.began_at) >= least_age_ms;
+        let begun = |run: &Run| run.progress.borrow().last_event_id.is_some();
+        self.runs
+            .iter()
+            .filter(|(_, run)| old(run) && begun(run))
+            .map(|(index, run)| (items[*index].id.clone(), run.progress.borrow().clone()))
+            .collect()
+    }
+
     /// Stops all runs; what they hold of their texts stays.
     fn stop_runs(&mut self) {
         let indices: Vec<usize> = self.runs.keys().copied().collect();
@@ -206,6 +223,10 @@
     format!("{DATA}{batch}/p{number:03}")
 }
 
+fn texts_key(batch: &str) -> String {
+    format!("{DATA}{batch}/t")
+}
+
 fn chunk_prefix(batch: &str) -> String {
     format!("{DATA}{batch}/c")
 }
@@ -261,7 +282,7 @@
     path: &str,
     submission: Submission,
 ) -> Acceptance {
-    let duty = format!("batches/{}", submission.model.as_deref().unwrap_or(path));
+    let duty = duty_of(submission.model.as_deref().unwrap_or(path));
     let owner = peers::first_for(node, &duty);
     let Some(owner) = owner.filter(|_| node.batches.get(id).is_none()) else {
         return accept(node, id, host, path, submission).await;
@@ -315,7 +336,8 @@
     for _ in 0..ACCEPT_TRIES {
         match node.store(&call).await {
             Ok(StoreAnswer::Committed { revision }) => {
-                let source = Source { head, head_revision: revision, submission };
+                let source =
+                    Source { head, head_revision: revision, submission, texts: Vec::new() };
                 own(node, id, source, accepted_at, 0, &[]);
                 return Acceptance::Kept;
             }
@@ -369,7 +391,12 @@
     let stored = found.and_then(|item| postcard::from_bytes::<Head>(&item.value).ok());
     if let (Some(stored), Some(item)) = (stored, found) {
         if stored == *head && node.batches.get(id).is_none() {
-            let source = Source { head: stored, head_revision: item.revision, submission };
+            let source = Source {
+                head: stored,
+                head_revision: item.revision,
+                submission,
+                texts: Vec::new(),
+            };
             own(node, id, source, accepted_at, 0, &[]);
         } else {
             node.batches.note_owner(id, stored.owner);
@@ -383,6 +410,8 @@
     head: Head,
     head_revision: u64,
     submission: Submission,
+    /// What a former owner had of its items' texts.
+    texts: Vec<(String, Progress)>,
 }
 
 /// Opens a batch as its owner and starts to run and to write it.
@@ -397,7 +426,7 @@
     if node.batches.get(id).is_some() {
         return;
     }
-    let Source { head, head_revision, submission } = source;
+    let Source { head, head_revision, submission, texts } = source;
     let route =
         node.document().and_then(|document| document.route(&head.host, &head.path).cloned());
     let Some(route) = route else {
@@ -411,7 +440,7 @@
         "target_groups": submission.target_groups, "chunks": chunks.len(),
         "head_revision": head_revision, "route": route.name,
     });
-    let (batch, resumed) = open_batch(node, submission, terms, chunks);
+    let (batch, resumed) = open_batch(node, submission, terms, chunks, texts);
     line["resumed"] = json!(resumed);
     node.note("batch_owned", line);
     let held = Rc::new(RefCell::new(Held {
@@ -435,7 +464,37 @@
         peers::tell_all(node, &Datagram::BatchOwned { batch: id.to_owned(), owner });
     }
     node.work.notify_one();
-    tokio::task::spawn_local(write_results(Rc::clone(node), held));
+    tokio::task::spawn_local(write_results(Rc::clone(node), Rc::clone(&held)));
+    tokio::task::spawn_local(save_texts(Rc::clone(node), held));
+}
+
+/// Saves the texts of runs in progress from time to time, for an owner that follows.
+async fn save_texts<P: Platform>(node: Rc<Node<P>>, held: Rc<RefCell<Held>>) {
+    let mut saved = 0;
+    loop {
+        sleep(SAVE_EVERY).await;
+        let (id, texts) = {
+            let held = held.borrow();
+            if !held.owned || held.batch.is_ended() || held.batch.is_settled() {
+                return;
+            }
+            (held.id.clone(), held.texts(SAVE_AFTER_MS))
+        };
+        let events: u64 = texts.iter().filter_map(|(_, progress)| progress.last_event_id).sum();
+        if events == saved {
+            continue;
+        }
+        saved = events;
+        let Ok(value) = encode(&texts) else { return };
+        if value.len() > part_max_bytes(&node) {
+            continue;
+        }
+        let puts = vec![Put { key: texts_key(&id), lease: None, value }];
+        let call = StoreCall::Transaction { deletes: Vec::new(), expected: Vec::new(), puts };
+        if let Err(refusal) = node.store(&call).await {
+            node.note("texts_unsaved", json!({ "request": id, "why": refusal.message }));
+        }
+    }
 }
 
 /// Opens a batch with what is durable of it, and with the texts that an earlier batch left of its
@@ -445,6 +504,7 @@
     submission: Submission,
     terms: BatchTerms,
     chunks: &[Chunk],
+    texts: Vec<(String, Progress)>,
 ) -> (Batch, usize) {
     let mut leftovers = node.batches.leftovers.borrow_mut();
     let now = clock::now();
@@ -456,6 +516,9 @@
         batch.merge(chunk);
     }
     let mut resumed = 0;
+    for (id, progress) in texts {
+        resumed += usize::from(batch.resume_from(&id, progress));
+    }
     for id in ids {
         if let Some((progress, _)) = leftovers.texts.swap_remove(&id)
             && batch.resume_from(&id, progress)
@@ -1013,7 +1076,8 @@
         Asked::Answer(_) => Lookup::Unsure("the owner cannot tell".to_owned()),
         Asked::Unsure(why) => Lookup::Unsure(why),
         Asked::Head(..) => match read_submission(node, batch).await {
-            Ok((submission, _)) => submission
+            Ok(kept) => kept
+                .submission
                 .items
                 .into_iter()
                 .find(|candidate| candidate.id == item)
@@ -1023,21 +1087,32 @@
     }
 }
 
-/// Reads a submission and its results from the store.
-async fn read_submission<P: Platform>(
-    node: &Node<P>,
-    batch: &str,
-) -> Result<(Submission, Vec<Chunk>), StoreRefusal> {
+/// What the store keeps of a batch.
+struct Kept {
+    chunks: Vec<Chunk>,
+    submission: Submission,
+    texts: Vec<(String, Progress)>,
+}
+
+/// Reads a submission, its results and the texts that were begun from the store.
+async fn read_submission<P: Platform>(node: &Node<P>, batch: &str) -> Result<Kept, StoreRefusal> {
     let (items, _) = feed::read_whole(node, &format!("{DATA}{batch}/")).await?;
-    let chunk_prefix = chunk_prefix(batch);
-    let (chunks, parts): (Vec<StoredItem>, Vec<StoredItem>) =
+    let (chunk_prefix, texts_key) = (chunk_prefix(batch), texts_key(batch));
+    let (chunks, others): (Vec<StoredItem>, Vec<StoredItem>) =
         items.into_iter().partition(|item| item.key.starts_with(&chunk_prefix));
+    let (texts, parts): (Vec<StoredItem>, Vec<StoredItem>) =
+        others.into_iter().partition(|item| item.key == texts_key);
     let body: Vec<u8> = parts.into_iter().flat_map(|part| part.value).collect();
     let submission = postcard::from_bytes(&body).map_err(|error| StoreRefusal {
         message: format!("batch {batch}: {error}"),
         verdict: Verdict::Ran,
     })?;
-    Ok((submission, chunks_of(node, &chunks)))
+    let texts = texts.first().and_then(|item| {
+        let texts = postcard::from_bytes(&item.value);
+        texts.inspect_err(|error| unreadable(node, item, error)).ok()
+    });
+    let texts = texts.unwrap_or_default();
+    Ok(Kept { chunks: chunks_of(node, &chunks), submission, texts })
 }
 
 /// Looks for batches that nobody runs, and takes those that fall to this node.
@@ -1088,7 +1163,7 @@
     }
     let (node, id) = (Rc::clone(node), id.to_owned());
     tokio::task::spawn_local(async move {
-        if let Err(refusal) = take_over(&node, &id).await {
+        if let Err(refusal) = take_over(&node, &id, Vec::new()).await {
             node.note("batch_untaken", json!({ "request": id, "why": refusal.message }));
             node.batches.orphaned.notify_one();
         }
@@ -1108,7 +1183,11 @@
 }
 
 /// Becomes the owner of a batch, by its head as it stands now.
-async fn take_over<P: Platform>(node: &Rc<Node<P>>, id: &str) -> Result<(), StoreRefusal> {
+async fn take_over<P: Platform>(
+    node: &Rc<Node<P>>,
+    id: &str,
+    texts_given: Vec<(String, Progress)>,
+) -> Result<(), StoreRefusal> {
     let Some(me) = peers::me(node) else { return Ok(()) };
     let Some((head, revision)) = read_head(node, id).await? else { return Ok(()) };
     if head.ended || (head.owner != me && !is_dead(node, &head.owner)) {
@@ -1125,7 +1204,7 @@
             return Ok(());
         }
     };
-    let (submission, chunks) = read_submission(node, id).await?;
+    let Kept { chunks, submission, texts } = read_submission(node, id).await?;
     let age_ms = UnixMs::from_wall_clock().since_ms(UnixMs(head.accepted_at_unix_ms));
     let now = clock::now();
     let accepted_at = UnixMs(now.0.saturating_sub(age_ms));
@@ -1134,43 +1213,48 @@
         json!({ "request": id, "from": was.node, "from_incarnation": was.incarnation.0,
                 "age_ms": age_ms, "head_revision": revision }),
     );
-    let source = Source { head, head_revision: revision, submission };
+    let texts = if texts_given.is_empty() { texts } else { texts_given };
+    let source = Source { head, head_revision: revision, submission, texts };
     own(node, id, source, accepted_at, SKEW_MAX_MS, &chunks);
     Ok(())
 }
 
-/// Gives all batches with work left to live peers; for a planned stop.
+/// Gives all batches with work left to live peers, with the texts that were begun; for a planned
+/// stop.
 pub(crate) async fn hand_over_all<P: Platform>(node: Rc<Node<P>>) {
-    let until = clock::now().plus(HAND_OVER_MAX_MS);
-    for held in node.batches.open() {
-        while !held.borrow().runs.is_empty() && clock::now() < until {
-            sleep(Duration::from_millis(50)).await;
-        }
-    }
     for held in node.batches.open() {
         hand_over(&node, &held).await;
     }
 }
 
 async fn hand_over<P: Platform>(node: &Rc<Node<P>>, held: &Rc<RefCell<Held>>) {
+    let texts = {
+        let mut held = held.borrow_mut();
+        let texts = held.texts(0);
+        held.stop_runs();
+        texts
+    };
     while held.borrow_mut().batch.chunk_to_write(part_max_bytes(node)).is_some() {
         if !write_chunk(node, held).await {
             return;
         }
     }
-    let Some(successor) = successor(node) else { return };
-    let (id, head, revision) = {
+    let (id, model, head, revision) = {
         let held = held.borrow();
         if !held.owned {
             return;
         }
-        let head = Head { owner: successor.clone(), ..held.head.clone() };
-        (held.id.clone(), head, held.head_revision)
+        let model = held.batch.submission().model.clone();
+        (held.id.clone(), model, held.head.clone(), held.head_revision)
     };
+    let duty = duty_of(model.as_deref().unwrap_or(&head.path));
+    let Some(successor) = peers::successor_for(node, &duty) else { return };
+    let head = Head { owner: successor.clone(), ..head };
     match write_head(node, &id, &head, revision).await {
         Ok(HeadWrite::Done(revision) | HeadWrite::Changed(_, revision)) => {
             take_head(node, held, head, revision);
-            let call = PeerCall::Adopt { batch: id };
+            node.note("batch_handed_over", json!({ "request": id, "to": successor.node }));
+            let call = PeerCall::Adopt { batch: id, texts };
             // A lost call is made good by the successor's own search.
             drop(node.ask_peer(successor.address, &call, OWNER_SLACK).await);
         }
@@ -1180,33 +1264,23 @@
     }
 }
 
-fn successor<P: Platform>(node: &Node<P>) -> Option<Owner> {
-    let draw = node.draw();
-    let members = node.members.borrow();
-    let members = members.as_ref()?;
-    let me = members.me().name.clone();
-    let live: Vec<Owner> = members
-        .nodes()
-        .filter(|peer| peer.name != me && peer.state == catkinmast_member::NodeState::Live)
-        .map(|peer| Owner {
-            address: peer.control,
-            incarnation: peer.incarnation,
-            node: peer.name.clone(),
-        })
-        .collect();
-    let count = live.len().max(1) as u64;
-    live.get((draw % count) as usize).cloned()
+fn duty_of(model: &str) -> String {
+    format!("batches/{model}")
 }
 
 /// Takes a batch that its owner gives to this node.
-pub(crate) fn adopt<P: Platform>(node: &Rc<Node<P>>, batch: String) {
+pub(crate) fn adopt<P: Platform>(
+    node: &Rc<Node<P>>,
+    batch: String,
+    texts: Vec<(String, Progress)>,
+) {
     if node.batches.get(&batch).is_some() || !node.batches.taking.borrow_mut().insert(batch.clone())
     {
         return;
     }
     let node = Rc::clone(node);
     tokio::task::spawn_local(async move {
-        if let Err(refusal) = take_over(&node, &batch).await {
+        if let Err(refusal) = take_over(&node, &batch, texts).await {
             node.note("batch_untaken", json!({ "request": batch, "why": refusal.message }));
         }
         node.batches.taking.borrow_mut().swap_remove(&batch);
@@ -1229,7 +1303,7 @@
     let (id, chunks) = (held.borrow().id.clone(), held.borrow().batch.next_chunk());
     let parts = encode(held.borrow().batch.submission())
         .map_or(1, |body| body.len().div_ceil(part_max_bytes(node)));
-    let keys = (0..parts).map(|number| part_key(&id, number));
+    let keys = (0..parts).map(|number| part_key(&id, number)).chain([texts_key(&id)]);
     let keys: Vec<String> = keys.chain((0..chunks).map(|number| chunk_key(&id, number))).collect();
     for deletes in keys.chunks(TRANSACTION_MAX_KEYS) {
         let deletes = deletes.to_vec();
--- a/crates/serve/src/forward.rs
+++ b/crates/serve/src/forward.rs
@@ -110,14 +110,19 @@
 
     pub(crate) fn end(mut self, outcome: Outcome) {
         self.ended = true;
-        self.node.load.borrow_mut().finished(clock::now(), &self.id, outcome);
+        self.finish(outcome);
+    }
+
+    fn finish(&self, outcome: Outcome) {
+        let slots = self.node.targets.borrow().entry(&self.id).map_or(1, |entry| entry.slots);
+        self.node.load.borrow_mut().finished(clock::now(), &self.id, slots, outcome);
     }
 }
 
 impl<P: Platform> Drop for InFlight<P> {
     fn drop(&mut self) {
         if !self.ended {
-            self.node.load.borrow_mut().finished(clock::now(), &self.id, Outcome::Cancelled);
+            self.finish(Outcome::Cancelled);
         }
         self.node.work.notify_one();
     }
--- a/crates/serve/src/metrics.rs
+++ b/crates/serve/src/metrics.rs
@@ -7,6 +7,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
+use serde_json::Map;
 
 /// Upper bounds of the latency buckets, in seconds: from a lookup's work to a trainer's patience.
 const LATENCY_BUCKETS_S: [f64; 10] = [0.01, 0.03, 0.06, 0.1, 0.15, 0.4, 1.0, 2.5, 7.5, 15.0];
@@ -86,6 +87,17 @@
         Self { registry, ..metrics }
     }
 
+    /// Returns the calls of the store so far, by duty.
+    pub(crate) fn store_calls_so_far(&self) -> serde_json::Value {
+        let duties = ["get", "lease", "renew", "range_old", "range", "write", "watch"];
+        let count = |reason| self.store_calls.get_or_create(&Reason { reason }).get();
+        duties
+            .iter()
+            .map(|duty| ((*duty).to_owned(), count(*duty).into()))
+            .collect::<Map<_, _>>()
+            .into()
+    }
+
     pub(crate) fn text(&self) -> String {
         let mut text = String::new();
         match encode(&mut text, &self.registry) {
--- a/crates/serve/src/peers.rs
+++ b/crates/serve/src/peers.rs
@@ -9,7 +9,7 @@
 use crate::settings::Settings;
 use crate::store::{StoreAnswer, StoreCall, StoreRefusal};
 use bytes::Bytes;
-use catkinmast_dispatch::{ItemResult, Submission};
+use catkinmast_dispatch::{ItemResult, Progress, Submission};
 use catkinmast_member::{
     Fact, Membership, MembershipSettings, Message, NodeFact, NodeState, Output, OwnerFact,
 };
@@ -44,7 +44,7 @@
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub(crate) enum PeerCall {
     /// Gives a batch to the receiver, which the store names as its owner already.
-    Adopt { batch: String },
+    Adopt { batch: String, texts: Vec<(String, Progress)> },
     /// Asks for the changes of a feed that came after a revision.
     Changes { after: u64, subject: Subject },
     /// Ends a batch that the receiver owns.
@@ -316,12 +316,21 @@
 
 /// Returns where the node that comes first for a duty is reached; none if it is this one.
 pub(crate) fn first_for<P: Platform>(node: &Node<P>, duty: &str) -> Option<SocketAddr> {
+    if is_first_for(node, duty) {
+        return None;
+    }
+    successor_for(node, duty).map(|owner| owner.address)
+}
+
+/// Returns the node that comes first for a duty among the others that live.
+pub(crate) fn successor_for<P: Platform>(node: &Node<P>, duty: &str) -> Option<Owner> {
     let members = node.members.borrow();
     let members = members.as_ref()?;
     let rank = |name: &Name| xxhash_rust::xxh3::xxh3_64(format!("{duty}/{name}").as_bytes());
-    let live = members.nodes().filter(|peer| peer.state == NodeState::Live);
+    let live = members.peers().filter(|peer| peer.state == NodeState::Live);
     let first = live.min_by_key(|peer| rank(&peer.name))?;
-    (first.name != members.me().name).then_some(first.control)
+    let node = first.name.clone();
+    Some(Owner { address: first.control, incarnation: first.incarnation, node })
 }
 
 /// Returns the holder of a duty that all are told of, if it lives.
@@ -371,8 +380,8 @@
         )
         .await
         .map_or(PeerAnswer::NotOwner, |(total, results)| PeerAnswer::Page { results, total }),
-        PeerCall::Adopt { batch } => {
-            batches::adopt(&node, batch);
+        PeerCall::Adopt { batch, texts } => {
+            batches::adopt(&node, batch, texts);
             PeerAnswer::Adopting
         }
         PeerCall::Changes { after, subject } => feed::changes_since(&node, subject, after)
--- a/crates/serve/src/process.rs
+++ b/crates/serve/src/process.rs
@@ -32,6 +32,8 @@
 const KEPT_TIMES: u64 = 3;
 /// Left for the exit itself.
 const EXIT_MS: u64 = 1_000;
+/// Time between two summary lines: few enough not to matter, close enough to date an incident.
+const SUMMARY_EVERY: Duration = Duration::from_secs(10);
 /// How often a stop looks whether all is served.
 const LOOK: Duration = Duration::from_millis(50);
 
@@ -105,6 +107,7 @@
     let mut stop = signal(SignalKind::terminate()).map_err(start_error("SIGTERM"))?;
     listen(&node, metrics_port).await?;
     spawn_local(reload_on_signal(Rc::clone(&node)));
+    spawn_local(summarize(Rc::clone(&node)));
     spawn_local(feed::follow(Rc::clone(&node), Subject::Operators));
     spawn_local(feed::follow(Rc::clone(&node), Subject::Targets));
     spawn_local(feed::say_alive(Rc::clone(&node)));
@@ -206,6 +209,21 @@
     }
 }
 
+/// Writes a line of what was done so far, from time to time.
+async fn summarize<P: Platform>(node: Rc<Node<P>>) {
+    loop {
+        sleep(SUMMARY_EVERY).await;
+        node.note(
+            "summary",
+            json!({
+                "store_calls": node.metrics.store_calls_so_far(),
+                "in_flight": node.in_flight.get(),
+                "connections_opened": node.metrics.connections_opened.get(),
+            }),
+        );
+    }
+}
+
 /// Leaves: out of the directory at once, serving until the last address handed out has expired
 /// and every request in progress is answered, as far as the grace time allows.
 async fn leave<P: Platform>(node: &Rc<Node<P>>) {
--- a/crates/serve/src/runs.rs
+++ b/crates/serve/src/runs.rs
@@ -7,7 +7,8 @@
 use crate::node::Node;
 use crate::platform::Platform;
 use catkinmast_dispatch::{
-    EventReader, Item, ItemResult, ItemState, NextItem, Outcome, Progress, Reward,
+    EventReader, Item, ItemResult, ItemState, NextItem, Outcome, Pick, Progress, Reward,
+    TargetEntry,
 };
 use catkinmast_model::UnixMs;
 use http::header::HOST;
@@ -198,17 +199,24 @@
     let service = route.service(xxhash_rust::xxh3::xxh3_64(item.id.as_bytes()))?;
     let preferred = item.group.as_ref().and_then(|group| held.group_targets.get(group));
     let draw = node.draw();
-    let fitting: Option<Vec<String>> = submission.model.as_ref().map(|model| {
+    let oldest = submission.oldest_version;
+    let own: Option<Vec<String>> = submission.model.as_ref().map(|model| {
         let targets = node.targets.borrow();
-        let ids = targets.for_model(clock::now(), service, model, submission.oldest_version);
+        let ids = targets.for_model(clock::now(), service, model, oldest);
         ids.into_iter().map(str::to_owned).collect()
     });
-    let fits = |entry: &catkinmast_dispatch::TargetEntry| {
-        fitting.as_ref().is_none_or(|ids| ids.contains(&entry.id))
+    let fits = |entry: &TargetEntry| {
+        submission.model.as_ref().is_none_or(|model| entry.serves(model, oldest))
     };
     node.pick(service, fits, |load, now, picks| {
+        let is_own =
+            |pick: &&Pick<'_>| own.as_ref().is_none_or(|ids| ids.iter().any(|id| id == pick.id));
+        let own_picks: Vec<Pick<'_>> = picks.iter().filter(is_own).copied().collect();
+        // Where all of its own fail or refuse, the others serve rather than none.
+        let all_rest = own_picks.iter().all(|pick| load.rests(now, pick.id));
+        let from = if all_rest { picks } else { &own_picks };
         let preferred = preferred.map(String::as_str);
-        load.choose_free(now, picks, preferred, draw).map(|pick| pick.id.to_owned())
+        load.choose_free(now, from, preferred, draw).map(|pick| pick.id.to_owned())
     })
 }
 
