A node that ends takes no request that it would cut

Ruled out: the grace time (3.3 s of 8), a silent target. Change: listeners close and connections shut down gracefully first, then what was taken is answered.

--- a/crates/serve/src/listener.rs
+++ b/crates/serve/src/listener.rs
@@ -16,6 +16,7 @@
 use serde_json::json;
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -34,15 +35,20 @@
 /// Pause after an accept that failed, e.g. for want of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// Accepts connections until the process ends.
+/// Accepts connections until the process closes.
 pub(crate) async fn accept<P, S, F>(node: Rc<Node<P>>, listener: TcpListener, serve: S)
 where
     P: Platform,
     S: Fn(Rc<Node<P>>, TcpStream) -> F,
     F: Future<Output = ()> + 'static,
 {
+    let mut closing = node.closing.subscribe();
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = closing.wait_for(|closing| *closing) => return,
+        };
+        match accepted {
             Ok((stream, _)) => {
                 if guard_against_silence(&stream).is_ok() {
                     tokio::task::spawn_local(serve(Rc::clone(&node), stream));
@@ -72,10 +78,17 @@
     let header_max_bytes =
         limits.map_or(HEADER_MAX_BYTES, |limits| limits.header_max_bytes as usize);
     let idle_ms = limits.map_or(IDLE_MAX_MS, |limits| limits.idle_timeout_ms);
+    let mut closing = node.closing.subscribe();
     let handle = service_fn(move |request| caller::handle(Rc::clone(&node), request));
     let connection =
         builder(header_max_bytes, idle_ms).serve_connection(TokioIo::new(stream), handle);
+    let mut connection = pin!(connection);
     // An error here is a caller that left or sent what is no request; it got its answer.
+    tokio::select! {
+        ended = connection.as_mut() => return drop(ended),
+        _ = closing.wait_for(|closing| *closing) => {}
+    }
+    connection.as_mut().graceful_shutdown();
     drop(connection.await);
 }
 
--- a/crates/serve/src/node.rs
+++ b/crates/serve/src/node.rs
@@ -27,7 +27,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::UdpSocket;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 use tokio::time::timeout;
 
 /// The store answers in milliseconds, and in up to half a second when it is slow; after this time
@@ -47,6 +47,8 @@
 #[derive(Debug)]
 pub(crate) struct Node<P> {
     pub batches: Batches,
+    /// Whether no more connections and requests of callers are taken, because the process ends.
+    pub closing: watch::Sender<bool>,
     pub datagrams: UdpSocket,
     pub document: RefCell<Option<Rc<Document>>>,
     pub feeds: Feeds,
@@ -78,6 +80,7 @@
         let pool = Pool::open(metrics.connections_opened.clone());
         Self {
             batches: Batches::default(),
+            closing: watch::Sender::new(false),
             datagrams,
             document: RefCell::new(None),
             feeds: Feeds::default(),
--- a/crates/serve/src/process.rs
+++ b/crates/serve/src/process.rs
@@ -234,14 +234,19 @@
     spawn_local(batches::hand_over_all(Rc::clone(node)));
     let named_until = began_at.plus(KEPT_TIMES * ADDRESSES_TTL_MS);
     let grace_until = began_at.plus(node.settings().grace_ms.saturating_sub(EXIT_MS));
-    loop {
+    while clock::now() < grace_until {
         sleep(LOOK).await;
-        let now = clock::now();
-        let served = now >= named_until && node.in_flight.get() == 0;
-        if served || now >= grace_until {
+        if clock::now() >= named_until && node.in_flight.get() == 0 {
             break;
         }
     }
+    // A request that comes between the decision to end and the end would be cut: from here on
+    // none is taken, and those taken are answered.
+    node.closing.send_replace(true);
+    sleep(LOOK).await;
+    while clock::now() < grace_until && node.in_flight.get() > 0 {
+        sleep(LOOK).await;
+    }
     node.note("stopped", json!({ "in_flight": node.in_flight.get() }));
     // The trail's writer gets a turn.
     sleep(Duration::from_millis(300)).await;
--- a/tests/all/site/stops.rs
+++ b/tests/all/site/stops.rs
@@ -52,3 +52,39 @@
         assert_eq!(result["text"], whole_text(id, 20));
     }
 }
+
+// Symptom: a caller's request is cut seconds after a planned stop began.
+// Sequence: the node has served all that it had and ends; a caller that kept its address connects
+// in that moment, and its request is passed on to a target.
+// Cause: the node still accepts requests between its decision to end and its end.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_comes_as_a_node_ends_is_answered_or_not_taken() {
+    let site = Site::start(2, 0, 1).await;
+    site.plain[0].set_pace(10, 40);
+    let leaving = &site.nodes[0];
+    leaving.signal("TERM");
+
+    let callers = (0..8).map(|caller| {
+        let site = &site;
+        async move {
+            let mut unanswered = Vec::new();
+            for number in 0..1_000 {
+                let id = format!("q{caller}x{number}");
+                if site.call(leaving, "/lookup/a", &id).await.is_err() {
+                    unanswered.push(id);
+                    if unanswered.len() > 20 {
+                        break;
+                    }
+                }
+            }
+            unanswered
+        }
+    });
+    let unanswered: Vec<String> =
+        futures::future::join_all(callers).await.into_iter().flatten().collect();
+
+    assert!(!unanswered.is_empty(), "the node has ended");
+    for id in unanswered {
+        assert!(site.runs.of(&id).is_empty(), "{id} reached a target and was not answered");
+    }
+}
