One node that the store turns away is no outage of the registry

Ruled out: lost datagrams (all nodes heard of the removal), an old heartbeat. Changes read whole are passed on in the order of revisions, so that a lost datagram among them leaves no gap. Also: nodes of tests have loopback addresses of their own; a test failed once because another test's connection had taken a node's port.

--- a/crates/dispatch/src/targets.rs
+++ b/crates/dispatch/src/targets.rs
@@ -9,7 +9,7 @@
 //! - *All targets vanish when the registry returns*, because it forgot their entries while it was
 //!   away. It would be noticed as refusals of everything for seconds. So a removal that comes
 //!   with the registry's return is believed only when the entry is still missing
-//!   [`RETURN_GRACE_MS`] later.
+//!   [`RETURN_GRACE_MS`] later; any other removal is believed at once.
 //! - *A target that the registry lost sight of is used on.* Its entry is gone, so it may not be;
 //!   only a newer entry brings it back.
 
@@ -78,22 +78,27 @@
 struct Known {
     entry: TargetEntry,
     left: bool,
-    missing_since: Option<UnixMs>,
+    presence: Presence,
+}
+
+/// Whether a target's entry is there.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Presence {
+    Listed,
+    Missing,
+    /// It vanished with an outage of the registry, and may be back until then.
+    MayReturn {
+        until: UnixMs,
+    },
 }
 
 /// The targets known, by id.
 #[derive(Clone, Debug, Default)]
 pub struct TargetTable {
     known: IndexMap<String, Known>,
-    outage_until: Option<UnixMs>,
 }
 
 impl TargetTable {
-    /// Notes that the registry did not answer until now.
-    pub fn registry_was_away(&mut self, now: UnixMs) {
-        self.outage_until = Some(now);
-    }
-
     /// Takes an entry.
     pub fn seen(&mut self, entry: TargetEntry) -> TargetChange {
         let Some(known) = self.known.get_mut(&entry.id) else {
@@ -103,12 +108,12 @@
             return TargetChange::None;
         }
         let was_usable = known.usable();
-        let returns = known.missing_since.take().is_some();
+        known.presence = Presence::Listed;
         known.left |= entry.draining;
         known.entry = entry;
         match (was_usable, known.usable()) {
             (true, false) => TargetChange::Left(known.entry.id.clone()),
-            (false, true) if returns => TargetChange::Joined(known.entry.id.clone()),
+            (false, true) => TargetChange::Joined(known.entry.id.clone()),
             _ => TargetChange::None,
         }
     }
@@ -116,32 +121,37 @@
     fn insert(&mut self, entry: TargetEntry) -> TargetChange {
         let id = entry.id.clone();
         let left = entry.draining;
-        self.known.insert(id.clone(), Known { entry, left, missing_since: None });
+        self.known.insert(id.clone(), Known { entry, left, presence: Presence::Listed });
         if left { TargetChange::None } else { TargetChange::Joined(id) }
     }
 
-    /// Takes the removal of an entry.
-    pub fn removed(&mut self, now: UnixMs, id: &str) -> TargetChange {
-        let in_grace = self.in_grace(now);
+    /// Takes the removal of an entry; `may_return` tells that it vanished with an outage of the
+    /// registry, so that it is used until it has had the time to come back.
+    pub fn removed(&mut self, now: UnixMs, id: &str, may_return: bool) -> TargetChange {
         let Some(known) = self.known.get_mut(id) else { return TargetChange::None };
         let was_usable = known.usable();
-        known.missing_since.get_or_insert(now);
-        known.left |= !in_grace && known.entry.draining;
-        if in_grace || !was_usable {
-            return TargetChange::None;
+        known.presence = if may_return {
+            Presence::MayReturn { until: now.plus(RETURN_GRACE_MS) }
+        } else {
+            Presence::Missing
+        };
+        if was_usable && !known.usable() {
+            return TargetChange::Left(id.to_owned());
+        }
+        TargetChange::None
+    }
+
+    /// Takes those for gone that have had their time to come back.
+    pub fn expire(&mut self, now: UnixMs) -> Vec<TargetChange> {
+        let mut changes = Vec::new();
+        for (id, known) in &mut self.known {
+            if matches!(known.presence, Presence::MayReturn { until } if until <= now) {
+                known.presence = Presence::Missing;
+                if !known.left {
+                    changes.push(TargetChange::Left(id.clone()));
+                }
+            }
         }
-        TargetChange::Left(id.to_owned())
-    }
-
-    /// Takes a whole list: what is not in it was removed.
-    pub fn replaced(&mut self, now: UnixMs, entries: Vec<TargetEntry>) -> Vec<TargetChange> {
-        let listed: Vec<String> = entries.iter().map(|entry| entry.id.clone()).collect();
-        let missing: Vec<String> =
-            self.known.keys().filter(|id| !listed.contains(id)).cloned().collect();
-        let mut changes: Vec<TargetChange> =
-            entries.into_iter().map(|entry| self.seen(entry)).collect();
-        changes.extend(missing.iter().map(|id| self.removed(now, id)));
-        changes.retain(|change| *change != TargetChange::None);
         changes
     }
 
@@ -166,16 +176,10 @@
     }
 
     /// Walks through the targets of a service that may receive work.
-    pub fn usable<'a>(
-        &'a self,
-        now: UnixMs,
-        service: &'a str,
-    ) -> impl Iterator<Item = &'a TargetEntry> {
-        let in_grace = self.in_grace(now);
+    pub fn usable<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a TargetEntry> {
         self.known
             .values()
-            .filter(move |known| known.entry.service == service)
-            .filter(move |known| !known.left && (in_grace || known.missing_since.is_none()))
+            .filter(move |known| known.entry.service == service && known.usable())
             .map(|known| &known.entry)
     }
 
@@ -185,14 +189,8 @@
     /// Owners of different models do not see each other's load. While all targets serve all models,
     /// each keeps to the targets of its own model. Where less than half of a fair share is there,
     /// all that may serve it are returned.
-    pub fn for_model<'a>(
-        &'a self,
-        now: UnixMs,
-        service: &'a str,
-        model: &str,
-        oldest: u64,
-    ) -> Vec<&'a str> {
-        let mut usable: Vec<&TargetEntry> = self.usable(now, service).collect();
+    pub fn for_model<'a>(&'a self, service: &'a str, model: &str, oldest: u64) -> Vec<&'a str> {
+        let mut usable: Vec<&TargetEntry> = self.usable(service).collect();
         usable.sort_by(|a, b| (&a.data_centre, &a.id).cmp(&(&b.data_centre, &b.id)));
         let models = usable.iter().map(|entry| entry.models.len()).max().unwrap_or(1).max(1);
         let share = usable.len() / models;
@@ -211,37 +209,19 @@
         serving.map(|entry| entry.id.as_str()).collect()
     }
 
-    /// Tells whether a target may receive work.
-    pub fn is_usable(&self, now: UnixMs, id: &str) -> bool {
-        let in_grace = self.in_grace(now);
-        self.known
-            .get(id)
-            .is_some_and(|known| !known.left && (in_grace || known.missing_since.is_none()))
-    }
-
     /// Counts the targets that are not known to have left.
     pub fn count(&self) -> usize {
         self.known.values().filter(|known| known.usable()).count()
     }
 
-    /// Counts the usable targets that are missing from a list.
-    pub fn vanish_count(&self, entries: &[TargetEntry]) -> usize {
-        let listed = |id: &str| entries.iter().any(|entry| entry.id == id);
-        self.known.values().filter(|known| known.usable() && !listed(&known.entry.id)).count()
-    }
-
     /// Returns a target's entry, also of one that left.
     pub fn entry(&self, id: &str) -> Option<&TargetEntry> {
         self.known.get(id).map(|known| &known.entry)
     }
-
-    fn in_grace(&self, now: UnixMs) -> bool {
-        self.outage_until.is_some_and(|until| now.since_ms(until) < RETURN_GRACE_MS)
-    }
 }
 
 impl Known {
     const fn usable(&self) -> bool {
-        !self.left && self.missing_since.is_none()
+        !self.left && !matches!(self.presence, Presence::Missing)
     }
 }
--- a/crates/serve/src/caller.rs
+++ b/crates/serve/src/caller.rs
@@ -387,7 +387,7 @@
 
 fn all_tried<P: Platform>(node: &Node<P>, service: &str, tried: &[String]) -> bool {
     let targets = node.targets.borrow();
-    targets.usable(clock::now(), service).all(|entry| tried.contains(&entry.id))
+    targets.usable(service).all(|entry| tried.contains(&entry.id))
 }
 
 /// Chooses a target of a service, not one of `tried` if there is another.
--- a/crates/serve/src/feed.rs
+++ b/crates/serve/src/feed.rs
@@ -118,7 +118,11 @@
         let gone = gone.map(|key| StoreEvent::Deleted { key: key.clone(), revision: as_of });
         let held = |item: &StoredItem| self.items.get(&item.key).map_or(0, |(held, _)| *held);
         let new = items.iter().filter(|item| item.revision > held(item));
-        gone.chain(new.cloned().map(StoreEvent::Written)).collect()
+        let mut events: Vec<StoreEvent> =
+            gone.chain(new.cloned().map(StoreEvent::Written)).collect();
+        // A peer that misses a part of them asks for what came after the last revision it has.
+        events.sort_by_key(StoreEvent::revision);
+        events
     }
 
     /// Takes changes; returns those that were news.
@@ -178,6 +182,7 @@
 pub(crate) async fn follow<P: Platform>(node: Rc<Node<P>>, subject: Subject) {
     let mut pause_ms = PAUSE_MS;
     let mut after_outage = false;
+    let mut failed;
     loop {
         let heard_at = node.feeds.of(subject).known.borrow().heard_at;
         let started = node.feeds.of(subject).known.borrow().started;
@@ -191,15 +196,20 @@
                 pause_ms = PAUSE_MS;
                 let events = node.feeds.of(subject).known.borrow().difference(&items, as_of);
                 arrived(&node, subject, events, as_of, std::mem::take(&mut after_outage));
+                // One way to the store that fails is no outage: the whole is read by way of a peer.
+                failed = false;
                 if let Some(refusal) = watch(&node, subject).await {
-                    after_outage = true;
+                    failed = true;
                     let why = json!({ "subject": format!("{subject:?}"), "why": refusal.message });
                     node.note("feed_lost", why);
                 }
             }
-            Err(_) => after_outage = true,
+            Err(_) => {
+                after_outage = true;
+                failed = true;
+            }
         }
-        if after_outage {
+        if failed {
             pause_ms = pause(&node, pause_ms).await;
         }
     }
@@ -433,6 +443,10 @@
 pub(crate) async fn say_alive<P: Platform>(node: Rc<Node<P>>) {
     loop {
         sleep(ALIVE_EVERY).await;
+        let gone = node.targets.borrow_mut().expire(clock::now());
+        for change in &gone {
+            node.target_changed(change, "not back after the registry's outage");
+        }
         if !is_watcher(&node) || node.leaving.get() {
             continue;
         }
@@ -502,13 +516,12 @@
 fn take_target_events<P: Platform>(node: &Node<P>, events: &[StoreEvent], after_outage: bool) {
     let now = clock::now();
     let gone = events.iter().filter(|event| matches!(event, StoreEvent::Deleted { .. })).count();
-    if after_outage || (gone > 1 && gone * VANISHED_PART > node.targets.borrow().count()) {
-        node.targets.borrow_mut().registry_was_away(now);
-    }
+    let forgotten = gone > 1 && gone * VANISHED_PART > node.targets.borrow().count();
     for event in events {
         let change = match event {
             StoreEvent::Deleted { key, .. } => {
-                node.targets.borrow_mut().removed(now, P::target_id(key))
+                let id = P::target_id(key);
+                node.targets.borrow_mut().removed(now, id, after_outage || forgotten)
             }
             StoreEvent::Written(item) => match decode_target(node, item) {
                 Some(entry) => node.targets.borrow_mut().seen(entry),
--- a/crates/serve/src/node.rs
+++ b/crates/serve/src/node.rs
@@ -173,7 +173,7 @@
         let settings = self.settings();
         let targets = self.targets.borrow();
         let picks: Vec<Pick<'_>> = targets
-            .usable(now, service)
+            .usable(service)
             .filter(|entry| fits(entry))
             .map(|entry| Pick {
                 id: &entry.id,
--- a/crates/serve/src/orders.rs
+++ b/crates/serve/src/orders.rs
@@ -247,7 +247,7 @@
         let targets: Vec<RolloutTarget> = node
             .targets
             .borrow()
-            .usable(now, service)
+            .usable(service)
             .map(|entry| RolloutTarget {
                 data_centre: entry.data_centre.clone(),
                 id: entry.id.clone(),
--- a/crates/serve/src/runs.rs
+++ b/crates/serve/src/runs.rs
@@ -202,7 +202,7 @@
     let oldest = submission.oldest_version;
     let own: Option<Vec<String>> = submission.model.as_ref().map(|model| {
         let targets = node.targets.borrow();
-        let ids = targets.for_model(clock::now(), service, model, oldest);
+        let ids = targets.for_model(service, model, oldest);
         ids.into_iter().map(str::to_owned).collect()
     });
     let fits = |entry: &TargetEntry| {
--- a/tests/all/site/harness.rs
+++ b/tests/all/site/harness.rs
@@ -9,6 +9,7 @@
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -17,6 +18,10 @@
 /// The host of all routes.
 pub(crate) const HOST: &str = "site.example";
 
+const FRONT_PORT: u16 = 8149;
+const READY_PORT: u16 = 8141;
+const DIRECTORY_PORT: u16 = 8143;
+
 /// An entry node's process.
 pub(crate) struct Node {
     pub(crate) callers: SocketAddr,
@@ -110,28 +115,32 @@
     }
 }
 
-fn free_ports(count: usize) -> Vec<u16> {
-    let held: Vec<std::net::TcpListener> = (0..count)
-        .map(|_| std::net::TcpListener::bind("127.0.0.1:0").expect("a free port"))
-        .collect();
-    held.iter().map(|listener| listener.local_addr().expect("a bound address").port()).collect()
+/// Returns a loopback address that no other node of any test has: ports of a shared address could
+/// be taken by another test's connections before the node binds them.
+fn own_address() -> std::net::Ipv4Addr {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let number = NEXT.fetch_add(1, Ordering::Relaxed);
+    let process = std::process::id();
+    let second = 16 + (process % 200) as u8;
+    let third = (process / 200 % 64) as u8 * 4 + (number / 250) as u8 % 4;
+    std::net::Ipv4Addr::new(127, second, third, 1 + (number % 250) as u8)
 }
 
-fn settings(name: &str, ports: &[u16], store: SocketAddr) -> String {
+fn settings(name: &str, ip: std::net::Ipv4Addr, store: SocketAddr) -> String {
     format!(
         r#"node = "{name}"
 role = "entry"
 machineClass = "front"
 serves = ["front", "directory"]
-ip = "127.0.0.1"
+ip = "{ip}"
 zone = "zone-a"
 region = "region-a"
-portRange = [{peer}, {peer}]
+portRange = [7380, 7395]
 aFieldThatIsNotKnownHere = 1
 [listen]
-front = "127.0.0.1:{front}"
-readyAddr = "127.0.0.1:{ready}"
-directory = "127.0.0.1:{directory}"
+front = "{ip}:{FRONT_PORT}"
+readyAddr = "{ip}:{READY_PORT}"
+directory = "{ip}:{DIRECTORY_PORT}"
 [bounds]
 graceS = 8
 leaseMs = 3000
@@ -140,34 +149,30 @@
 address = "{store}"
 valueBytes = 1048576
 ttlMinMs = 1000
-"#,
-        peer = ports[0],
-        front = ports[1],
-        ready = ports[2],
-        directory = ports[3],
+"#
     )
 }
 
 impl Node {
     async fn start(store: &Store, name: &str) -> Self {
         let (door, door_server) = store.door().await;
-        let ports = free_ports(4);
+        let ip = own_address();
         let folder = tempfile::tempdir().expect("a folder for the settings");
-        let text = settings(name, &ports, door_server.address);
+        let text = settings(name, ip, door_server.address);
         std::fs::write(folder.path().join("settings.toml"), text)
             .expect("the settings are written");
         let log = Arc::new(Mutex::new(Vec::new()));
         let child = spawn(&folder, &log);
-        let at = |port: u16| SocketAddr::from(([127, 0, 0, 1], port));
+        let at = |port: u16| SocketAddr::from((ip, port));
         Self {
-            callers: at(ports[1]),
+            callers: at(FRONT_PORT),
             child,
-            directory: at(ports[3]),
+            directory: at(DIRECTORY_PORT),
             door,
             _door_server: door_server,
             folder,
             log,
-            ready: at(ports[2]),
+            ready: at(READY_PORT),
         }
     }
 
--- a/tests/all/site/requests.rs
+++ b/tests/all/site/requests.rs
@@ -1,6 +1,7 @@
 //! Requests of callers: answers whole and their own, refusals true, at most once.
 
 use super::harness::{HOST, Site, until};
+use super::store::Door;
 use super::worker::Conduct;
 use std::time::Duration;
 
@@ -201,3 +202,59 @@
 
     assert!(answer.text().await.is_err(), "the caller sees that it was cut");
 }
+
+// Symptom: a target that left gets work for as long as the store turns some nodes away.
+// Sequence: a node that watches for all is turned away and reads by way of its peers; meanwhile a
+// target's entry is removed.
+// Cause: the nodes take the one node's trouble for an outage of the registry, after which entries
+// that vanished may come back, over and over.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_target_leaves_while_the_store_turns_nodes_away() {
+    let site = Site::start(4, 0, 2).await;
+    for node in &site.nodes[1..] {
+        site.store.set_door(node.door, Door::Refuses);
+    }
+    tokio::time::sleep(Duration::from_secs(3)).await;
+
+    site.plain[0].deregister();
+
+    for node in &site.nodes {
+        until("the node knows", || async {
+            let left = node.lines("target_left");
+            left.iter().any(|line| line["target"] == "plain-0").then_some(())
+        })
+        .await;
+    }
+}
+
+// Symptom: everything is refused for seconds when the registry returns.
+// Sequence: the store is away for all; when it returns, the targets' entries have lapsed; the
+// targets write them again within two seconds.
+// Cause: an entry that vanished while the store was away is taken for a target that left.
+#[tokio::test(flavor = "multi_thread")]
+async fn targets_whose_entries_lapsed_with_the_store_serve_on() {
+    let mut site = Site::start(2, 0, 2).await;
+    for node in &site.nodes {
+        site.store.set_door(node.door, Door::Refuses);
+    }
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    for worker in &site.plain {
+        worker.deregister();
+    }
+    for node in &site.nodes {
+        site.store.set_door(node.door, Door::Open);
+    }
+
+    for number in 0..10 {
+        let id = format!("q{number}");
+        let answer = site.call(&site.nodes[number % 2], "/lookup/a", &id).await.expect("an answer");
+        assert_eq!(answer.status(), 200);
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    for worker in &mut site.plain {
+        worker.register("ready");
+    }
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let answer = site.call(&site.nodes[0], "/lookup/a", "last").await.expect("an answer");
+    assert_eq!(answer.status(), 200);
+}
