--- a/crates/dispatch/src/load.rs
+++ b/crates/dispatch/src/load.rs
@@ -237,11 +237,11 @@
 impl Seen {
     const fn answered(&mut self, latency_ms: u64) {
         self.failures_in_row = 0;
-        let latency_us = latency_ms * 1_000;
+        let seen_us = latency_ms * 1_000;
         self.latency_us = if self.latency_us == 0 {
-            latency_us
+            seen_us
         } else {
-            (self.latency_us * (LATENCY_PARTS - 1) + latency_us) / LATENCY_PARTS
+            (self.latency_us * (LATENCY_PARTS - 1) + seen_us) / LATENCY_PARTS
         };
     }
 
--- /dev/null
+++ b/crates/serve/src/batches/accept.rs
@@ -0,0 +1,298 @@
+//! Accepting a submission: once, and kept before anyone is told.
+
+use super::keys::{
+    Record, TRANSACTION_MAX_KEYS, encode, part_key, part_max_bytes, record_key, unexpected,
+};
+use super::write::{RETRY, save_texts, write_results};
+use super::{Held, LEFTOVER_KEPT_MS};
+use crate::clock;
+use crate::node::Node;
+use crate::peers::{self, Datagram, PeerAnswer, PeerCall};
+use crate::platform::Platform;
+use crate::store::{Expectation, Put, StoreAnswer, StoreCall, StoreRefusal, StoredItem};
+use catkinmast_dispatch::{Batch, BatchTerms, Chunk, Progress, Route, Submission};
+use catkinmast_model::{UnixMs, Verdict};
+use indexmap::IndexMap;
+use serde_json::json;
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::time::sleep;
+
+/// Tries of an acceptance whose outcome is unknown; with the store's longest answer they take less
+/// than a trainer waits.
+pub(super) const ACCEPT_TRIES: u32 = 3;
+
+/// How long the owner of a model may take to accept a batch before this node does it.
+pub(super) const SUBMIT_MAX: Duration = Duration::from_secs(1);
+
+/// What became of a submission.
+#[derive(Clone, Debug)]
+pub(crate) enum Acceptance {
+    /// It is kept.
+    Kept,
+    /// The store could not be reached; the verdict says whether it may be kept.
+    Unknown(StoreRefusal),
+}
+
+/// The terms of a batch under a route.
+pub(super) fn terms(
+    route: &Route,
+    reward_attempts: u32,
+    accepted_at: UnixMs,
+    slack_ms: u64,
+) -> BatchTerms {
+    // Without a bound of the operator's, a batch is kept running for an hour.
+    const UNBOUNDED_MS: u64 = 3_600_000;
+    let due_ms = route.run_target_ms.unwrap_or(UNBOUNDED_MS);
+    let give_up_ms = route.give_up_ms.unwrap_or(UNBOUNDED_MS);
+    BatchTerms {
+        attempts: route.attempts.max(reward_attempts).max(1),
+        due_at: accepted_at.plus(due_ms),
+        give_up_at: accepted_at.plus(give_up_ms + slack_ms),
+        single_version: route.single_version,
+    }
+}
+
+pub(super) fn reward_attempts<P: Platform>(node: &Node<P>, submission: &Submission) -> u32 {
+    let document = node.document();
+    let reward = submission.items.iter().find_map(|item| item.reward.as_ref());
+    let route = document.as_ref().zip(reward).and_then(|(document, reward)| {
+        document.route(&reward.host, &reward.path).map(|route| route.attempts)
+    });
+    route.unwrap_or(0)
+}
+
+/// Has a submission accepted by the node that owns the batches of its model, else by this one.
+///
+/// With one owner for a model, its runs share that node's connections and its view of each target's
+/// load, and a group that comes again finds the texts that were begun.
+pub(crate) async fn submit<P: Platform>(
+    node: &Rc<Node<P>>,
+    id: &str,
+    host: &str,
+    path: &str,
+    submission: Submission,
+) -> Acceptance {
+    let duty = duty_of(submission.model.as_deref().unwrap_or(path));
+    let owner = peers::first_for(node, &duty);
+    let Some(owner) = owner.filter(|_| node.batches.get(id).is_none()) else {
+        return accept(node, id, host, path, submission).await;
+    };
+    let call = PeerCall::Submit {
+        batch: id.to_owned(),
+        host: host.to_owned(),
+        path: path.to_owned(),
+        submission: Box::new(submission),
+    };
+    let answer = node.ask_peer(owner, &call, SUBMIT_MAX).await;
+    if matches!(answer, Ok(PeerAnswer::Accepted)) {
+        return Acceptance::Kept;
+    }
+    // The batch is created once, whoever does it; so this node may try whatever became of the call.
+    let PeerCall::Submit { submission, .. } = call else { unreachable!("it was made above") };
+    accept(node, id, host, path, *submission).await
+}
+
+/// Accepts a submission: writes it to the store, and owns it.
+pub(crate) async fn accept<P: Platform>(
+    node: &Rc<Node<P>>,
+    id: &str,
+    host: &str,
+    path: &str,
+    submission: Submission,
+) -> Acceptance {
+    if node.batches.get(id).is_some() {
+        return Acceptance::Kept;
+    }
+    let Some(owner) = peers::me(node) else {
+        return Acceptance::Unknown(StoreRefusal {
+            message: "this node has not joined yet".to_owned(),
+            verdict: Verdict::NotRun,
+        });
+    };
+    let record = Record {
+        accepted_at_unix_ms: UnixMs::from_wall_clock().0,
+        ended: false,
+        host: host.to_owned(),
+        owner,
+        path: path.to_owned(),
+        total: submission.items.len(),
+    };
+    let call = match creation(node, id, &record, &submission) {
+        Ok(call) => call,
+        Err(refusal) => return Acceptance::Unknown(refusal),
+    };
+    let accepted_at = clock::now();
+    let mut failure = None;
+    for _ in 0..ACCEPT_TRIES {
+        match node.store(&call).await {
+            Ok(StoreAnswer::Committed { revision }) => {
+                let source =
+                    Source { record, record_revision: revision, submission, texts: Vec::new() };
+                own(node, id, source, accepted_at, 0, &[]);
+                return Acceptance::Kept;
+            }
+            Ok(StoreAnswer::Conflict { items }) => {
+                return known_already(node, id, &record, submission, accepted_at, &items);
+            }
+            Ok(other) => failure = Some(unexpected(&other)),
+            Err(refusal) if refusal.verdict == Verdict::NotRun && failure.is_none() => {
+                return Acceptance::Unknown(refusal);
+            }
+            Err(refusal) => failure = Some(refusal),
+        }
+        sleep(RETRY).await;
+    }
+    let verdict = Verdict::MayHaveRun;
+    let message = failure.map_or_else(String::new, |refusal| refusal.message);
+    Acceptance::Unknown(StoreRefusal { message, verdict })
+}
+
+/// The transaction that creates a batch: all of it or nothing, once.
+pub(super) fn creation<P: Platform>(
+    node: &Node<P>,
+    id: &str,
+    record: &Record,
+    submission: &Submission,
+) -> Result<StoreCall, StoreRefusal> {
+    let body = encode(submission)?;
+    let mut puts = vec![Put { key: record_key(id), lease: None, value: encode(record)? }];
+    for (number, part) in body.chunks(part_max_bytes(node)).enumerate() {
+        puts.push(Put { key: part_key(id, number), lease: None, value: part.to_vec() });
+    }
+    if puts.len() > TRANSACTION_MAX_KEYS {
+        let message = format!("a submission of {} bytes is too large to keep", body.len());
+        return Err(StoreRefusal { message, verdict: Verdict::NotRun });
+    }
+    let expected = vec![Expectation { key: record_key(id), revision: 0 }];
+    Ok(StoreCall::Transaction { deletes: Vec::new(), expected, puts })
+}
+
+/// The record is there already: of an earlier submission, or of our own call whose answer was lost.
+pub(super) fn known_already<P: Platform>(
+    node: &Rc<Node<P>>,
+    id: &str,
+    record: &Record,
+    submission: Submission,
+    accepted_at: UnixMs,
+    items: &[StoredItem],
+) -> Acceptance {
+    let key = record_key(id);
+    let found = items.iter().find(|item| item.key == key);
+    let stored = found.and_then(|item| postcard::from_bytes::<Record>(&item.value).ok());
+    if let (Some(stored), Some(item)) = (stored, found) {
+        if stored == *record && node.batches.get(id).is_none() {
+            let source = Source {
+                record: stored,
+                record_revision: item.revision,
+                submission,
+                texts: Vec::new(),
+            };
+            own(node, id, source, accepted_at, 0, &[]);
+        } else {
+            node.batches.note_owner(id, stored.owner);
+        }
+    }
+    Acceptance::Kept
+}
+
+/// What a batch is opened from.
+pub(super) struct Source {
+    pub(super) record: Record,
+    pub(super) record_revision: u64,
+    pub(super) submission: Submission,
+    /// What a former owner had of its items' texts.
+    pub(super) texts: Vec<(String, Progress)>,
+}
+
+/// Opens a batch as its owner and starts to run and to write it.
+pub(super) fn own<P: Platform>(
+    node: &Rc<Node<P>>,
+    id: &str,
+    source: Source,
+    accepted_at: UnixMs,
+    slack_ms: u64,
+    chunks: &[Chunk],
+) {
+    if node.batches.get(id).is_some() {
+        return;
+    }
+    let Source { record, record_revision, submission, texts } = source;
+    let route =
+        node.document().and_then(|document| document.route(&record.host, &record.path).cloned());
+    let Some(route) = route else {
+        node.note("batch_without_route", json!({ "request": id, "host": record.host }));
+        return;
+    };
+    let terms = terms(&route, reward_attempts(node, &submission), accepted_at, slack_ms);
+    let mut line = json!({
+        "request": id, "items": submission.items.len(), "model": submission.model,
+        "step": submission.step, "oldest_version": submission.oldest_version,
+        "target_groups": submission.target_groups, "chunks": chunks.len(),
+        "record_revision": record_revision, "route": route.name,
+    });
+    let (batch, resumed) = open_batch(node, submission, terms, chunks, texts);
+    line["resumed"] = json!(resumed);
+    node.note("batch_owned", line);
+    let held = Rc::new(RefCell::new(Held {
+        accepted_at,
+        batch,
+        changed: Rc::new(Notify::new()),
+        doubted: false,
+        finished: Rc::new(Notify::new()),
+        group_targets: IndexMap::new(),
+        record,
+        record_revision,
+        id: id.to_owned(),
+        owned: true,
+        runs: IndexMap::new(),
+        settled_at: None,
+        taken_over: slack_ms > 0,
+    }));
+    node.batches.owned.borrow_mut().insert(id.to_owned(), Rc::clone(&held));
+    node.metrics.batches_open.set(node.batches.owned.borrow().len() as i64);
+    if let Some(owner) = peers::me(node) {
+        peers::tell_all(node, &Datagram::BatchOwned { batch: id.to_owned(), owner });
+    }
+    node.work.notify_one();
+    tokio::task::spawn_local(write_results(Rc::clone(node), Rc::clone(&held)));
+    tokio::task::spawn_local(save_texts(Rc::clone(node), held));
+}
+
+/// Opens a batch with what is durable of it, and with the texts that an earlier batch left of its
+/// items; returns how many of those fit.
+pub(super) fn open_batch<P: Platform>(
+    node: &Node<P>,
+    submission: Submission,
+    terms: BatchTerms,
+    chunks: &[Chunk],
+    texts: Vec<(String, Progress)>,
+) -> (Batch, usize) {
+    let mut leftovers = node.batches.leftovers.borrow_mut();
+    let now = clock::now();
+    leftovers.texts.retain(|_, (_, at)| now.since_ms(*at) < LEFTOVER_KEPT_MS);
+    leftovers.groups.retain(|_, at| now.since_ms(*at) < LEFTOVER_KEPT_MS);
+    let ids: Vec<String> = submission.items.iter().map(|item| item.id.clone()).collect();
+    let mut batch = Batch::open(submission, terms, |group| leftovers.groups.contains_key(group));
+    for chunk in chunks {
+        batch.merge(chunk);
+    }
+    let mut resumed = 0;
+    for (id, progress) in texts {
+        resumed += usize::from(batch.resume_from(&id, progress));
+    }
+    for id in ids {
+        if let Some((progress, _)) = leftovers.texts.swap_remove(&id)
+            && batch.resume_from(&id, progress)
+        {
+            resumed += 1;
+        }
+    }
+    (batch, resumed)
+}
+
+pub(super) fn duty_of(model: &str) -> String {
+    format!("batches/{model}")
+}
--- /dev/null
+++ b/crates/serve/src/batches/keys.rs
@@ -0,0 +1,163 @@
+//! Keys of a batch in the store, and what stands under them.
+
+use crate::feed;
+use crate::node::Node;
+use crate::peers::Owner;
+use crate::platform::Platform;
+use crate::store::{Expectation, Put, StoreAnswer, StoreCall, StoreRefusal, StoredItem};
+use catkinmast_dispatch::{Chunk, Progress, Submission};
+use catkinmast_model::Verdict;
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+
+/// Keys of the records, by batch.
+pub(super) const RECORDS: &str = "cm/h/";
+
+/// Keys of submissions and results, by batch.
+pub(super) const DATA: &str = "cm/d/";
+
+/// The part of a value's allowed size that we use; the rest is for its framing.
+pub(super) const VALUE_PART_PERCENT: usize = 70;
+
+/// Keys that one transaction may change.
+pub(super) const TRANSACTION_MAX_KEYS: usize = 30;
+
+/// What the store holds first of a batch.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub(super) struct Record {
+    pub(super) accepted_at_unix_ms: u64,
+    pub(super) ended: bool,
+    pub(super) host: String,
+    pub(super) owner: Owner,
+    pub(super) path: String,
+    pub(super) total: usize,
+}
+
+pub(super) fn record_key(batch: &str) -> String {
+    format!("{RECORDS}{batch}")
+}
+
+pub(super) fn part_key(batch: &str, number: usize) -> String {
+    format!("{DATA}{batch}/p{number:03}")
+}
+
+pub(super) fn texts_key(batch: &str) -> String {
+    format!("{DATA}{batch}/t")
+}
+
+pub(super) fn chunk_prefix(batch: &str) -> String {
+    format!("{DATA}{batch}/c")
+}
+
+pub(super) fn chunk_key(batch: &str, number: u32) -> String {
+    format!("{DATA}{batch}/c{number:05}")
+}
+
+pub(super) fn encode<T: Serialize>(value: &T) -> Result<Vec<u8>, StoreRefusal> {
+    postcard::to_stdvec(value)
+        .map_err(|error| StoreRefusal { message: error.to_string(), verdict: Verdict::NotRun })
+}
+
+pub(super) fn unexpected(answer: &StoreAnswer) -> StoreRefusal {
+    StoreRefusal { message: format!("unexpected answer {answer:?}"), verdict: Verdict::MayHaveRun }
+}
+
+pub(super) fn part_max_bytes<P: Platform>(node: &Node<P>) -> usize {
+    node.settings().value_max_bytes * VALUE_PART_PERCENT / 100
+}
+
+pub(super) fn unreadable<P: Platform>(node: &Node<P>, item: &StoredItem, error: &postcard::Error) {
+    node.note("own_key_unreadable", json!({ "key": item.key, "why": error.to_string() }));
+}
+
+pub(super) fn chunks_of<P: Platform>(node: &Node<P>, items: &[StoredItem]) -> Vec<Chunk> {
+    let mut chunks: Vec<Chunk> = Vec::new();
+    for item in items {
+        match postcard::from_bytes(&item.value) {
+            Ok(chunk) => chunks.push(chunk),
+            Err(error) => unreadable(node, item, &error),
+        }
+    }
+    chunks.sort_by_key(|chunk| chunk.number);
+    chunks
+}
+
+pub(super) async fn read_record<P: Platform>(
+    node: &Node<P>,
+    batch: &str,
+) -> Result<Option<(Record, u64)>, StoreRefusal> {
+    match node.store(&StoreCall::Get { key: record_key(batch) }).await? {
+        StoreAnswer::Item(None) => Ok(None),
+        StoreAnswer::Item(Some(item)) => match postcard::from_bytes(&item.value) {
+            Ok(record) => Ok(Some((record, item.revision))),
+            Err(error) => Err(StoreRefusal { message: error.to_string(), verdict: Verdict::Ran }),
+        },
+        other => Err(unexpected(&other)),
+    }
+}
+
+/// How a write of a record went.
+pub(super) enum RecordWrite {
+    Changed(Record, u64),
+    Done(u64),
+}
+
+pub(super) async fn write_record<P: Platform>(
+    node: &Node<P>,
+    batch: &str,
+    record: &Record,
+    revision: u64,
+) -> Result<RecordWrite, StoreRefusal> {
+    let key = record_key(batch);
+    let call = StoreCall::Transaction {
+        deletes: Vec::new(),
+        expected: vec![Expectation { key: key.clone(), revision }],
+        puts: vec![Put { key, lease: None, value: encode(record)? }],
+    };
+    match node.store(&call).await? {
+        StoreAnswer::Committed { revision } => Ok(RecordWrite::Done(revision)),
+        StoreAnswer::Conflict { items } => {
+            let item = items.first().ok_or_else(|| StoreRefusal {
+                message: "a conflict without a key".to_owned(),
+                verdict: Verdict::Ran,
+            })?;
+            let found = postcard::from_bytes(&item.value).map_err(|error| StoreRefusal {
+                message: error.to_string(),
+                verdict: Verdict::Ran,
+            })?;
+            Ok(RecordWrite::Changed(found, item.revision))
+        }
+        other => Err(unexpected(&other)),
+    }
+}
+
+/// What the store keeps of a batch.
+pub(super) struct Kept {
+    pub(super) chunks: Vec<Chunk>,
+    pub(super) submission: Submission,
+    pub(super) texts: Vec<(String, Progress)>,
+}
+
+/// Reads a submission, its results and the texts that were begun from the store.
+pub(super) async fn read_submission<P: Platform>(
+    node: &Node<P>,
+    batch: &str,
+) -> Result<Kept, StoreRefusal> {
+    let (items, _) = feed::read_whole(node, &format!("{DATA}{batch}/")).await?;
+    let (chunk_prefix, texts_key) = (chunk_prefix(batch), texts_key(batch));
+    let (chunks, others): (Vec<StoredItem>, Vec<StoredItem>) =
+        items.into_iter().partition(|item| item.key.starts_with(&chunk_prefix));
+    let (texts, parts): (Vec<StoredItem>, Vec<StoredItem>) =
+        others.into_iter().partition(|item| item.key == texts_key);
+    let body: Vec<u8> = parts.into_iter().flat_map(|part| part.value).collect();
+    let submission = postcard::from_bytes(&body).map_err(|error| StoreRefusal {
+        message: format!("batch {batch}: {error}"),
+        verdict: Verdict::Ran,
+    })?;
+    let texts = texts.first().and_then(|item| {
+        let texts = postcard::from_bytes(&item.value);
+        texts.inspect_err(|error| unreadable(node, item, error)).ok()
+    });
+    let texts = texts.unwrap_or_default();
+    Ok(Kept { chunks: chunks_of(node, &chunks), submission, texts })
+}
--- /dev/null
+++ b/crates/serve/src/batches/mod.rs
@@ -0,0 +1,156 @@
+//! Batch submissions: accepted once, kept in the store, listed, read at every node, ended.
+//!
+//! What must outlive every process is written before anyone is told of it: the submission before
+//! its acceptance, results before a reader sees them, the end before it is confirmed. The record of
+//! a batch names its owner; a change of the record is how an owner learns that it is no longer one.
+
+mod accept;
+mod end;
+mod keys;
+mod ownership;
+mod read;
+mod succession;
+mod write;
+
+pub(crate) use accept::{Acceptance, accept, submit};
+pub(crate) use end::{end, end_owned};
+pub(crate) use ownership::{doubt_all, told_ended, told_owner};
+pub(crate) use read::{Lookup, item_body, item_body_owned, read, read_owned};
+pub(crate) use succession::{adopt, adopt_orphans, hand_over_all};
+
+use crate::clock;
+use crate::peers::Owner;
+use catkinmast_dispatch::{Batch, Progress};
+use catkinmast_model::UnixMs;
+use indexmap::{IndexMap, IndexSet};
+use keys::Record;
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use tokio::sync::Notify;
+use tokio::task::AbortHandle;
+
+/// How long texts of ended batches are kept: a trainer that asks for a group again does so within
+/// a few steps.
+const LEFTOVER_KEPT_MS: u64 = 30_000;
+
+/// A batch that this node owns.
+#[derive(Debug)]
+pub(crate) struct Held {
+    /// When it was accepted, by our clock.
+    pub accepted_at: UnixMs,
+    /// The items and results.
+    pub batch: Batch,
+    /// Wakes readers.
+    pub changed: Rc<Notify>,
+    /// Wakes the writer.
+    pub finished: Rc<Notify>,
+    /// The last target of each group.
+    pub group_targets: IndexMap<String, String>,
+    record: Record,
+    record_revision: u64,
+    /// Its id.
+    pub id: String,
+    /// Whether another may have taken it meanwhile; until the store was asked, nothing is said of
+    /// it. A paused owner would otherwise show fewer results than its successor has listed.
+    doubted: bool,
+    /// Whether this node still owns it.
+    pub owned: bool,
+    /// The runs in progress, by the item's index.
+    pub runs: IndexMap<usize, Run>,
+    settled_at: Option<UnixMs>,
+    /// Whether it had an owner before, who may live.
+    taken_over: bool,
+}
+
+impl Held {
+    /// Borrows the host and the path by which it was submitted.
+    pub(crate) fn origin(&self) -> (&str, &str) {
+        (&self.record.host, &self.record.path)
+    }
+
+    /// Returns what runs of at least this age hold of their texts, by item.
+    fn texts(&self, least_age_ms: u64) -> Vec<(String, Progress)> {
+        let now = clock::now();
+        let items = &self.batch.submission().items;
+        let old = |run: &Run| now.since_ms(run.began_at) >= least_age_ms;
+        let begun = |run: &Run| run.progress.borrow().last_event_id.is_some();
+        self.runs
+            .iter()
+            .filter(|(_, run)| old(run) && begun(run))
+            .map(|(index, run)| (items[*index].id.clone(), run.progress.borrow().clone()))
+            .collect()
+    }
+
+    /// Stops all runs; what they hold of their texts stays.
+    fn stop_runs(&mut self) {
+        let indices: Vec<usize> = self.runs.keys().copied().collect();
+        for index in indices {
+            self.stop_run(index);
+        }
+    }
+
+    /// Stops one run; its item waits again, with what is held of its text.
+    pub(crate) fn stop_run(&mut self, index: usize) {
+        let Some(run) = self.runs.swap_remove(&index) else { return };
+        run.task.abort();
+        let progress = run.progress.borrow().clone();
+        self.batch.put_back(index, UnixMs(0), progress);
+    }
+}
+
+/// A run of an item in progress.
+#[derive(Debug)]
+pub(crate) struct Run {
+    /// When it began.
+    pub began_at: UnixMs,
+    /// What is held of the text.
+    pub progress: Rc<RefCell<Progress>>,
+    /// Whether its text is whole and it is being scored.
+    pub scoring: bool,
+    /// The target.
+    pub target: String,
+    /// Its task.
+    pub task: AbortHandle,
+}
+
+/// What ended batches left of their items' texts.
+#[derive(Debug, Default)]
+struct Leftovers {
+    groups: IndexMap<String, UnixMs>,
+    texts: IndexMap<String, (Progress, UnixMs)>,
+}
+
+/// All batches that this node knows of.
+#[derive(Debug, Default)]
+pub(crate) struct Batches {
+    leftovers: RefCell<Leftovers>,
+    owned: RefCell<IndexMap<String, Rc<RefCell<Held>>>>,
+    owners: RefCell<IndexMap<String, Owner>>,
+    taking: RefCell<IndexSet<String>>,
+    /// Wakes the search for batches without an owner.
+    pub orphaned: Notify,
+    started_at: Cell<UnixMs>,
+}
+
+impl Batches {
+    pub(crate) fn note_owner(&self, batch: &str, owner: Owner) {
+        self.owners.borrow_mut().insert(batch.to_owned(), owner);
+    }
+
+    pub(crate) fn get(&self, batch: &str) -> Option<Rc<RefCell<Held>>> {
+        self.owned.borrow().get(batch).cloned()
+    }
+
+    /// Returns the owned batches that have something left to run, the most urgent first.
+    pub(crate) fn open(&self) -> Vec<Rc<RefCell<Held>>> {
+        let mut open: Vec<Rc<RefCell<Held>>> = self
+            .owned
+            .borrow()
+            .values()
+            .filter(|held| !held.borrow().batch.is_settled() && !held.borrow().batch.is_ended())
+            .cloned()
+            .collect();
+        open.sort_by_key(|held| held.borrow().batch.terms().due_at);
+        open
+    }
+}
--- /dev/null
+++ b/crates/serve/src/batches/succession.rs
@@ -0,0 +1,206 @@
+//! Batches whose owner died or leaves: who takes them, and when.
+
+use super::Held;
+use super::accept::{Source, duty_of, own};
+use super::end::forget_old;
+use super::keys::{
+    Kept, RECORDS, Record, RecordWrite, part_max_bytes, read_record, read_submission, unreadable,
+    write_record,
+};
+use super::ownership::take_record;
+use super::read::OWNER_SLACK;
+use super::write::write_chunk;
+use crate::clock;
+use crate::node::Node;
+use crate::peers::{self, Life, Owner, PeerCall};
+use crate::platform::Platform;
+use crate::store::{StoreAnswer, StoreCall, StoreRefusal, StoredItem};
+use catkinmast_dispatch::Progress;
+use catkinmast_model::UnixMs;
+use serde_json::json;
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::{sleep, timeout};
+
+/// How often old records are looked through for batches that nobody runs.
+pub(super) const SWEEP: Duration = Duration::from_secs(4);
+
+/// How long after joining a node first looks for batches to take: several probes.
+pub(super) const SETTLE: Duration = Duration::from_millis(700);
+
+/// How long a node that nothing was heard of is given before its batches are taken.
+pub(super) const UNHEARD_MAX_MS: u64 = 3_000;
+
+/// How much later than the operator allows an item is given up by an owner that did not accept
+/// the batch itself: the acceptance was timed by another machine's wall clock.
+pub(super) const SKEW_MAX_MS: u64 = 6_000;
+
+/// Looks for batches that nobody runs, and takes those that fall to this node.
+pub(crate) async fn adopt_orphans<P: Platform>(node: Rc<Node<P>>) {
+    node.batches.started_at.set(clock::now());
+    sleep(SETTLE).await;
+    let mut at_once = true;
+    loop {
+        if !node.leaving.get() {
+            sweep(&node, !at_once).await;
+        }
+        forget_old(&node).await;
+        at_once = timeout(SWEEP, node.batches.orphaned.notified()).await.is_ok();
+    }
+}
+
+pub(super) async fn sweep<P: Platform>(node: &Rc<Node<P>>, may_be_old: bool) {
+    let mut after = String::new();
+    loop {
+        let prefix = RECORDS.to_owned();
+        let call = StoreCall::Range { after: after.clone(), may_be_old, prefix };
+        let Ok(StoreAnswer::Items { items, truncated, .. }) = node.store(&call).await else {
+            return;
+        };
+        for item in &items {
+            consider(node, item);
+        }
+        match items.last() {
+            Some(last) if truncated => after.clone_from(&last.key),
+            _ => return,
+        }
+    }
+}
+
+pub(super) fn consider<P: Platform>(node: &Rc<Node<P>>, item: &StoredItem) {
+    let Some(id) = item.key.strip_prefix(RECORDS) else { return };
+    let record: Record = match postcard::from_bytes(&item.value) {
+        Ok(record) => record,
+        Err(error) => return unreadable(node, item, &error),
+    };
+    if node.batches.get(id).is_some() {
+        return;
+    }
+    node.batches.note_owner(id, record.owner.clone());
+    let mine = peers::me(node).is_some_and(|me| me == record.owner);
+    let falls_here = mine || (is_dead(node, &record.owner) && peers::is_first_for(node, id));
+    if record.ended || !falls_here || !node.batches.taking.borrow_mut().insert(id.to_owned()) {
+        return;
+    }
+    let (node, id) = (Rc::clone(node), id.to_owned());
+    tokio::task::spawn_local(async move {
+        if let Err(refusal) = take_over(&node, &id, Vec::new()).await {
+            node.note("batch_untaken", json!({ "request": id, "why": refusal.message }));
+            node.batches.orphaned.notify_one();
+        }
+        node.batches.taking.borrow_mut().swap_remove(&id);
+    });
+}
+
+/// Tells whether an owner is dead. One that nothing was heard of is not, until this node has been
+/// there long enough to have heard of all: after a restart of the whole fleet each node's view is
+/// partial for a moment, and owners that live would lose their batches over and over.
+pub(super) fn is_dead<P: Platform>(node: &Node<P>, owner: &Owner) -> bool {
+    match peers::life_of(node, owner) {
+        Life::Over => true,
+        Life::GoesOn => false,
+        Life::Unheard => clock::now().since_ms(node.batches.started_at.get()) > UNHEARD_MAX_MS,
+    }
+}
+
+/// Becomes the owner of a batch, by its record as it stands now.
+pub(super) async fn take_over<P: Platform>(
+    node: &Rc<Node<P>>,
+    id: &str,
+    texts_given: Vec<(String, Progress)>,
+) -> Result<(), StoreRefusal> {
+    let Some(me) = peers::me(node) else { return Ok(()) };
+    let Some((record, revision)) = read_record(node, id).await? else { return Ok(()) };
+    if record.ended || (record.owner != me && !is_dead(node, &record.owner)) {
+        node.batches.note_owner(id, record.owner);
+        return Ok(());
+    }
+    let was = record.owner.clone();
+    let record = Record { owner: me, ..record };
+    let revision = match write_record(node, id, &record, revision).await? {
+        RecordWrite::Done(revision) => revision,
+        RecordWrite::Changed(found, revision) if found == record => revision,
+        RecordWrite::Changed(found, _) => {
+            node.batches.note_owner(id, found.owner);
+            return Ok(());
+        }
+    };
+    let Kept { chunks, submission, texts } = read_submission(node, id).await?;
+    let age_ms = UnixMs::from_wall_clock().since_ms(UnixMs(record.accepted_at_unix_ms));
+    let now = clock::now();
+    let accepted_at = UnixMs(now.0.saturating_sub(age_ms));
+    node.note(
+        "batch_taken_over",
+        json!({ "request": id, "from": was.node, "from_incarnation": was.incarnation.0,
+                "age_ms": age_ms, "record_revision": revision }),
+    );
+    let texts = if texts_given.is_empty() { texts } else { texts_given };
+    let source = Source { record, record_revision: revision, submission, texts };
+    own(node, id, source, accepted_at, SKEW_MAX_MS, &chunks);
+    Ok(())
+}
+
+/// Gives all batches with work left to live peers, with the texts that were begun; for a planned
+/// stop.
+pub(crate) async fn hand_over_all<P: Platform>(node: Rc<Node<P>>) {
+    for held in node.batches.open() {
+        hand_over(&node, &held).await;
+    }
+}
+
+pub(super) async fn hand_over<P: Platform>(node: &Rc<Node<P>>, held: &Rc<RefCell<Held>>) {
+    let texts = {
+        let mut held = held.borrow_mut();
+        let texts = held.texts(0);
+        held.stop_runs();
+        texts
+    };
+    while held.borrow_mut().batch.chunk_to_write(part_max_bytes(node)).is_some() {
+        if !write_chunk(node, held).await {
+            return;
+        }
+    }
+    let (id, model, record, revision) = {
+        let held = held.borrow();
+        if !held.owned {
+            return;
+        }
+        let model = held.batch.submission().model.clone();
+        (held.id.clone(), model, held.record.clone(), held.record_revision)
+    };
+    let duty = duty_of(model.as_deref().unwrap_or(&record.path));
+    let Some(successor) = peers::successor_for(node, &duty) else { return };
+    let record = Record { owner: successor.clone(), ..record };
+    match write_record(node, &id, &record, revision).await {
+        Ok(RecordWrite::Done(revision) | RecordWrite::Changed(_, revision)) => {
+            take_record(node, held, record, revision);
+            node.note("batch_handed_over", json!({ "request": id, "to": successor.node }));
+            let call = PeerCall::Adopt { batch: id, texts };
+            // A lost call is made good by the successor's own search.
+            drop(node.ask_peer(successor.address, &call, OWNER_SLACK).await);
+        }
+        Err(refusal) => {
+            node.note("batch_not_handed_over", json!({ "request": id, "why": refusal.message }));
+        }
+    }
+}
+
+/// Takes a batch that its owner gives to this node.
+pub(crate) fn adopt<P: Platform>(
+    node: &Rc<Node<P>>,
+    batch: String,
+    texts: Vec<(String, Progress)>,
+) {
+    if node.batches.get(&batch).is_some() || !node.batches.taking.borrow_mut().insert(batch.clone())
+    {
+        return;
+    }
+    let node = Rc::clone(node);
+    tokio::task::spawn_local(async move {
+        if let Err(refusal) = take_over(&node, &batch, texts).await {
+            node.note("batch_untaken", json!({ "request": batch, "why": refusal.message }));
+        }
+        node.batches.taking.borrow_mut().swap_remove(&batch);
+    });
+}
--- /dev/null
+++ b/crates/serve/src/batches/write.rs
@@ -0,0 +1,181 @@
+//! Writing results and begun texts to the store.
+
+use super::Held;
+use super::keys::{
+    RECORDS, Record, chunk_key, encode, part_max_bytes, record_key, texts_key, unexpected,
+    unreadable,
+};
+use super::ownership::take_record;
+use crate::clock;
+use crate::node::Node;
+use crate::platform::Platform;
+use crate::store::{Expectation, Put, StoreAnswer, StoreCall, StoredItem};
+use catkinmast_dispatch::{Chunk, Merge};
+use serde_json::json;
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// Results that come within this time are written with one call. Readers ask twice a second.
+pub(super) const GATHER: Duration = Duration::from_millis(200);
+
+/// The same once less than one item in [`TAIL_PART`] is missing: the trainer may wait for just
+/// this one, and few results come, so few calls are added.
+pub(super) const GATHER_TAIL: Duration = Duration::from_millis(40);
+
+pub(super) const TAIL_PART: usize = 8;
+
+/// Pause before a write is tried again.
+pub(super) const RETRY: Duration = Duration::from_millis(150);
+
+/// How often the texts of runs in progress are saved. A long item takes seven seconds, and a step
+/// whose owner dies waits for it again from the start: with texts saved the fleet's restart costs
+/// a step about this time instead. A call for it costs a thousandth of what the step is worth.
+pub(super) const SAVE_EVERY: Duration = Duration::from_millis(1_200);
+
+/// Only texts of runs this old are saved; shorter ones are run again as quickly.
+pub(super) const SAVE_AFTER_MS: u64 = 1_000;
+
+/// Saves the texts of runs in progress from time to time, for an owner that follows.
+pub(super) async fn save_texts<P: Platform>(node: Rc<Node<P>>, held: Rc<RefCell<Held>>) {
+    let mut saved = 0;
+    loop {
+        sleep(SAVE_EVERY).await;
+        let (id, texts) = {
+            let held = held.borrow();
+            if !held.owned || held.batch.is_ended() || held.batch.is_settled() {
+                return;
+            }
+            (held.id.clone(), held.texts(SAVE_AFTER_MS))
+        };
+        let events: u64 = texts.iter().filter_map(|(_, progress)| progress.last_event_id).sum();
+        if events == saved {
+            continue;
+        }
+        saved = events;
+        let Ok(value) = encode(&texts) else { return };
+        if value.len() > part_max_bytes(&node) {
+            continue;
+        }
+        let puts = vec![Put { key: texts_key(&id), lease: None, value }];
+        let call = StoreCall::Transaction { deletes: Vec::new(), expected: Vec::new(), puts };
+        if let Err(refusal) = node.store(&call).await {
+            node.note("texts_unsaved", json!({ "request": id, "why": refusal.message }));
+        }
+    }
+}
+
+/// Writes the results of a batch as they come, until it is settled or another owns it.
+pub(super) async fn write_results<P: Platform>(node: Rc<Node<P>>, held: Rc<RefCell<Held>>) {
+    let finished = Rc::clone(&held.borrow().finished);
+    loop {
+        if !held.borrow().owned {
+            return;
+        }
+        let waits = held.borrow_mut().batch.chunk_to_write(part_max_bytes(&node)).is_none();
+        if waits {
+            if held.borrow().batch.is_settled() {
+                held.borrow_mut().settled_at.get_or_insert_with(clock::now);
+                return;
+            }
+            finished.notified().await;
+            let (waiting, running, _) = held.borrow().batch.counts();
+            let total = held.borrow().batch.submission().items.len();
+            if (waiting + running) * TAIL_PART > total {
+                sleep(GATHER).await;
+            } else if waiting + running > 0 {
+                sleep(GATHER_TAIL).await;
+            }
+            continue;
+        }
+        if !write_chunk(&node, &held).await {
+            sleep(RETRY).await;
+        }
+    }
+}
+
+/// Writes the next chunk; returns false when it must be tried again.
+pub(super) async fn write_chunk<P: Platform>(node: &Rc<Node<P>>, held: &Rc<RefCell<Held>>) -> bool {
+    let (id, chunk, call) = {
+        let mut held = held.borrow_mut();
+        let revision = held.record_revision;
+        let id = held.id.clone();
+        let Some(chunk) = held.batch.chunk_to_write(part_max_bytes(node)).cloned() else {
+            return true;
+        };
+        let Ok(value) = encode(&chunk) else { return false };
+        let key = chunk_key(&id, chunk.number);
+        let expected = vec![
+            Expectation { key: key.clone(), revision: 0 },
+            Expectation { key: record_key(&id), revision },
+        ];
+        let puts = vec![Put { key, lease: None, value }];
+        (id, chunk, StoreCall::Transaction { deletes: Vec::new(), expected, puts })
+    };
+    match node.store(&call).await {
+        Ok(StoreAnswer::Committed { revision }) => {
+            listed(node, held, &chunk, revision);
+            true
+        }
+        Ok(StoreAnswer::Conflict { items }) => {
+            resolve_conflict(node, held, &items);
+            true
+        }
+        Ok(other) => {
+            node.note(
+                "results_unwritten",
+                json!({ "request": id, "why": unexpected(&other).message }),
+            );
+            false
+        }
+        Err(refusal) => {
+            node.note("results_unwritten", json!({ "request": id, "why": refusal.message }));
+            false
+        }
+    }
+}
+
+pub(super) fn listed<P: Platform>(
+    node: &Node<P>,
+    held: &RefCell<Held>,
+    chunk: &Chunk,
+    revision: u64,
+) {
+    let mut held = held.borrow_mut();
+    let merge = held.batch.merge(chunk);
+    node.note(
+        "results_listed",
+        json!({
+            "request": held.id, "chunk": chunk.number, "results": chunk.results.len(),
+            "listed": held.batch.listed_count(), "revision": revision,
+            "ours": merge == Merge::Ours,
+            "ms": clock::now().since_ms(held.accepted_at),
+        }),
+    );
+    held.changed.notify_waiters();
+}
+
+/// Another has written the chunk or changed the record: takes what is there.
+pub(super) fn resolve_conflict<P: Platform>(
+    node: &Node<P>,
+    held: &RefCell<Held>,
+    items: &[StoredItem],
+) {
+    for item in items {
+        if item.revision == 0 {
+            continue;
+        }
+        if item.key.starts_with(RECORDS) {
+            match postcard::from_bytes::<Record>(&item.value) {
+                Ok(record) => take_record(node, held, record, item.revision),
+                Err(error) => unreadable(node, item, &error),
+            }
+        } else {
+            match postcard::from_bytes::<Chunk>(&item.value) {
+                Ok(chunk) => listed(node, held, &chunk, item.revision),
+                Err(error) => unreadable(node, item, &error),
+            }
+        }
+    }
+}
--- a/crates/serve/src/feed.rs
+++ b/crates/serve/src/feed.rs
@@ -191,23 +191,20 @@
             listen(&node, subject, SILENCE_MAX_MS - silent_ms).await;
             continue;
         }
-        match read_whole(&node, prefix::<P>(subject)).await {
-            Ok((items, as_of)) => {
-                pause_ms = PAUSE_MS;
-                let events = node.feeds.of(subject).known.borrow().difference(&items, as_of);
-                arrived(&node, subject, events, as_of, std::mem::take(&mut after_outage));
-                // One way to the store that fails is no outage: the whole is read by way of a peer.
-                failed = false;
-                if let Some(refusal) = watch(&node, subject).await {
-                    failed = true;
-                    let why = json!({ "subject": format!("{subject:?}"), "why": refusal.message });
-                    node.note("feed_lost", why);
-                }
-            }
-            Err(_) => {
-                after_outage = true;
+        if let Ok((items, as_of)) = read_whole(&node, prefix::<P>(subject)).await {
+            pause_ms = PAUSE_MS;
+            let events = node.feeds.of(subject).known.borrow().difference(&items, as_of);
+            arrived(&node, subject, events, as_of, std::mem::take(&mut after_outage));
+            // One way to the store that fails is no outage: the whole is read by way of a peer.
+            failed = false;
+            if let Some(refusal) = watch(&node, subject).await {
                 failed = true;
+                let why = json!({ "subject": format!("{subject:?}"), "why": refusal.message });
+                node.note("feed_lost", why);
             }
+        } else {
+            after_outage = true;
+            failed = true;
         }
         if failed {
             pause_ms = pause(&node, pause_ms).await;
--- a/crates/serve/src/listener.rs
+++ b/crates/serve/src/listener.rs
@@ -7,6 +7,7 @@
 use crate::pool::guard_against_silence;
 use bytes::Bytes;
 use catkinmast_member::NodeState;
+use http::request::Parts;
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -102,30 +103,29 @@
 
 /// Serves the platform's questions for readiness, callers' questions for addresses, and metrics.
 pub(crate) async fn serve_operators<P: Platform>(node: Rc<Node<P>>, stream: TcpStream) {
-    let handle = service_fn(move |request| answer_operators(Rc::clone(&node), request));
+    let handle = service_fn(move |request: Request<Incoming>| {
+        let answer: Answer<P> = answer_operators(&node, &request.into_parts().0);
+        async move { Ok::<_, Infallible>(answer) }
+    });
     drop(
         builder(HEADER_MAX_BYTES, IDLE_MAX_MS).serve_connection(TokioIo::new(stream), handle).await,
     );
 }
 
-async fn answer_operators<P: Platform>(
-    node: Rc<Node<P>>,
-    request: Request<Incoming>,
-) -> Result<Answer<P>, Infallible> {
-    let (head, _) = request.into_parts();
+fn answer_operators<P: Platform>(node: &Node<P>, head: &Parts) -> Answer<P> {
     let ready = node.ready.get() && !node.leaving.get();
-    if P::asks_readiness(&head) {
+    if P::asks_readiness(head) {
         let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
-        return Ok(caller::plain(status, Bytes::from_static(b"{}")));
+        return caller::plain(status, Bytes::from_static(b"{}"));
     }
-    if P::asks_addresses(&head) {
+    if P::asks_addresses(head) {
         let ttl_ms = ADDRESSES_TTL_MS.min(node.settings().directory_ttl_max_ms);
-        let addresses = addresses(&node);
+        let addresses = addresses(node);
         let status =
             if addresses.is_empty() { StatusCode::SERVICE_UNAVAILABLE } else { StatusCode::OK };
-        return Ok(caller::plain(status, P::addresses(&addresses, ttl_ms)));
+        return caller::plain(status, P::addresses(&addresses, ttl_ms));
     }
-    Ok(caller::plain(StatusCode::NOT_FOUND, Bytes::new()))
+    caller::plain(StatusCode::NOT_FOUND, Bytes::new())
 }
 
 /// Returns the addresses to hand out: nodes that live; if none is known to, those that leave or
--- a/crates/serve/src/orders.rs
+++ b/crates/serve/src/orders.rs
@@ -46,10 +46,10 @@
 /// Added to the time that a new holder waits, for orders on their way.
 const ORDER_FLIGHT_MS: u64 = 200;
 /// How long an engine may take to answer a report or an order.
-const ENGINE_MAX: Duration = Duration::from_millis(1_000);
+const ENGINE_MAX: Duration = Duration::from_secs(1);
 /// How long after an order the first look at the engine's report is worth it, and the next ones.
 /// A load takes nearly a second, and a report is some hundred milliseconds old.
-const FIRST_LOOK: Duration = Duration::from_millis(1_000);
+const FIRST_LOOK: Duration = Duration::from_secs(1);
 const NEXT_LOOK: Duration = Duration::from_millis(300);
 /// Looks at a report before an order counts as lost: an order may be carried out seconds late.
 const LOOKS_MAX: u32 = 20;
@@ -175,9 +175,9 @@
 
 async fn take<P: Platform>(node: &Node<P>, holder: &Holder, record: &HolderRecord) -> Report {
     let ttl_ms = LEASE_TTL_MS.max(node.settings().lease_min_ms);
-    let lease = match node.store(&StoreCall::LeaseOpen { ttl_ms }).await {
-        Ok(StoreAnswer::Lease { lease: Some(lease), .. }) => lease,
-        Ok(_) | Err(_) => return Report::Refused,
+    let opened = node.store(&StoreCall::LeaseOpen { ttl_ms }).await;
+    let Ok(StoreAnswer::Lease { lease: Some(lease), .. }) = opened else {
+        return Report::Refused;
     };
     holder.lease.set(Some(lease));
     let Ok(value) = postcard::to_stdvec(record) else { return Report::Refused };
--- a/crates/serve/src/pool.rs
+++ b/crates/serve/src/pool.rs
@@ -28,9 +28,9 @@
 const CONNECT_MAX: Duration = Duration::from_millis(400);
 /// How long sent bytes may stay unacknowledged: longer than any pause of a live target's machine
 /// that a request could still survive.
-const UNACKNOWLEDGED_MAX: Duration = Duration::from_millis(2_000);
+const UNACKNOWLEDGED_MAX: Duration = Duration::from_secs(2);
 /// A connection may go silent for good without a reset; probes show it after about 2 s.
-const PROBE_AFTER: Duration = Duration::from_millis(1_000);
+const PROBE_AFTER: Duration = Duration::from_secs(1);
 const PROBES: u32 = 2;
 /// An idle connection is used again within this time unless its target names a shorter one.
 const IDLE_MAX_MS: u64 = 8_000;
--- a/crates/serve/src/relay.rs
+++ b/crates/serve/src/relay.rs
@@ -38,9 +38,9 @@
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
+        cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
-        let polled = Pin::new(&mut self.body).poll_frame(context);
+        let polled = Pin::new(&mut self.body).poll_frame(cx);
         match &polled {
             Poll::Ready(None) => self.finish(true),
             Poll::Ready(Some(Err(_))) => self.finish(false),
--- a/crates/serve/src/runs.rs
+++ b/crates/serve/src/runs.rs
@@ -336,22 +336,22 @@
         Err(_) => return broken("no head in time", Outcome::Failed),
     };
     let (response, connection, marks) = opened;
-    let (head, body) = response.into_parts();
-    if let Some(refusal) = forward::refusal(head.status, &marks) {
-        if head.status == StatusCode::MISDIRECTED_REQUEST {
+    let (parts, body) = response.into_parts();
+    if let Some(refusal) = forward::refusal(parts.status, &marks) {
+        if parts.status == StatusCode::MISDIRECTED_REQUEST {
             let change = node.targets.borrow_mut().refused(&chosen.id);
             node.target_changed(&change, "another target answered at its address");
         }
         if crate::pool::read_whole(body, forward::HELD_MAX_BYTES).await.is_ok() {
-            node.pool.keep(connection, &head.headers);
+            node.pool.keep(connection, &parts.headers);
         }
         return broken(&refusal.message, Outcome::Full);
     }
-    match head.status {
+    match parts.status {
         StatusCode::UNPROCESSABLE_ENTITY => return RunEnd::Impossible,
         StatusCode::INTERNAL_SERVER_ERROR => {
             if crate::pool::read_whole(body, forward::HELD_MAX_BYTES).await.is_ok() {
-                node.pool.keep(connection, &head.headers);
+                node.pool.keep(connection, &parts.headers);
             }
             return RunEnd::Failed;
         }
@@ -376,7 +376,7 @@
     longest_gap_ms.set(stream.longest_gap_ms);
     match read {
         Ok(()) => {
-            node.pool.keep(connection, &head.headers);
+            node.pool.keep(connection, &parts.headers);
             stream.progress.borrow_mut().whole = true;
             RunEnd::Whole
         }
--- a/crates/serve/src/trail.rs
+++ b/crates/serve/src/trail.rs
@@ -85,13 +85,10 @@
     fn admit(&self, now: UnixMs, name: &'static str) -> Option<u32> {
         let mut kinds = self.kinds.borrow_mut();
         let second = now.0 / 1_000;
-        let at = match kinds.iter().position(|kind| kind.name == name) {
-            Some(at) => at,
-            None => {
-                kinds.push(Kind { left_out: 0, name, second, written: 0 });
-                kinds.len() - 1
-            }
-        };
+        let at = kinds.iter().position(|kind| kind.name == name).unwrap_or_else(|| {
+            kinds.push(Kind { left_out: 0, name, second, written: 0 });
+            kinds.len() - 1
+        });
         let kind = &mut kinds[at];
         if kind.second != second {
             kind.second = second;
--- a/src/bin/catkinmast-standby.rs
+++ b/src/bin/catkinmast-standby.rs
@@ -6,6 +6,10 @@
 
 /// Stays up on a store machine and holds nothing: all that lasts is in the platform's store.
 #[derive(Debug, FromArgs)]
+#[expect(
+    clippy::empty_structs_with_brackets,
+    reason = "the library derives for structs with fields"
+)]
 struct Arguments {}
 
 fn main() -> ExitCode {
--- a/tests/all/site/harness.rs
+++ b/tests/all/site/harness.rs
@@ -190,9 +190,9 @@
         self.child = spawn(&self.folder, &self.log);
     }
 
-    /// Returns the exit code once the process has ended.
-    pub(crate) fn exit_code(&mut self) -> Option<Option<i32>> {
-        self.child.try_wait().expect("the process can be asked").map(|status| status.code())
+    /// Returns how the process ended, once it has.
+    pub(crate) fn exit_status(&mut self) -> Option<std::process::ExitStatus> {
+        self.child.try_wait().expect("the process can be asked")
     }
 
     /// Returns the lines of the audit trail with this event.
--- a/tests/all/site/orders.rs
+++ b/tests/all/site/orders.rs
@@ -5,7 +5,7 @@
 use serde_json::json;
 use std::time::Duration;
 
-async fn name_version(site: &Site, version: u64) {
+fn name_version(site: &Site, version: u64) {
     let value = json!({ "model": "model-a", "version": version });
     site.store.put("op/version/model-a", &value);
 }
@@ -22,7 +22,7 @@
 async fn named_versions_reach_the_engines_under_one_holder_and_a_rising_fence() {
     // Two models share four engines, so each is kept current at two of them.
     let mut site = Site::start(3, 4, 0).await;
-    name_version(&site, 2).await;
+    name_version(&site, 2);
     wait_for_version(&site, 2, 2).await;
     let holder = site
         .nodes
@@ -31,7 +31,7 @@
         .expect("one node gives the orders");
 
     site.nodes[holder].signal("KILL");
-    name_version(&site, 3).await;
+    name_version(&site, 3);
 
     wait_for_version(&site, 3, 2).await;
     site.nodes[holder].restart();
@@ -57,7 +57,7 @@
     let site = Site::start(1, 1, 0).await;
     site.engines[0].set_conduct(Conduct::OrdersLate);
 
-    name_version(&site, 2).await;
+    name_version(&site, 2);
 
     wait_for_version(&site, 2, 1).await;
     tokio::time::sleep(Duration::from_secs(3)).await;
--- a/tests/all/site/stops.rs
+++ b/tests/all/site/stops.rs
@@ -26,12 +26,13 @@
     assert!(!site.is_ready(&leaving).await);
     site.wait_until_whole(2).await;
     let mut leaving = leaving;
-    let mut code = None;
-    while code.is_none() {
-        code = leaving.exit_code();
+    let status = loop {
+        if let Some(status) = leaving.exit_status() {
+            break status;
+        }
         tokio::time::sleep(std::time::Duration::from_millis(50)).await;
-    }
-    assert_eq!(code, Some(Some(0)));
+    };
+    assert!(status.success(), "{status}");
     assert_eq!(leaving.lines("stopped").len(), 1);
 }
 
