--- a/crates/trail/src/lib.rs
+++ b/crates/trail/src/lib.rs
@@ -59,10 +59,9 @@
         step.line["event"].as_str().unwrap_or("?"),
     );
     let known = ["at_ms", "at_unix_ms", "node", "event"];
-    for (name, value) in step.line.as_object().into_iter().flatten() {
-        if !known.contains(&name.as_str()) && !value.is_null() {
-            text.push_str(&format!("  {name}={value}"));
-        }
-    }
+    let fields = step.line.as_object().into_iter().flatten();
+    let told = fields.filter(|(name, value)| !known.contains(&name.as_str()) && !value.is_null());
+    let parts: Vec<String> = told.map(|(name, value)| format!("  {name}={value}")).collect();
+    text.push_str(&parts.concat());
     text
 }
--- a/tests/all/site/soak.rs
+++ b/tests/all/site/soak.rs
@@ -27,7 +27,7 @@
 const EVENTS: u8 = 6;
 const ITEMS: usize = 8;
 
-/// What a caller has seen of the batches, and of calls that may not be repeated.
+/// What callers have seen of the batches, and of calls that may not be repeated.
 #[derive(Default)]
 struct Seen {
     batches: RefCell<BTreeMap<String, Vec<Value>>>,
@@ -53,28 +53,28 @@
 async fn play(seed: u64) {
     let mut site = Site::start_behind_proxies(NODES, ENGINES, PLAIN).await;
     let mut rng = StdRng::seed_from_u64(seed);
-    let seen = Seen::default();
+    let observed = Seen::default();
     let faults: Vec<(u64, u64)> =
         (0..FAULTS).map(|_| (rng.random_range(50..700), rng.random())).collect();
     let chaos = async {
         for (pause_ms, draw) in faults {
             sleep(Duration::from_millis(pause_ms)).await;
-            fault(&site, &mut StdRng::seed_from_u64(draw), seed).await;
+            fault(&site, &mut StdRng::seed_from_u64(draw), seed);
         }
-        seen.stopped.set(true);
+        observed.stopped.set(true);
     };
     let lines = futures::future::join3(
-        trainer(&site, &seen, "a"),
-        trainer(&site, &seen, "b"),
-        caller(&site, &seen),
+        trainer(&site, &observed, "a"),
+        trainer(&site, &observed, "b"),
+        caller(&site, &observed),
     );
     let ((), _) = tokio::join!(chaos, lines);
     heal(&mut site).await;
-    check(&site, &seen, seed).await;
+    check(&site, &observed, seed).await;
 }
 
 /// Causes one fault; those that last are ended by a task of their own, so that they overlap.
-async fn fault(site: &Site, rng: &mut StdRng, seed: u64) {
+fn fault(site: &Site, rng: &mut StdRng, seed: u64) {
     let node = &site.nodes[rng.random_range(0..NODES)];
     let lasts = Duration::from_millis(rng.random_range(100..2_500));
     let worker = if rng.random() {
@@ -131,29 +131,29 @@
 }
 
 /// A trainer: submits at some node until it is accepted, reads at others, ends, goes on.
-async fn trainer(site: &Site, seen: &Seen, name: &str) {
+async fn trainer(site: &Site, observed: &Seen, name: &str) {
     let mut step = 0;
-    while !seen.stopped.get() {
+    while !observed.stopped.get() {
         let id = format!("{name}{step}");
         let batch = submission(&id, ITEMS, EVENTS, 1);
         let mut at = step;
         while site.submit(&site.nodes[at % NODES], &id, &batch).await != 202 {
             at += 1;
             sleep(Duration::from_millis(150)).await;
-            if seen.stopped.get() {
+            if observed.stopped.get() {
                 return;
             }
         }
-        seen.batches.borrow_mut().insert(id.clone(), Vec::new());
+        observed.batches.borrow_mut().insert(id.clone(), Vec::new());
         for turn in 0..12 {
-            let have = seen.batches.borrow()[&id].len();
+            let have = observed.batches.borrow()[&id].len();
             let node = &site.nodes[(step + turn) % NODES];
             // From an earlier position, so that what was read is read again.
             let after = have.saturating_sub(2);
             if let Some(page) = site.read(node, &id, after).await {
-                take_page(seen, &id, after, page);
+                take_page(observed, &id, after, page);
             }
-            if seen.batches.borrow()[&id].len() == ITEMS {
+            if observed.batches.borrow()[&id].len() == ITEMS {
                 break;
             }
             sleep(Duration::from_millis(200)).await;
@@ -162,8 +162,8 @@
     }
 }
 
-fn take_page(seen: &Seen, id: &str, after: usize, page: Vec<Value>) {
-    let mut batches = seen.batches.borrow_mut();
+fn take_page(observed: &Seen, id: &str, after: usize, page: Vec<Value>) {
+    let mut batches = observed.batches.borrow_mut();
     let held = batches.get_mut(id).expect("an accepted batch");
     for (offset, result) in page.into_iter().enumerate() {
         match held.get(after + offset) {
@@ -174,9 +174,9 @@
 }
 
 /// Calls that may be repeated, and calls that may not.
-async fn caller(site: &Site, seen: &Seen) {
+async fn caller(site: &Site, observed: &Seen) {
     let mut number = 0;
-    while !seen.stopped.get() {
+    while !observed.stopped.get() {
         number += 1;
         let node = &site.nodes[number % NODES];
         let id = format!("l{number}");
@@ -187,11 +187,11 @@
             assert!(body.starts_with(&format!("{id} by plain-")), "{id} was answered {body}");
         }
         let id = format!("c{number}");
-        seen.calls.borrow_mut().push(id.clone());
+        observed.calls.borrow_mut().push(id.clone());
         if let Ok(answer) = site.call(node, "/check/a", &id).await
             && answer.status() == 503
         {
-            seen.refused_calls.borrow_mut().push(id);
+            observed.refused_calls.borrow_mut().push(id);
         }
     }
 }
@@ -208,14 +208,15 @@
     site.wait_until_whole(NODES).await;
 }
 
-async fn check(site: &Site, seen: &Seen, seed: u64) {
-    for id in seen.calls.borrow().iter() {
+async fn check(site: &Site, observed: &Seen, seed: u64) {
+    for id in observed.calls.borrow().iter() {
         assert!(site.runs.of(id).len() <= 1, "seed {seed}: {id} ran twice");
     }
-    for id in seen.refused_calls.borrow().iter() {
+    for id in observed.refused_calls.borrow().iter() {
         assert!(site.runs.of(id).is_empty(), "seed {seed}: {id} was refused and ran");
     }
-    for (id, read) in seen.batches.borrow().iter() {
+    let batches = observed.batches.borrow().clone();
+    for (id, read) in &batches {
         let all = site.read_all(&site.nodes[0], id, ITEMS).await;
         assert_eq!(all[..read.len()], read[..], "seed {seed}: {id} lost what was read");
         for result in &all {
