Results are listed a group at a time; finished texts serve groups that come again

Items finished in a group that came again were generated anew.

Ruled out: holding a reader's answer back while results exist; the protocol gives no room for it.

Change: a chunk holds the results of complete groups; once a result has waited two seconds all go. What nobody has seen when a batch ends is not listed; its texts, and those listed in incomplete groups, are left for the next batch, which asks for their scores only. Saved texts include them.

--- a/crates/dispatch/src/batch.rs
+++ b/crates/dispatch/src/batch.rs
@@ -5,12 +5,22 @@
 //! moment (a paused owner and its successor); both then try to create the same chunk, one wins,
 //! and the other takes the winner's results as they are. So no position ever changes and no item
 //! stands twice, without a lease that could lapse.
+//!
+//! A trainer can use a group only when all of it is there, so results are listed a group at a time.
+//! It answers a steady load of long and short items: a reader that is given a part of a group
+//! comes back half a second later and misses the rest meanwhile, and each chunk is a call of the
+//! store. Listed one by one, a day of 25 steps took 842 writes.
 
-use crate::submission::{Item, ItemResult, Progress, Submission};
+use crate::submission::{Item, ItemResult, ItemState, Progress, Submission};
 use catkinmast_model::UnixMs;
 use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 
+/// A result whose group is not complete is listed after this time all the same: its text would be
+/// lost with its owner, and nothing more than its score. Texts of finished items are saved with
+/// those of runs in progress, so a longer wait costs little; two seconds are four reads.
+const UNLISTED_MAX_MS: u64 = 2_000;
+
 /// The terms on which a batch runs.
 #[derive(Clone, Copy, Debug)]
 pub struct BatchTerms {
@@ -89,6 +99,13 @@
     pub progress: Progress,
 }
 
+/// A result that is not durable yet.
+#[derive(Clone, Debug)]
+struct Finished {
+    list_by: UnixMs,
+    result: ItemResult,
+}
+
 #[derive(Clone, Debug)]
 enum Place {
     Finished,
@@ -103,7 +120,7 @@
     chunks: u32,
     ended: bool,
     failures: Vec<u32>,
-    finished: Vec<ItemResult>,
+    finished: Vec<Finished>,
     flushing: Option<Chunk>,
     index: IndexMap<String, usize>,
     listed: Vec<ItemResult>,
@@ -156,9 +173,16 @@
         !open || (self.ended && self.finished.is_empty() && self.flushing.is_none())
     }
 
-    /// Ends it: nothing of it starts any more.
+    /// Ends it: nothing of it starts any more, and what nobody has seen is not listed any more.
+    /// Texts that are whole wait with the others, for a later batch of the same items.
     pub fn end(&mut self) {
         self.ended = true;
+        for Finished { result, .. } in std::mem::take(&mut self.finished) {
+            if let Some(at) = self.index.get(&result.id).copied() {
+                let progress = Progress::whole(&result);
+                self.places[at] = Place::Waiting { from: UnixMs(0), progress };
+            }
+        }
     }
 
     /// Takes the next item to run.
@@ -191,11 +215,11 @@
     }
 
     /// Takes an item's result, to be made durable.
-    pub fn finished(&mut self, result: ItemResult) {
+    pub fn finished(&mut self, now: UnixMs, result: ItemResult) {
         let Some(at) = self.index.get(&result.id).copied() else { return };
-        if matches!(self.places[at], Place::Running | Place::Waiting { .. }) {
+        if !self.ended && matches!(self.places[at], Place::Running | Place::Waiting { .. }) {
             self.places[at] = Place::Finished;
-            self.finished.push(result);
+            self.finished.push(Finished { list_by: now.plus(UNLISTED_MAX_MS), result });
         }
     }
 
@@ -213,7 +237,7 @@
             .collect();
         let count = over.len();
         for id in over {
-            self.finished(ItemResult::errored(id));
+            self.finished(now, ItemResult::errored(id));
         }
         count
     }
@@ -236,13 +260,20 @@
         self.places.iter().any(|place| matches!(place, Place::Waiting { .. }))
     }
 
-    /// Gives out what is held of the texts of items that wait; for a later batch of the same
-    /// items.
+    /// Gives out what is held of the texts of items that wait, and the whole texts of groups that
+    /// are not complete; for a later batch of the same items.
     pub fn take_progress(&mut self) -> Vec<(String, Progress)> {
-        let mut held = Vec::new();
+        let incomplete: IndexSet<String> = self.incomplete_groups().into_iter().collect();
+        let left = self.listed.iter().filter(|result| {
+            let group = self.item(&result.id).and_then(|item| item.group.as_ref());
+            result.state == ItemState::Completed
+                && group.is_some_and(|group| incomplete.contains(group))
+        });
+        let mut held: Vec<(String, Progress)> =
+            left.map(|result| (result.id.clone(), Progress::whole(result))).collect();
         for (place, item) in self.places.iter_mut().zip(&self.submission.items) {
             if let Place::Waiting { progress, .. } = place
-                && progress.last_event_id.is_some()
+                && progress.is_begun()
             {
                 held.push((item.id.clone(), std::mem::take(progress)));
             }
@@ -250,6 +281,14 @@
         held
     }
 
+    /// Returns the texts of items that are finished and not durable; their scores can be asked for
+    /// again.
+    pub fn unlisted_texts(&self) -> Vec<(String, Progress)> {
+        let completed =
+            self.finished.iter().filter(|held| held.result.state == ItemState::Completed);
+        completed.map(|held| (held.result.id.clone(), Progress::whole(&held.result))).collect()
+    }
+
     /// Lets an item that waits go on from a text that an earlier batch left, where its versions
     /// fit; returns whether they do.
     pub fn resume_from(&mut self, id: &str, progress: Progress) -> bool {
@@ -265,31 +304,67 @@
         false
     }
 
-    /// Returns whether results wait to be written.
-    pub const fn has_finished(&self) -> bool {
-        !self.finished.is_empty()
+    /// Returns when the first of the results that wait for the rest of their groups is listed
+    /// without them.
+    pub fn list_by(&self) -> Option<UnixMs> {
+        self.finished.iter().map(|held| held.list_by).min()
     }
 
-    /// Returns the chunk to write next, of at most about `max_bytes`; the same one until it is
-    /// [merged](Self::merge), so that a lost reply cannot list anything twice.
-    pub fn chunk_to_write(&mut self, max_bytes: usize) -> Option<&Chunk> {
+    /// Returns the chunk to write next, of at most about `max_bytes`: the results of groups that
+    /// are complete, and all results once one of them has waited for its group long enough. It is
+    /// the same one until it is [merged](Self::merge), so that a lost reply cannot list anything
+    /// twice.
+    pub fn chunk_to_write(&mut self, now: UnixMs, max_bytes: usize) -> Option<&Chunk> {
         if self.flushing.is_none() && !self.finished.is_empty() {
-            let mut spent_bytes = 0;
-            let count = self
-                .finished
-                .iter()
-                .take_while(|result| {
-                    let first = spent_bytes == 0;
-                    spent_bytes += result.size_bytes();
-                    first || spent_bytes <= max_bytes
-                })
-                .count();
-            let results = self.finished.drain(..count).collect();
-            self.flushing = Some(Chunk { number: self.chunks, results });
+            let open = self.unfinished_groups();
+            let items = &self.submission.items;
+            let index = &self.index;
+            let overdue = self.finished.iter().any(|held| held.list_by <= now);
+            let is_due = |held: &Finished| {
+                let group = index.get(&held.result.id).map(|at| group_of(&items[*at]));
+                overdue || group.is_none_or(|group| !open.contains(group))
+            };
+            let due: Vec<bool> = self.finished.iter().map(is_due).collect();
+            self.begin_chunk(&due, max_bytes);
         }
         self.flushing.as_ref()
     }
 
+    /// The same for all results, e.g. because this owner leaves.
+    pub fn chunk_of_all(&mut self, max_bytes: usize) -> Option<&Chunk> {
+        if self.flushing.is_none() {
+            self.begin_chunk(&vec![true; self.finished.len()], max_bytes);
+        }
+        self.flushing.as_ref()
+    }
+
+    /// The groups of which an item waits or runs.
+    fn unfinished_groups(&self) -> IndexSet<&str> {
+        let open = |place: &Place| matches!(place, Place::Running | Place::Waiting { .. });
+        let items = self.places.iter().zip(&self.submission.items);
+        items.filter(|(place, _)| open(place)).map(|(_, item)| group_of(item)).collect()
+    }
+
+    fn begin_chunk(&mut self, due: &[bool], max_bytes: usize) {
+        let mut spent_bytes = 0;
+        let mut results = Vec::new();
+        let mut left = Vec::new();
+        for (held, due) in std::mem::take(&mut self.finished).into_iter().zip(due) {
+            let size_bytes = held.result.size_bytes();
+            let fits = results.is_empty() || spent_bytes + size_bytes <= max_bytes;
+            if *due && fits {
+                spent_bytes += size_bytes;
+                results.push(held.result);
+            } else {
+                left.push(held);
+            }
+        }
+        self.finished = left;
+        if !results.is_empty() {
+            self.flushing = Some(Chunk { number: self.chunks, results });
+        }
+    }
+
     /// Takes a chunk that is durable; chunks must come in order.
     pub fn merge(&mut self, chunk: &Chunk) -> Merge {
         if chunk.number < self.chunks {
@@ -305,8 +380,10 @@
             return Merge::Ours;
         }
         let lost = ours.into_iter().flat_map(|chunk| chunk.results);
-        let waiting: Vec<ItemResult> = lost.chain(std::mem::take(&mut self.finished)).collect();
-        self.finished = waiting.into_iter().filter(|result| !self.is_listed(&result.id)).collect();
+        let lost = lost.map(|result| Finished { list_by: UnixMs(0), result });
+        let waiting: Vec<Finished> = lost.chain(std::mem::take(&mut self.finished)).collect();
+        self.finished =
+            waiting.into_iter().filter(|held| !self.is_listed(&held.result.id)).collect();
         Merge::Foreign
     }
 
--- a/crates/dispatch/src/submission.rs
+++ b/crates/dispatch/src/submission.rs
@@ -108,6 +108,21 @@
 }
 
 impl Progress {
+    /// Takes the text of a finished item, of which only the score is to be asked for again.
+    pub fn whole(result: &ItemResult) -> Self {
+        Self {
+            last_event_id: None,
+            text: result.text.clone(),
+            versions: result.versions.clone(),
+            whole: result.state == ItemState::Completed,
+        }
+    }
+
+    /// Tells whether there is anything to go on from.
+    pub const fn is_begun(&self) -> bool {
+        self.last_event_id.is_some() || self.whole
+    }
+
     /// Adds the data of one event.
     pub fn push(&mut self, data: &str, id: Option<u64>) {
         if self.last_event_id.is_some() {
--- a/crates/serve/src/batches/mod.rs
+++ b/crates/serve/src/batches/mod.rs
@@ -68,17 +68,19 @@
         (&self.record.host, &self.record.path)
     }
 
-    /// Returns what runs of at least this age hold of their texts, by item.
+    /// Returns what runs of at least this age hold of their texts, by item, and the texts of items
+    /// that are finished but not durable.
     fn texts(&self, least_age_ms: u64) -> Vec<(String, Progress)> {
         let now = clock::now();
         let items = &self.batch.submission().items;
         let old = |run: &Run| now.since_ms(run.began_at) >= least_age_ms;
-        let begun = |run: &Run| run.progress.borrow().last_event_id.is_some();
-        self.runs
+        let begun = |run: &Run| run.progress.borrow().is_begun();
+        let running = self
+            .runs
             .iter()
             .filter(|(_, run)| old(run) && begun(run))
-            .map(|(index, run)| (items[*index].id.clone(), run.progress.borrow().clone()))
-            .collect()
+            .map(|(index, run)| (items[*index].id.clone(), run.progress.borrow().clone()));
+        running.chain(self.batch.unlisted_texts()).collect()
     }
 
     /// Stops all runs; what they hold of their texts stays.
--- a/crates/serve/src/batches/write.rs
+++ b/crates/serve/src/batches/write.rs
@@ -15,7 +15,7 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 /// Results that come within this time are written with one call. Readers ask twice a second.
 pub(super) const GATHER: Duration = Duration::from_millis(200);
@@ -49,11 +49,11 @@
             }
             (held.id.clone(), held.texts(SAVE_AFTER_MS))
         };
-        let events: u64 = texts.iter().filter_map(|(_, progress)| progress.last_event_id).sum();
-        if events == saved {
+        let size_bytes: usize = texts.iter().map(|(_, progress)| progress.text.len()).sum();
+        if size_bytes == saved {
             continue;
         }
-        saved = events;
+        saved = size_bytes;
         let Ok(value) = encode(&texts) else { return };
         if value.len() > part_max_bytes(&node) {
             continue;
@@ -73,13 +73,22 @@
         if !held.borrow().owned {
             return;
         }
-        let waits = held.borrow_mut().batch.chunk_to_write(part_max_bytes(&node)).is_none();
+        let now = clock::now();
+        let waits = held.borrow_mut().batch.chunk_to_write(now, part_max_bytes(&node)).is_none();
         if waits {
             if held.borrow().batch.is_settled() {
                 held.borrow_mut().settled_at.get_or_insert_with(clock::now);
                 return;
             }
-            finished.notified().await;
+            let list_by = held.borrow().batch.list_by();
+            if let Some(list_by) = list_by {
+                let left = Duration::from_millis(list_by.since_ms(now));
+                if timeout(left, finished.notified()).await.is_err() {
+                    continue;
+                }
+            } else {
+                finished.notified().await;
+            }
             let (waiting, running, _) = held.borrow().batch.counts();
             let total = held.borrow().batch.submission().items.len();
             if (waiting + running) * TAIL_PART > total {
@@ -101,7 +110,8 @@
         let mut held = held.borrow_mut();
         let revision = held.record_revision;
         let id = held.id.clone();
-        let Some(chunk) = held.batch.chunk_to_write(part_max_bytes(node)).cloned() else {
+        let now = clock::now();
+        let Some(chunk) = held.batch.chunk_to_write(now, part_max_bytes(node)).cloned() else {
             return true;
         };
         let Ok(value) = encode(&chunk) else { return false };
--- a/crates/serve/src/runs.rs
+++ b/crates/serve/src/runs.rs
@@ -283,9 +283,10 @@
 
 fn finish<P: Platform>(node: &Node<P>, held: &RefCell<Held>, result: ItemResult) {
     let mut held = held.borrow_mut();
-    let ms = clock::now().since_ms(held.accepted_at);
+    let now = clock::now();
+    let ms = now.since_ms(held.accepted_at);
     node.metrics.item_seconds.observe(ms as f64 / 1_000.0);
-    held.batch.finished(result);
+    held.batch.finished(now, result);
     held.finished.notify_one();
 }
 
