The code says workspace where it said team

The house style names the four words instance, data centre, workspace and target; the older code and the configuration said team. No behaviour changes.

--- a/crates/bench/src/capacity.rs
+++ b/crates/bench/src/capacity.rs
@@ -462,8 +462,8 @@
         nanoseconds(5_000, |number| {
             let now = UnixMs(u64::from(number));
             let deadline = now.plus(2_000);
-            std::hint::black_box(admission.arrive(now, "team", CallClass::Lookup, deadline));
-            admission.finish(now, "team", 2_000);
+            std::hint::black_box(admission.arrive(now, "workspace", CallClass::Lookup, deadline));
+            admission.finish(now, "workspace", 2_000);
         }),
     );
     let mut targets = Targets::open(TargetSettings::default());
--- a/crates/bench/src/routing.rs
+++ b/crates/bench/src/routing.rs
@@ -371,7 +371,7 @@
             if is_lookup && now_ms - began_ms <= PATIENCE_MS {
                 tally.in_time += 1;
             }
-            let released = admission.finish(now, "team", PLACE_MS * 1_000);
+            let released = admission.finish(now, "workspace", PLACE_MS * 1_000);
             release(now_ms, released, &mut waiting, &mut ends, &mut tally);
         }
         let arrivals = poisson(&mut rng, per_ms);
@@ -388,7 +388,7 @@
             } else {
                 (CallClass::Audit, UnixMs(u64::MAX))
             };
-            let (admitted, released) = admission.arrive(now, "team", ranked, deadline);
+            let (admitted, released) = admission.arrive(now, "workspace", ranked, deadline);
             release(now_ms, released, &mut waiting, &mut ends, &mut tally);
             match admitted {
                 Admitted::Now => {
--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -106,7 +106,10 @@
     fn check_names(&mut self) {
         let document = self.document;
         self.check_unique("data_centres", document.data_centres.iter().map(|place| &place.name));
-        self.check_unique("teams", document.teams.iter().map(|team| &team.name));
+        self.check_unique(
+            "workspaces",
+            document.workspaces.iter().map(|workspace| &workspace.name),
+        );
         self.check_unique("workers", document.workers.iter().map(|workers| &workers.name));
         self.check_unique("models", document.models.iter().map(|model| &model.name));
         self.check_unique("services", document.services.iter().map(|service| &service.name));
@@ -214,8 +217,13 @@
 
     fn check_trainer_references(&mut self, index: usize, trainer: &Trainer) {
         let document = self.document;
-        if document.team(trainer.team.as_str()).is_none() {
-            self.fault("trainers", index, "team", format!("'{}' is no team", trainer.team));
+        if document.workspace(trainer.workspace.as_str()).is_none() {
+            self.fault(
+                "trainers",
+                index,
+                "workspace",
+                format!("'{}' is no workspace", trainer.workspace),
+            );
         }
         match document.service(trainer.scorer.as_str()) {
             None => {
--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -22,8 +22,9 @@
     /// Bounds of the whole deployment.
     #[serde(default)]
     pub limits: Limits,
-    /// Who sends requests.
-    pub teams: Vec<Team>,
+    /// Who sends requests. Documents in force may still use the former name.
+    #[serde(alias = "teams")]
+    pub workspaces: Vec<Workspace>,
     /// The instances that operators expect the platform to list.
     pub workers: Vec<Workers>,
     /// What engines serve.
@@ -87,7 +88,7 @@
 /// A customer of the service.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
-pub struct Team {
+pub struct Workspace {
     /// Its name; a caller's token names it.
     pub name: Name,
     /// Labels, for people.
@@ -209,8 +210,9 @@
     /// Labels, for people.
     #[serde(default)]
     pub labels: Labels,
-    /// The team it belongs to.
-    pub team: Name,
+    /// The workspace it belongs to. Documents in force may still use the former name.
+    #[serde(alias = "team")]
+    pub workspace: Name,
     /// The model it trains.
     pub model: Name,
     /// Which of the model's engines make its samples. Default: all.
@@ -266,9 +268,9 @@
         self.trainers.iter().find(|trainer| trainer.name.as_str() == name)
     }
 
-    /// Finds a team.
-    pub fn team(&self, name: &str) -> Option<&Team> {
-        self.teams.iter().find(|team| team.name.as_str() == name)
+    /// Finds a workspace.
+    pub fn workspace(&self, name: &str) -> Option<&Workspace> {
+        self.workspaces.iter().find(|workspace| workspace.name.as_str() == name)
     }
 
     /// Returns the region of a data centre.
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -16,7 +16,7 @@
 pub use check::{Fault, Faults};
 pub use diff::{Change, diff, merge};
 pub use document::{
-    Call, CallClass, DataCentre, Document, Limits, Model, PlainService, Team, Trainer, Workers,
+    Call, CallClass, DataCentre, Document, Limits, Model, PlainService, Trainer, Workers, Workspace,
 };
 pub use follower::{Follower, FollowerEffect, FollowerEvent, HeadSeen, PEERS_ASKED};
 pub use revision::{Accepted, Digest, HEAD_KEY, Head, body_key};
--- a/crates/model/src/ids.rs
+++ b/crates/model/src/ids.rs
@@ -8,7 +8,7 @@
 /// The longest name accepted, in bytes: a name is part of a key in the platform's service.
 const NAME_MAX_BYTES: usize = 64;
 
-/// A checked name of an instance, service, model, team or trainer.
+/// A checked name of an instance, service, model, workspace or trainer.
 ///
 /// Lower-case letters, digits, `-`, `_` and `.`, at most 64 bytes, so that it can stand in a
 /// path, a key of the platform's service and a label without escaping.
--- a/crates/node/src/api/call.rs
+++ b/crates/node/src/api/call.rs
@@ -63,7 +63,7 @@
 async fn serve(request: &Request<'_>, data: Data<'_>) -> Result<Answer, Problem> {
     let asking = Asking::from_request(request).await.succeeded();
     let asking = asking.ok_or_else(|| Problem::with_status(500, "the node is not set up"))?;
-    let team = asking.as_role(Role::Caller)?;
+    let workspace = asking.as_role(Role::Caller)?;
     let shared = &asking.shared;
     let (service, path) = split_path(request)?;
     let snapshot = shared.snapshot();
@@ -76,7 +76,7 @@
         method: method_of(request)?,
         path,
         service: &service,
-        team: &team,
+        workspace: &workspace,
         timeout_ms: timeout_ms(request)?,
     };
     let ticket = request.headers().get_one(ticket::TICKET_HEADER);
--- a/crates/node/src/api/generate.rs
+++ b/crates/node/src/api/generate.rs
@@ -64,7 +64,7 @@
     selector: Option<&str>,
     data: Data<'_>,
 ) -> Result<TextStream![String], Problem> {
-    let team = asking.as_role(Role::Caller)?;
+    let workspace = asking.as_role(Role::Caller)?;
     let shared = Arc::clone(&asking.shared);
     let model: Name =
         model.parse().map_err(|error| Problem::invalid("model", format!("{error}")))?;
@@ -77,7 +77,7 @@
         return Err(Problem::invalid("max_tokens", "is 0; at least 1 is needed"));
     }
     let deadline = shared.now().plus(ADMISSION_WAIT_MS);
-    let permit = admit(&shared, &team, CallClass::Lookup, deadline).await?;
+    let permit = admit(&shared, &workspace, CallClass::Lookup, deadline).await?;
     let (sender, mut lines) = mpsc::channel(LINES_WAITING);
     tokio::spawn(async move {
         Generation { model, selector, body, sender, shared, _permit: permit }.run().await;
--- a/crates/node/src/api/ticket.rs
+++ b/crates/node/src/api/ticket.rs
@@ -58,7 +58,7 @@
             let message = "no memory is left to remember one more call";
             return Err(Refusal::not_run(message).retry_at(retry_at).into());
         }
-        Begin::Recorded(recorded) => return replay(shared, call.team, recorded).await,
+        Begin::Recorded(recorded) => return replay(shared, call.workspace, recorded).await,
         Begin::Running => {
             let message = "the call with this ticket is running; ask again for its answer";
             return Err(Refusal::may_have_run(message).retry_at(retry_at).into());
@@ -112,7 +112,7 @@
 
 async fn replay(
     shared: &Arc<Shared>,
-    team: &str,
+    workspace: &str,
     recorded: RecordedAnswer,
 ) -> Result<Answer, Problem> {
     let Some(body) = recorded.body else {
@@ -122,7 +122,7 @@
         return Err(refusal.into());
     };
     let deadline = shared.now().plus(1_000);
-    let permit = admit(shared, team, CallClass::Act, deadline).await.map_err(|refusal| {
+    let permit = admit(shared, workspace, CallClass::Act, deadline).await.map_err(|refusal| {
         // Only the repetition was refused: the call itself ran.
         Problem::from(Refusal { verdict: Verdict::Ran, ..refusal })
     })?;
@@ -149,7 +149,7 @@
         let message = format!("node {} of the ticket is gone in that life", ticket.node);
         return Err(Refusal::may_have_run(message).into());
     };
-    let permit = admit(shared, call.team, CallClass::Act, shared.now().plus(2_000)).await?;
+    let permit = admit(shared, call.workspace, CallClass::Act, shared.now().plus(2_000)).await?;
     let url = format!("http://{}{}", node.http, request.uri());
     let mut sending = shared.clients.once.request(call.method.clone(), url);
     for (name, value) in &call.headers {
--- a/crates/node/src/auth.rs
+++ b/crates/node/src/auth.rs
@@ -7,7 +7,7 @@
 /// What the bearer of a token may do.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum Role {
-    /// Calls services and generates text, for a team.
+    /// Calls services and generates text, for a workspace.
     Caller,
     /// Changes and reads the configuration, drains, reads the audit trail.
     Operator,
@@ -15,10 +15,10 @@
     Trainer,
 }
 
-/// The bearer of a token: a role, and the team, trainer or person it stands for.
+/// The bearer of a token: a role, and the workspace, trainer or person it stands for.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Identity {
-    /// The team, trainer or person.
+    /// The workspace, trainer or person.
     pub name: Name,
     /// What it may do.
     pub role: Role,
--- a/crates/node/src/edge/calls.rs
+++ b/crates/node/src/edge/calls.rs
@@ -58,7 +58,7 @@
     /// The path with its query.
     pub path: String,
     pub service: &'a str,
-    pub team: &'a str,
+    pub workspace: &'a str,
     pub timeout_ms: Option<u64>,
 }
 
@@ -71,7 +71,7 @@
             method: reqwest::Method::POST,
             path: "/score".to_owned(),
             service: scorer.as_str(),
-            team: "",
+            workspace: "",
             timeout_ms: None,
         }
     }
@@ -112,7 +112,7 @@
 pub(crate) struct Permit {
     began: Instant,
     shared: Arc<Shared>,
-    team: String,
+    workspace: String,
 }
 
 impl Drop for Permit {
@@ -120,7 +120,7 @@
         let service_us = self.began.elapsed().as_micros() as u64;
         let now = self.shared.now();
         let mut admission = lock(&self.shared.traffic.admission);
-        let released = admission.finish(now, &self.team, service_us);
+        let released = admission.finish(now, &self.workspace, service_us);
         self.shared.metrics.requests_in_flight.set(i64::from(admission.in_flight()));
         drop(admission);
         settle_waiting(&self.shared, released);
@@ -144,15 +144,18 @@
 /// Gets a place for a request, waiting for it if that can be in time.
 pub(crate) async fn admit(
     shared: &Arc<Shared>,
-    team: &str,
+    workspace: &str,
     class: CallClass,
     deadline: UnixMs,
 ) -> Result<Permit, Refusal> {
-    let permit =
-        || Permit { began: Instant::now(), shared: Arc::clone(shared), team: team.to_owned() };
+    let permit = || Permit {
+        began: Instant::now(),
+        shared: Arc::clone(shared),
+        workspace: workspace.to_owned(),
+    };
     let (waited, id) = {
         let mut admission = lock(&shared.traffic.admission);
-        let (admitted, released) = admission.arrive(shared.now(), team, class, deadline);
+        let (admitted, released) = admission.arrive(shared.now(), workspace, class, deadline);
         shared.metrics.requests_in_flight.set(i64::from(admission.in_flight()));
         let waited = match admitted {
             Admitted::Now => return Ok(permit()),
@@ -274,7 +277,7 @@
     let (service, call) = find_call(&snapshot, request.service, &request.path)?;
     let timeout_ms = request.timeout_ms.map_or(service.timeout_ms, |ms| ms.min(service.timeout_ms));
     let deadline = shared.now().plus(timeout_ms);
-    let permit = admit(shared, request.team, call.class, deadline).await?;
+    let permit = admit(shared, request.workspace, call.class, deadline).await?;
     lock(&shared.traffic.budget).first_attempt();
     let targets = snapshot.services.get(&service.name).cloned().unwrap_or_default();
     let mut tried = Vec::new();
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -147,13 +147,13 @@
     /// Puts a document's limits in force.
     pub(crate) fn set_limits(&self, document: &catkinmast_config::Document) {
         let limits = &document.limits;
-        let bounded = |team: &catkinmast_config::Team| {
-            team.in_flight_max.map(|limit| (team.name.as_str().to_owned(), limit))
+        let bounded = |workspace: &catkinmast_config::Workspace| {
+            workspace.in_flight_max.map(|limit| (workspace.name.as_str().to_owned(), limit))
         };
-        let teams = document.teams.iter().filter_map(bounded).collect();
+        let workspaces = document.workspaces.iter().filter_map(bounded).collect();
         let admission =
             AdmissionLimits { in_flight_max: limits.in_flight_max, queue_max: limits.queue_max };
-        lock(&self.admission).set_limits(admission, teams);
+        lock(&self.admission).set_limits(admission, workspaces);
         lock(&self.budget).set_percent(limits.retry_budget_percent);
         lock(&self.tickets).set_memory(limits.ticket_memory_ms);
     }
--- a/crates/route/src/admission.rs
+++ b/crates/route/src/admission.rs
@@ -53,7 +53,7 @@
     class: CallClass,
     deadline: UnixMs,
     id: WaitId,
-    team: String,
+    workspace: String,
 }
 
 /// The admission of one node.
@@ -64,8 +64,8 @@
     mean_service_us: u64,
     next_id: u64,
     queue: Vec<Waiting>,
-    team_in_flight: IndexMap<String, u32>,
-    team_limits: IndexMap<String, u32>,
+    workspace_in_flight: IndexMap<String, u32>,
+    workspace_limits: IndexMap<String, u32>,
 }
 
 impl Admission {
@@ -77,15 +77,15 @@
             mean_service_us: 1_000,
             next_id: 0,
             queue: Vec::new(),
-            team_in_flight: IndexMap::new(),
-            team_limits: IndexMap::new(),
+            workspace_in_flight: IndexMap::new(),
+            workspace_limits: IndexMap::new(),
         }
     }
 
     /// Puts new limits in force; requests already admitted stay.
-    pub fn set_limits(&mut self, limits: AdmissionLimits, teams: IndexMap<String, u32>) {
+    pub fn set_limits(&mut self, limits: AdmissionLimits, workspaces: IndexMap<String, u32>) {
         self.limits = limits;
-        self.team_limits = teams;
+        self.workspace_limits = workspaces;
     }
 
     /// Returns how many requests are being served.
@@ -102,17 +102,18 @@
     pub fn arrive(
         &mut self,
         now: UnixMs,
-        team: &str,
+        workspace: &str,
         class: CallClass,
         deadline: UnixMs,
     ) -> (Admitted, Released) {
         let mut released = Released::default();
-        if self.team_is_full(team) {
-            let message = format!("team '{team}' has as many requests in flight as it may");
+        if self.workspace_is_full(workspace) {
+            let message =
+                format!("workspace '{workspace}' has as many requests in flight as it may");
             return (Admitted::Refused(self.refusal(now, message, 1)), released);
         }
         if self.in_flight < self.limits.in_flight_max && self.queue.is_empty() {
-            self.occupy(team);
+            self.occupy(workspace);
             return (Admitted::Now, released);
         }
         let ahead = self.queue.iter().filter(|waiting| waiting.class <= class).count() as u64;
@@ -128,13 +129,13 @@
                 return (Admitted::Refused(refusal), released);
             }
         }
-        (Admitted::Waiting(self.enqueue(team, class, deadline)), released)
+        (Admitted::Waiting(self.enqueue(workspace, class, deadline)), released)
     }
 
     /// Counts a request as done after `service_us`, and lets waiting ones in.
-    pub fn finish(&mut self, now: UnixMs, team: &str, service_us: u64) -> Released {
+    pub fn finish(&mut self, now: UnixMs, workspace: &str, service_us: u64) -> Released {
         self.in_flight = self.in_flight.saturating_sub(1);
-        if let Some(count) = self.team_in_flight.get_mut(team) {
+        if let Some(count) = self.workspace_in_flight.get_mut(workspace) {
             *count = count.saturating_sub(1);
         }
         let mean = self.mean_service_us * (MEAN_WEIGHT - 1) + service_us;
@@ -150,10 +151,11 @@
     fn admit_waiting(&mut self, now: UnixMs) -> Released {
         let mut released = self.expire(now);
         while self.in_flight < self.limits.in_flight_max {
-            let next = self.queue.iter().position(|waiting| !self.team_is_full(&waiting.team));
+            let next =
+                self.queue.iter().position(|waiting| !self.workspace_is_full(&waiting.workspace));
             let Some(place) = next else { break };
             let waiting = self.queue.remove(place);
-            self.occupy(&waiting.team);
+            self.occupy(&waiting.workspace);
             released.admitted.push(waiting.id);
         }
         released
@@ -169,26 +171,26 @@
         Released { admitted: Vec::new(), refused }
     }
 
-    fn team_is_full(&self, team: &str) -> bool {
-        let used = self.team_in_flight.get(team).copied().unwrap_or(0);
-        self.team_limits.get(team).is_some_and(|limit| used >= *limit)
+    fn workspace_is_full(&self, workspace: &str) -> bool {
+        let used = self.workspace_in_flight.get(workspace).copied().unwrap_or(0);
+        self.workspace_limits.get(workspace).is_some_and(|limit| used >= *limit)
     }
 
-    fn occupy(&mut self, team: &str) {
+    fn occupy(&mut self, workspace: &str) {
         self.in_flight += 1;
-        match self.team_in_flight.get_mut(team) {
+        match self.workspace_in_flight.get_mut(workspace) {
             Some(count) => *count += 1,
             None => {
-                self.team_in_flight.insert(team.to_owned(), 1);
+                self.workspace_in_flight.insert(workspace.to_owned(), 1);
             }
         }
     }
 
-    fn enqueue(&mut self, team: &str, class: CallClass, deadline: UnixMs) -> WaitId {
+    fn enqueue(&mut self, workspace: &str, class: CallClass, deadline: UnixMs) -> WaitId {
         self.next_id += 1;
         let id = WaitId(self.next_id);
         let after = self.queue.partition_point(|w| (w.class, w.deadline) <= (class, deadline));
-        self.queue.insert(after, Waiting { class, deadline, id, team: team.to_owned() });
+        self.queue.insert(after, Waiting { class, deadline, id, workspace: workspace.to_owned() });
         id
     }
 
--- a/tests/all/scenarios.rs
+++ b/tests/all/scenarios.rs
@@ -300,7 +300,7 @@
                     _ => CallClass::Audit,
                 };
                 let deadline = UnixMs(need(args, "deadline")?);
-                let (admitted, released) = self.admission.arrive(now, "team", class, deadline);
+                let (admitted, released) = self.admission.arrive(now, "workspace", class, deadline);
                 match admitted {
                     catkinmast_route::Admitted::Now => writeln!(output, "{who} is served")?,
                     catkinmast_route::Admitted::Waiting(id) => {
@@ -317,7 +317,7 @@
                 }
                 released
             }
-            "finish" => self.admission.finish(now, "team", need(args, "service-us")?),
+            "finish" => self.admission.finish(now, "workspace", need(args, "service-us")?),
             "expire" => self.admission.expire(now),
             other => return Err(format!("unknown event '{other}'").into()),
         };
--- a/tests/all/site/batches.rs
+++ b/tests/all/site/batches.rs
@@ -2,7 +2,7 @@
 
 use super::harness::{Site, submission, until, whole_text};
 use super::store::Door;
-use super::worker::Conduct;
+use super::worker::{Conduct, Worker};
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use serde_json::Value;
@@ -173,7 +173,7 @@
     });
 
     until("all runs are given up before they are whole", || async {
-        let abandoned: u64 = site.engines.iter().map(|engine| engine.abandoned()).sum();
+        let abandoned: u64 = site.engines.iter().map(Worker::abandoned).sum();
         (abandoned >= AT_ONCE as u64).then_some(())
     })
     .await;
