--- a/tests/all/site/batches.rs
+++ b/tests/all/site/batches.rs
@@ -5,6 +5,7 @@
 use super::worker::{Conduct, Worker};
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
+use catkinmast_dispatch::{Chunk, ItemResult, ItemState};
 use serde_json::Value;
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
@@ -179,6 +180,80 @@
     .await;
 }
 
+// Symptom: a reader is shown fewer results than it had read before.
+// Sequence: an owner is paused; another takes its batch and lists a result; no word of it reaches the
+// owner; a read waits at its door as it wakes.
+// Cause: it answers from its memory before it has asked the store whether it is still the owner.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_owner_that_wakes_unaware_asks_the_store_before_it_answers() {
+    let site = Site::start(1, 2, 1).await;
+    for engine in &site.engines {
+        engine.set_pace(200, 5);
+    }
+    let node = &site.nodes[0];
+    assert_eq!(site.submit(node, "b1", &submission("b1", 4, 200, 1)).await, 202);
+    until("items run", || async { (site.runs.all().len() >= 4).then_some(()) }).await;
+    let listed = ItemResult {
+        score: Some("stamp".to_owned()),
+        state: ItemState::Completed,
+        text: "text".to_owned(),
+        versions: vec![1],
+        ..ItemResult::errored("b1i0")
+    };
+    let chunk = Chunk { number: 0, results: vec![listed] };
+
+    node.signal("STOP");
+    site.store.put_bytes("cm/d/b1/c00000", postcard::to_stdvec(&chunk).expect("a chunk"));
+    site.store.change("cm/h/b1", |record| {
+        let name = record.windows(6).position(|bytes| bytes == b"node-0").expect("the owner");
+        record[name + 5] = b'9';
+    });
+    let reads = (0..8).map(|_| site.read_within(node, "b1", 0, 0));
+    let wake = async {
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        node.signal("CONT");
+    };
+    let (pages, ()) = tokio::join!(futures::future::join_all(reads), wake);
+
+    for page in pages.into_iter().flatten() {
+        assert_eq!(ids(&page), BTreeSet::from(["b1i0".to_owned()]));
+    }
+    let page = until("it answers", || async { site.read(node, "b1", 0).await }).await;
+    assert_eq!(page.len(), 1);
+}
+
+// Symptom: a batch has two owners, and its items run twice.
+// Sequence: an owner is paused for a second and a half while all others start anew; none of them has
+// heard of it yet.
+// Cause: an owner that nothing was heard of is taken for dead.
+#[tokio::test(flavor = "multi_thread")]
+async fn nodes_that_start_anew_leave_batches_to_owners_that_they_have_not_heard_of() {
+    let site = Site::start(3, 3, 1).await;
+    for engine in &site.engines {
+        engine.set_pace(60, 5);
+    }
+    assert_eq!(site.submit(&site.nodes[0], "b1", &submission("b1", 6, 80, 1)).await, 202);
+    let owner = site.owner_of("b1").await;
+    let others: Vec<usize> = (0..3).filter(|number| *number != owner).collect();
+
+    site.nodes[owner].signal("STOP");
+    for other in &others {
+        site.nodes[*other].signal("KILL");
+        site.nodes[*other].restart();
+    }
+    for other in &others {
+        until("it is ready again", || async {
+            site.is_ready(&site.nodes[*other]).await.then_some(())
+        })
+        .await;
+    }
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    site.nodes[owner].signal("CONT");
+
+    assert_whole(&site.read_all(&site.nodes[owner], "b1", 6).await, 80);
+    assert!(site.nodes.iter().all(|node| node.lines("batch_taken_over").is_empty()));
+}
+
 // Symptom: items run long after their batch was ended.
 // Sequence: every node is killed and started again while a batch runs; then it is ended.
 // Cause: nodes that see only a part of the fleet take the batch from an owner that lives, and the
--- a/tests/all/site/harness.rs
+++ b/tests/all/site/harness.rs
@@ -383,9 +383,20 @@
 
     /// Reads a batch's results from a position; none where the node does not answer with them.
     pub(crate) async fn read(&self, node: &Node, id: &str, after: usize) -> Option<Vec<Value>> {
+        self.read_within(node, id, after, 200).await
+    }
+
+    /// The same, waiting for a result for so long.
+    pub(crate) async fn read_within(
+        &self,
+        node: &Node,
+        id: &str,
+        after: usize,
+        wait_ms: u64,
+    ) -> Option<Vec<Value>> {
         let url = format!("http://{}/-/lots/{id}?after={after}", node.callers);
-        let answer =
-            self.client.get(url).header("X-Catkinmast-Wait-Ms", "200").send().await.ok()?;
+        let request = self.client.get(url).header("X-Catkinmast-Wait-Ms", wait_ms);
+        let answer = request.send().await.ok()?;
         if answer.status() != 200 {
             return None;
         }
--- a/tests/all/site/store.rs
+++ b/tests/all/site/store.rs
@@ -138,6 +138,15 @@
         self.changed.notify_waiters();
     }
 
+    /// Writes the bytes of a key, as another node does.
+    pub(crate) fn put_bytes(&self, key: &str, value: Vec<u8>) {
+        let mut state = self.state();
+        state.revision += 1;
+        state.write(key, value, 0);
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
     /// Changes the bytes of a key, as another node does whose word reaches nobody.
     pub(crate) fn change(&self, key: &str, change: impl FnOnce(&mut Vec<u8>)) {
         let mut state = self.state();
