Work of a batch is bounded; shares have one unit

The caller's length estimates are summed: an absurd one could overflow, or take nearly all targets from the other models. A batch counts as at most 2^30 tokens now, sums saturate; a test gives the largest number fifty times. The unit of shares stands once.

--- a/crates/dispatch/src/rollout.rs
+++ b/crates/dispatch/src/rollout.rs
@@ -2,14 +2,19 @@
 //!
 //! A load takes a target out of a model's work for about a second, its price counts beyond one
 //! load a version for each target of a fair share, and the weight store slows down when many load
-//! at once. So targets are split among the models by their work ([`Demand`]), a target is loaded only for its model, the one
-//! that lags most goes first, and never more than a part of a model's targets load at once.
+//! at once. So targets are split among the models by their work ([`Demand`]), a target is loaded
+//! only for its model, the one that lags most goes first, and never more than a part of a model's
+//! targets load at once.
 
-use crate::shares::{Demand, deal};
+use crate::shares::{Demand, SHARE_UNIT, deal};
 use catkinmast_model::UnixMs;
 use indexmap::IndexMap;
 use std::collections::BTreeMap;
 
+/// Two models may be this far apart from what they should have, in the unit of shares, before a
+/// target moves. With less, the change of a step's lengths by a fifth moves one back and forth.
+const APART_MAX: i64 = 2 * SHARE_UNIT as i64;
+
 /// Bounds on loads.
 #[derive(Clone, Copy, Debug)]
 pub struct RolloutSettings {
@@ -239,12 +244,12 @@
     fn level(&mut self, targets: &[RolloutTarget], models: &[String], shares: &[u64]) {
         loop {
             let surplus = |place: &usize| {
-                self.count_of(&models[*place]) as i64 * 1_000 - shares[*place] as i64
+                (self.count_of(&models[*place]) as u64 * SHARE_UNIT) as i64 - shares[*place] as i64
             };
             let least = (0..models.len()).min_by_key(surplus);
             let most = (0..models.len()).max_by_key(surplus);
             let (Some(least), Some(most)) = (least, most) else { return };
-            if surplus(&most) - surplus(&least) < 2_000 {
+            if surplus(&most) - surplus(&least) < APART_MAX {
                 return;
             }
             let moved = targets
--- a/crates/dispatch/src/shares.rs
+++ b/crates/dispatch/src/shares.rs
@@ -14,8 +14,11 @@
 /// Each model gets at least one target for this many of an equal share, whatever its work is: it
 /// still has to live through the loss of some of them.
 const LEAST_PARTS: u64 = 2;
-/// Shares are computed in thousandths of a target.
-const UNIT: u64 = 1_000;
+/// A batch counts as at most so much work. The lengths are the caller's word: without a bound one
+/// absurd estimate would take nearly all targets from the other models, or overflow.
+const WORK_MAX_TOKENS: u64 = 1 << 30;
+/// Shares are in thousandths of a target.
+pub(crate) const SHARE_UNIT: u64 = 1_000;
 
 /// The work that each model's batches bring.
 #[derive(Clone, Debug, Default)]
@@ -26,6 +29,7 @@
 impl Demand {
     /// Takes a batch of a model, by the tokens that its items are expected to generate.
     pub fn submitted(&mut self, model: &str, tokens: u64) {
+        let tokens = tokens.min(WORK_MAX_TOKENS);
         match self.work_tokens.get_mut(model) {
             Some(held) => *held = (*held * (WORK_PARTS - 1) + tokens) / WORK_PARTS,
             None => {
@@ -41,7 +45,7 @@
         let seen: Vec<u64> = models.iter().filter_map(|model| self.of(model)).collect();
         let mean = seen.iter().sum::<u64>().checked_div(seen.len() as u64).unwrap_or(1).max(1);
         let work = models.iter().map(|model| self.of(model).unwrap_or(mean)).collect::<Vec<u64>>();
-        let whole = count as u64 * UNIT;
+        let whole = count as u64 * SHARE_UNIT;
         let least = whole / (models.len().max(1) as u64 * LEAST_PARTS);
         let mut fixed = vec![false; models.len()];
         loop {
--- a/crates/dispatch/src/submission.rs
+++ b/crates/dispatch/src/submission.rs
@@ -54,7 +54,8 @@
 impl Submission {
     /// Returns how many tokens its items are expected to generate.
     pub fn work_tokens(&self) -> u64 {
-        self.items.iter().map(|item| item.length_hint_tokens.unwrap_or(item.tokens)).sum()
+        let lengths = self.items.iter().map(|item| item.length_hint_tokens.unwrap_or(item.tokens));
+        lengths.fold(0, u64::saturating_add)
     }
 }
 
--- a/crates/dispatch/src/targets.rs
+++ b/crates/dispatch/src/targets.rs
@@ -13,7 +13,7 @@
 //! - *A target that the registry lost sight of is used on.* Its entry is gone, so it may not be;
 //!   only a newer entry brings it back.
 
-use crate::shares::{Demand, deal};
+use crate::shares::{Demand, SHARE_UNIT, deal};
 use catkinmast_model::UnixMs;
 use indexmap::IndexMap;
 use std::net::SocketAddr;
@@ -224,7 +224,7 @@
             .map(|(entry, _)| entry.id.as_str())
             .collect();
         let place = models.iter().position(|held| held == model);
-        let share = place.map_or(1, |place| shares[place] as usize / 1_000);
+        let share = place.map_or(1, |place| (shares[place] / SHARE_UNIT) as usize);
         if own.len() * 2 >= share.max(1) {
             return own;
         }
--- a/tests/all/dispatch/shares.rs
+++ b/tests/all/dispatch/shares.rs
@@ -77,6 +77,18 @@
     assert!(shares.iter().sum::<u64>() <= 40_000);
 }
 
+#[test]
+fn an_absurd_estimate_leaves_the_others_their_least_share() {
+    let mut demand = uneven();
+    for _ in 0..50 {
+        demand.submitted("short", u64::MAX);
+    }
+
+    let shares = demand.shares(&models(), 1_000_000);
+
+    assert_eq!(shares[..2], [166_666_666, 166_666_666]);
+}
+
 #[test]
 fn one_large_step_moves_a_share_by_a_quarter_only() {
     let mut demand = uneven();
