One protocol to the store: catkinmast-node speaks the platform's own messages

Cause: two clients of two protocols stood side by side: catkinmast-serve with the users' store, and crates/platform with an invented one that only our stand-in spoke.

Change: HttpPlatform carries StoreCalls; platform/ writes and reads them, as for catkinmast-front. The invented messages (protocol.rs) are gone, LeaseId is one type, a watch whose history is lost reads what stands, lists read page by page.

--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -15,7 +15,7 @@
 use catkinmast_member::{Fact, Membership, Message, NodeFact, Output, OwnerFact, TargetFact};
 use catkinmast_member::{NodeState, TargetReport};
 use catkinmast_model::{Instance, InstanceState, Name, UnixMs};
-use catkinmast_platform::Lease;
+use catkinmast_platform::LeaseId;
 use catkinmast_rollout::{Command, Event, Reply};
 use catkinmast_route::rank;
 use catkinmast_wire::{DATAGRAM_MAX_BYTES, seal};
@@ -53,7 +53,7 @@
     Follow(FollowerEvent),
     Instances(Vec<Instance>),
     Leave,
-    Lease { lease: Option<Lease>, report: Report, trainer: Name },
+    Lease { lease: Option<LeaseId>, report: Report, trainer: Name },
     Rollout { event: Event, trainer: Name },
     Stop { done: oneshot::Sender<()> },
     TargetRefused { target: Name },
--- a/crates/node/src/control/trainers.rs
+++ b/crates/node/src/control/trainers.rs
@@ -9,7 +9,7 @@
 use catkinmast_lease::{Action, Change, HolderRecord, Report, Tenure};
 use catkinmast_member::{Fact, NodeState, OwnerFact};
 use catkinmast_model::{Fence, Name, Refusal, SampleId, UnixMs};
-use catkinmast_platform::{Lease, WeightOrder};
+use catkinmast_platform::{LeaseId, WeightOrder};
 use catkinmast_rollout::{
     Attempt, Command, Effect, EngineInfo, Event, NodeInfo, OrderSettings, Reply, Rollout,
     ScheduleSettings,
@@ -45,7 +45,7 @@
 struct Duty {
     /// Whether this node is the first of the live ones for this trainer.
     first: bool,
-    lease: Option<Lease>,
+    lease: Option<LeaseId>,
     model: Name,
     owned: Option<Owned>,
     scorer: Name,
@@ -180,7 +180,7 @@
         &mut self,
         now: UnixMs,
         trainer: &Name,
-        lease: Option<Lease>,
+        lease: Option<LeaseId>,
         report: &Report,
     ) {
         let Some(duty) = self.trainers.duties.get_mut(trainer) else { return };
--- a/crates/node/src/edge/store.rs
+++ b/crates/node/src/edge/store.rs
@@ -5,7 +5,7 @@
 use catkinmast_config::{Digest, HEAD_KEY, Head, body_key};
 use catkinmast_lease::{HolderRecord, Report, TTL_MS};
 use catkinmast_model::{Fence, Name};
-use catkinmast_platform::{Expect, InstanceList, KeyValue, Lease, StoreError};
+use catkinmast_platform::{Expect, InstanceList, KeyValue, LeaseId, StoreError};
 use catkinmast_rollout::{Event, Ledger, StepSpec};
 use std::sync::Arc;
 use std::time::Duration;
@@ -99,7 +99,7 @@
 }
 
 /// Renews a trainer's lease.
-pub(crate) async fn renew_lease(shared: Arc<Shared>, trainer: Name, lease: Lease) {
+pub(crate) async fn renew_lease(shared: Arc<Shared>, trainer: Name, lease: LeaseId) {
     shared.metrics.count_kv_call("lease");
     let report = match shared.clients.store.renew(lease).await {
         Ok(()) => Report::Renewed,
@@ -110,7 +110,7 @@
 }
 
 /// Gives a trainer's lease up.
-pub(crate) async fn release_lease(shared: Arc<Shared>, lease: Lease) {
+pub(crate) async fn release_lease(shared: Arc<Shared>, lease: LeaseId) {
     shared.metrics.count_kv_call("lease");
     if let Err(error) = shared.clients.store.revoke(lease).await {
         log::info!("a lease is left to lapse by itself: {error}");
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -1,7 +1,11 @@
-//! The platform over HTTP and JSON.
+//! The platform over HTTP.
 
-use crate::{Entry, Expect, InstanceList, KeyValue, KvReply, KvRequest, Lease, StoreError};
+use crate::{Entry, Expect, InstanceList, KeyValue, LeaseId, StoreError};
+use catkinmast_adapter::UsersPlatform;
 use catkinmast_model::{Instance, Verdict};
+use catkinmast_serve::{
+    Expectation, Platform, Put, StoreAnswer, StoreCall, StoreEvent, StoreRequest, StoredItem,
+};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -29,33 +33,44 @@
         Ok(Self { address, client })
     }
 
-    async fn call(&self, request: &KvRequest, timeout: Duration) -> Result<KvReply, StoreError> {
-        let url = format!("http://{}/kv", self.address);
-        let sent = self.client.post(url).json(request).timeout(timeout).send().await;
-        let response = sent.map_err(|error| classify(&error))?;
-        let status = response.status();
-        if status.is_server_error() {
-            // The service says so itself before it touches a key.
-            return Err(StoreError::Unavailable {
-                message: format!("status {status}"),
-                verdict: Verdict::NotRun,
-            });
-        }
-        match response.json().await.map_err(|error| classify(&error))? {
-            KvReply::Conflict { current } => Err(StoreError::Conflict { current }),
-            reply => Ok(reply),
-        }
+    async fn call(&self, call: &StoreCall, timeout: Duration) -> Result<StoreAnswer, StoreError> {
+        let StoreRequest { body, method, path } = UsersPlatform::store_request(call);
+        let url = format!("http://{}{path}", self.address);
+        let request = self.client.request(method, url).body(body).timeout(timeout);
+        let response = request.send().await.map_err(|error| classify(&error))?;
+        let status = response.status().as_u16();
+        let body = response.bytes().await.map_err(|error| classify(&error))?;
+        UsersPlatform::store_answer(call, status, &body).map_err(|refusal| {
+            StoreError::Unavailable { message: refusal.message, verdict: refusal.verdict }
+        })
     }
+}
 
-    async fn entries(
-        &self,
-        request: &KvRequest,
-        timeout: Duration,
-    ) -> Result<Vec<Entry>, StoreError> {
-        match self.call(request, timeout).await? {
-            KvReply::Entries { entries } => Ok(entries),
-            other => Err(unexpected(&other)),
+/// What a write's expectation means to the store, which counts an absent key as revision 0.
+fn expectations(key: &str, expect: Expect) -> Vec<Expectation> {
+    let revision = match expect {
+        Expect::Any => return Vec::new(),
+        Expect::Absent => 0,
+        Expect::Version(version) => version,
+    };
+    vec![Expectation { key: key.to_owned(), revision }]
+}
+
+/// The product keeps text only; what is none was written by nobody of ours.
+fn entry(item: StoredItem) -> Result<Entry, StoreError> {
+    let value = String::from_utf8(item.value).map_err(|error| StoreError::Unavailable {
+        message: format!("the value of {}: {error}", item.key),
+        verdict: Verdict::Ran,
+    })?;
+    Ok(Entry { key: item.key, value, version: item.revision })
+}
+
+fn changed(event: StoreEvent) -> Result<Entry, StoreError> {
+    match event {
+        StoreEvent::Deleted { key, revision } => {
+            Ok(Entry { key, value: String::new(), version: revision })
         }
+        StoreEvent::Written(item) => entry(item),
     }
 }
 
@@ -71,17 +86,19 @@
     StoreError::Unavailable { message: error.to_string(), verdict: Verdict::NotRun }
 }
 
-fn unexpected(reply: &KvReply) -> StoreError {
+fn unexpected(answer: &StoreAnswer) -> StoreError {
     StoreError::Unavailable {
-        message: format!("unexpected reply {reply:?}"),
+        message: format!("unexpected answer {answer:?}"),
         verdict: Verdict::MayHaveRun,
     }
 }
 
 impl KeyValue for HttpPlatform {
     async fn get(&self, key: &str) -> Result<Option<Entry>, StoreError> {
-        let request = KvRequest::Get { key: key.to_owned() };
-        Ok(self.entries(&request, CALL_TIMEOUT).await?.pop())
+        match self.call(&StoreCall::Get { key: key.to_owned() }, CALL_TIMEOUT).await? {
+            StoreAnswer::Item(found) => found.map(entry).transpose(),
+            other => Err(unexpected(&other)),
+        }
     }
 
     async fn put(
@@ -89,18 +106,41 @@
         key: &str,
         value: &str,
         expect: Expect,
-        lease: Option<Lease>,
+        lease: Option<LeaseId>,
     ) -> Result<u64, StoreError> {
-        let request =
-            KvRequest::Put { expect, key: key.to_owned(), lease, value: value.to_owned() };
-        match self.call(&request, CALL_TIMEOUT).await? {
-            KvReply::Written { version } => Ok(version),
+        let call = StoreCall::Transaction {
+            deletes: Vec::new(),
+            expected: expectations(key, expect),
+            puts: vec![Put { key: key.to_owned(), lease, value: value.as_bytes().to_vec() }],
+        };
+        match self.call(&call, CALL_TIMEOUT).await? {
+            StoreAnswer::Committed { revision } => Ok(revision),
+            StoreAnswer::Conflict { items } => {
+                let revision = items.first().map(|item| item.revision);
+                Err(StoreError::Conflict { current: revision.filter(|revision| *revision > 0) })
+            }
+            StoreAnswer::NoLease => Err(StoreError::Conflict { current: None }),
             other => Err(unexpected(&other)),
         }
     }
 
     async fn list(&self, prefix: &str) -> Result<Vec<Entry>, StoreError> {
-        self.entries(&KvRequest::List { prefix: prefix.to_owned() }, CALL_TIMEOUT).await
+        let mut all: Vec<Entry> = Vec::new();
+        loop {
+            let after = all.last().map(|last| last.key.clone()).unwrap_or_default();
+            let call = StoreCall::Range { after, may_be_old: false, prefix: prefix.to_owned() };
+            let (items, truncated) = match self.call(&call, CALL_TIMEOUT).await? {
+                StoreAnswer::Items { items, truncated, .. } => (items, truncated),
+                other => return Err(unexpected(&other)),
+            };
+            let more = truncated && !items.is_empty();
+            for item in items {
+                all.push(entry(item)?);
+            }
+            if !more {
+                return Ok(all);
+            }
+        }
     }
 
     async fn watch(
@@ -109,23 +149,33 @@
         after_version: u64,
         wait_ms: u64,
     ) -> Result<Vec<Entry>, StoreError> {
-        let request = KvRequest::Watch { after_version, prefix: prefix.to_owned(), wait_ms };
-        self.entries(&request, CALL_TIMEOUT + Duration::from_millis(wait_ms)).await
+        let prefix = prefix.to_owned();
+        let call = StoreCall::Watch { after: after_version, prefix: prefix.clone(), wait_ms };
+        match self.call(&call, CALL_TIMEOUT + Duration::from_millis(wait_ms)).await? {
+            StoreAnswer::Events { events, .. } => events.into_iter().map(changed).collect(),
+            // What came since cannot be told any more; what stands is the news.
+            StoreAnswer::HistoryLost => self.list(&prefix).await,
+            other => Err(unexpected(&other)),
+        }
     }
 
-    async fn grant(&self, ttl_ms: u64) -> Result<Lease, StoreError> {
-        match self.call(&KvRequest::Grant { ttl_ms }, CALL_TIMEOUT).await? {
-            KvReply::Granted { lease } => Ok(lease),
+    async fn grant(&self, ttl_ms: u64) -> Result<LeaseId, StoreError> {
+        match self.call(&StoreCall::LeaseOpen { ttl_ms }, CALL_TIMEOUT).await? {
+            StoreAnswer::Lease { lease: Some(lease), .. } => Ok(lease),
             other => Err(unexpected(&other)),
         }
     }
 
-    async fn renew(&self, lease: Lease) -> Result<(), StoreError> {
-        self.call(&KvRequest::Renew { lease }, CALL_TIMEOUT).await.map(|_| ())
+    async fn renew(&self, lease: LeaseId) -> Result<(), StoreError> {
+        match self.call(&StoreCall::LeaseRenew { lease }, CALL_TIMEOUT).await? {
+            StoreAnswer::Lease { .. } => Ok(()),
+            StoreAnswer::NoLease => Err(StoreError::Conflict { current: None }),
+            other => Err(unexpected(&other)),
+        }
     }
 
-    async fn revoke(&self, lease: Lease) -> Result<(), StoreError> {
-        self.call(&KvRequest::Revoke { lease }, CALL_TIMEOUT).await.map(|_| ())
+    async fn revoke(&self, lease: LeaseId) -> Result<(), StoreError> {
+        self.call(&StoreCall::LeaseEnd { lease }, CALL_TIMEOUT).await.map(|_| ())
     }
 }
 
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,25 +1,47 @@
 //! Clients of the platform: the key-value service, the list of instances, the model engines.
 //!
-//! Each outside system is a small trait, and each trait has one adapter, so that another
-//! platform's protocol is one more file. The adapters here speak JSON over HTTP ([`HttpPlatform`]).
+//! Each outside system is a small trait. The key-value service is the platform's store, and its
+//! messages are those of the users' platform: [`HttpPlatform`] carries the calls, the folder
+//! `platform/` writes and reads them.
 //! The key-value service handles several hundred writes and about two thousand reads a second and
 //! has outages (brief, "What the platform gives"), so every call has a deadline, and every failed
 //! write says whether it may have taken effect.
 
 mod engine;
 mod http;
-mod protocol;
 
+pub use catkinmast_serve::LeaseId;
 pub use engine::{
     CancelRequest, EngineError, EngineLine, Engines, GenerateRequest, HttpEngines, LoadReport,
     WeightOrder,
 };
 pub use http::HttpPlatform;
-pub use protocol::{Entry, Expect, KvReply, KvRequest, Lease};
 
 use catkinmast_model::{Instance, Verdict};
 use displaydoc::Display;
 
+/// A key and its value.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Entry {
+    /// The key.
+    pub key: String,
+    /// The value; empty for a deleted key in a watch's answer.
+    pub value: String,
+    /// The service's counter at the last write of this key.
+    pub version: u64,
+}
+
+/// What a write expects of the key.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Expect {
+    /// The key must not exist.
+    Absent,
+    /// Nothing is expected.
+    Any,
+    /// The key must be at this version.
+    Version(u64),
+}
+
 /// A key-value service with compare-and-swap, leases and watches.
 pub trait KeyValue: Clone + Send + Sync + 'static {
     /// Reads one key.
@@ -38,7 +60,7 @@
         key: &str,
         value: &str,
         expect: Expect,
-        lease: Option<Lease>,
+        lease: Option<LeaseId>,
     ) -> impl Future<Output = Result<u64, StoreError>> + Send;
 
     /// Reads all keys that begin with `prefix`, in order.
@@ -64,19 +86,19 @@
     ///
     /// # Errors
     /// When the service does not answer.
-    fn grant(&self, ttl_ms: u64) -> impl Future<Output = Result<Lease, StoreError>> + Send;
+    fn grant(&self, ttl_ms: u64) -> impl Future<Output = Result<LeaseId, StoreError>> + Send;
 
     /// Renews a lease.
     ///
     /// # Errors
     /// [`StoreError::Conflict`] when the lease has lapsed.
-    fn renew(&self, lease: Lease) -> impl Future<Output = Result<(), StoreError>> + Send;
+    fn renew(&self, lease: LeaseId) -> impl Future<Output = Result<(), StoreError>> + Send;
 
     /// Ends a lease and deletes the keys that hang on it.
     ///
     /// # Errors
     /// When the service does not answer.
-    fn revoke(&self, lease: Lease) -> impl Future<Output = Result<(), StoreError>> + Send;
+    fn revoke(&self, lease: LeaseId) -> impl Future<Output = Result<(), StoreError>> + Send;
 }
 
 /// The platform's lagging list of live and leaving instances.
