--- a/crates/model/src/selector.rs
+++ b/crates/model/src/selector.rs
@@ -1,6 +1,6 @@
 //! Selectors: expressions over labels, in the syntax operators know from cluster tools.
 //!
-//! `app=citation,salle in (salle-a,salle-b),!canary` is a conjunction; every term must hold. An
+//! `app=drafts,place in (north,south),!canary` is a conjunction; every term must hold. An
 //! empty selector matches everything. Parsed with `winnow`, kept as text beside the terms so that
 //! what an operator wrote is what is shown again.
 
