--- a/tests/all/site/harness.rs
+++ b/tests/all/site/harness.rs
@@ -26,7 +26,7 @@
 /// An entry node's process.
 pub(crate) struct Node {
     pub(crate) callers: SocketAddr,
-    child: Arc<Mutex<Child>>,
+    child: Arc<Mutex<Process>>,
     pub(crate) directory: SocketAddr,
     pub(crate) door: usize,
     _door_server: Server,
@@ -43,9 +43,19 @@
     }
 }
 
-fn end(child: &mut Child) {
-    let _already_dead = child.kill();
-    let _already_reaped = child.wait();
+fn end(process: &mut Process) {
+    let _already_dead = process.0.kill();
+    let _already_reaped = process.0.wait();
+}
+
+/// A process that ends with its handle. A restart that a test has asked for may come about after the
+/// test is over; without this its process stayed behind (four of them after a soak of 50 seeds).
+struct Process(Child);
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        end(self);
+    }
 }
 
 /// Sends a signal by name, e.g. `KILL`, `STOP`, `CONT` or `TERM`, to a process of a test.
@@ -195,13 +205,13 @@
         }
     }
 
-    fn child(&self) -> std::sync::MutexGuard<'_, Child> {
+    fn child(&self) -> std::sync::MutexGuard<'_, Process> {
         self.child.lock().expect("no test panics while it holds a process")
     }
 
     /// Returns the process's id.
     pub(crate) fn pid(&self) -> u32 {
-        self.child().id()
+        self.child().0.id()
     }
 
     /// Sends a signal by name, e.g. `KILL`, `STOP`, `CONT` or `TERM`.
@@ -238,7 +248,7 @@
             loop {
                 tokio::time::sleep(Duration::from_millis(50)).await;
                 let mut child = child.lock().expect("no test panics while it holds a process");
-                if child.try_wait().expect("the process can be asked").is_some() {
+                if child.0.try_wait().expect("the process can be asked").is_some() {
                     *child = spawn(&folder, &log);
                     return;
                 }
@@ -256,7 +266,7 @@
 
     /// Returns how the process ended, once it has.
     pub(crate) fn exit_status(&self) -> Option<std::process::ExitStatus> {
-        self.child().try_wait().expect("the process can be asked")
+        self.child().0.try_wait().expect("the process can be asked")
     }
 
     /// Returns the lines of the audit trail with this event.
@@ -266,7 +276,7 @@
     }
 }
 
-fn spawn(folder: &tempfile::TempDir, log: &Arc<Mutex<Vec<Value>>>) -> Child {
+fn spawn(folder: &tempfile::TempDir, log: &Arc<Mutex<Vec<Value>>>) -> Process {
     let mut child = Command::new(env!("CARGO_BIN_EXE_catkinmast-front"))
         .env("CATKINMAST_BOOT", folder.path().join("settings.toml"))
         .stdout(Stdio::piped())
@@ -280,7 +290,7 @@
             log.lock().expect("no test panics while it holds the log").push(line);
         }
     });
-    child
+    Process(child)
 }
 
 impl Site {
