A node takes up the batches of its former life at once

Cause: after a restart of the whole fleet every node waited 0.7 s of probes before it looked for batches that nobody runs, also for those of its own former life, which is over for certain.

--- a/crates/serve/src/batches/succession.rs
+++ b/crates/serve/src/batches/succession.rs
@@ -37,8 +37,13 @@
 pub(super) const SKEW_MAX_MS: u64 = 6_000;
 
 /// Looks for batches that nobody runs, and takes those that fall to this node.
+///
+/// Those of this node's former life are taken at once: that life is over for certain, while of
+/// others that is known only after some probes. After a restart of the whole fleet its steps go on
+/// 0.7 s sooner.
 pub(crate) async fn adopt_orphans<P: Platform>(node: Rc<Node<P>>) {
     node.batches.started_at.set(clock::now());
+    sweep(&node, false).await;
     sleep(SETTLE).await;
     let mut at_once = true;
     loop {
@@ -82,7 +87,7 @@
         return;
     }
     node.batches.note_owner(id, record.owner.clone());
-    let mine = peers::me(node).is_some_and(|me| me == record.owner);
+    let mine = peers::me(node).is_some_and(|me| is_or_was(&me, &record.owner));
     let falls_here = mine || (is_dead(node, &record.owner) && peers::is_first_for(node, id));
     if record.ended || !falls_here || !node.batches.taking.borrow_mut().insert(id.to_owned()) {
         return;
@@ -97,6 +102,11 @@
     });
 }
 
+/// Tells whether a node's life is the owner, or one that came after it.
+fn is_or_was(me: &Owner, owner: &Owner) -> bool {
+    me.node == owner.node && me.incarnation >= owner.incarnation
+}
+
 /// Tells whether an owner is dead. One that nothing was heard of is not, until this node has been
 /// there long enough to have heard of all: after a restart of the whole fleet each node's view is
 /// partial for a moment, and owners that live would lose their batches over and over.
@@ -116,7 +126,7 @@
 ) -> Result<(), StoreRefusal> {
     let Some(me) = peers::me(node) else { return Ok(()) };
     let Some((record, revision)) = read_record(node, id).await? else { return Ok(()) };
-    if record.ended || (record.owner != me && !is_dead(node, &record.owner)) {
+    if record.ended || (!is_or_was(&me, &record.owner) && !is_dead(node, &record.owner)) {
         node.batches.note_owner(id, record.owner);
         return Ok(());
     }
