Longest items first, last groups listed together, second runs for groups that will be left

Groups that the trainer leaves are those with the longest items, they come again two steps later, are waited for, and their texts are of weights that the later step does not accept.

Failed: listing 0.2 s before the due time and again as each group came (readers are away for half a second after each answer; the end of a step came 0.3 to 0.6 s after its last result).

--- /dev/null
+++ b/crates/dispatch/src/batch/groups.rs
@@ -0,0 +1,94 @@
+//! The groups of a batch: which are whole, and how many its trainer still waits for.
+
+use crate::submission::{Item, Submission};
+use indexmap::{IndexMap, IndexSet};
+
+/// One part in this many of the groups that a trainer waits for is the end of a step: the groups
+/// that are missing then are whole within a second or two of each other.
+const TAIL_PARTS: usize = 8;
+
+/// Returns the group of an item; an item that names none is a group by itself.
+pub fn group_of(item: &Item) -> &str {
+    item.group.as_deref().unwrap_or(&item.id)
+}
+
+/// The groups of a submission.
+#[derive(Clone, Debug)]
+pub(super) struct Groups {
+    /// Groups that an earlier batch left: the trainer waits for each of them.
+    carried: IndexSet<String>,
+    /// The items of each group, by their index.
+    members: IndexMap<String, Vec<usize>>,
+    /// How many whole groups the trainer waits for; none where it did not say, or where there are
+    /// not that many.
+    target: Option<usize>,
+}
+
+impl Groups {
+    pub(super) fn open(submission: &Submission, carried: impl Fn(&str) -> bool) -> Self {
+        let mut members: IndexMap<String, Vec<usize>> = IndexMap::new();
+        for (index, item) in submission.items.iter().enumerate() {
+            members.entry(group_of(item).to_owned()).or_default().push(index);
+        }
+        let carried = members.keys().filter(|group| carried(group)).cloned().collect();
+        let target = submission.target_groups.map(|groups| groups as usize);
+        let target = target.filter(|groups| *groups <= members.len());
+        Self { carried, members, target }
+    }
+
+    /// Tells whether the trainer waits for a group whichever others are whole.
+    pub(super) fn is_carried(&self, group: &str) -> bool {
+        self.carried.contains(group)
+    }
+
+    /// Returns how many groups the trainer leaves.
+    pub(super) fn spare(&self) -> usize {
+        self.target.map_or(0, |target| self.members.len() - target)
+    }
+
+    /// Returns how many groups the trainer still waits for, given which items are done; none where
+    /// that is not known.
+    pub(super) fn missing(&self, is_done: impl Fn(usize) -> bool) -> Option<usize> {
+        let target = self.target?;
+        let open = |items: &Vec<usize>| !items.iter().all(|index| is_done(*index));
+        let open: Vec<&String> =
+            self.members.iter().filter(|(_, items)| open(items)).map(|(group, _)| group).collect();
+        let whole = self.members.len() - open.len();
+        let carried = open.iter().filter(|group| self.carried.contains(**group)).count();
+        Some(target.saturating_sub(whole).max(carried))
+    }
+
+    /// Tells whether so few groups are missing that the step is about to end.
+    pub(super) fn is_tail(&self, missing: usize) -> bool {
+        let tail = self.target.map_or(0, |target| (target / TAIL_PARTS).max(1));
+        (1..=tail).contains(&missing)
+    }
+
+    /// Returns the groups that the trainer has not taken from results listed in this order: those
+    /// that are not whole, and those that were whole only after all that it waited for.
+    pub(super) fn untaken<'a>(&'a self, listed: impl Iterator<Item = usize>) -> IndexSet<&'a str> {
+        let mut left: IndexMap<&str, usize> =
+            self.members.iter().map(|(group, items)| (group.as_str(), items.len())).collect();
+        let of: IndexMap<usize, &str> = self
+            .members
+            .iter()
+            .flat_map(|(group, items)| items.iter().map(|index| (*index, group.as_str())))
+            .collect();
+        let mut untaken: IndexSet<&'a str> = left.keys().copied().collect();
+        let target = self.target.unwrap_or(usize::MAX);
+        let mut carried = self.carried.len();
+        let mut taken = 0;
+        for index in listed {
+            let Some(group) = of.get(&index).copied() else { continue };
+            let missing = &mut left[group];
+            *missing = missing.saturating_sub(1);
+            if *missing > 0 || (taken >= target && carried == 0) {
+                continue;
+            }
+            taken += 1;
+            carried -= usize::from(self.carried.contains(group));
+            untaken.swap_remove(group);
+        }
+        untaken
+    }
+}
--- a/crates/dispatch/src/batch.rs
+++ b/crates/dispatch/src/batch/mod.rs
@@ -10,6 +10,15 @@
 //! It answers a steady load of long and short items: a reader that is given a part of a group
 //! comes back half a second later and misses the rest meanwhile, and each chunk is a call of the
 //! store. Listed one by one, a day of 25 steps took 842 writes.
+//!
+//! For the same reason the last groups that the trainer waits for are listed together: those that
+//! are whole wait for the others, up to the time by which all results are due.
+
+mod groups;
+mod redo;
+
+use groups::Groups;
+pub use groups::group_of;
 
 use crate::submission::{Item, ItemResult, ItemState, Progress, Submission};
 use catkinmast_model::UnixMs;
@@ -21,6 +30,21 @@
 /// those of runs in progress, so a longer wait costs little; two seconds are four reads.
 const UNLISTED_MAX_MS: u64 = 2_000;
 
+/// A deadline that is always over.
+const AT_ONCE: UnixMs = UnixMs(0);
+
+/// The last groups of a step are listed this long before all results are due, whole step or not:
+/// a reader that has just been answered is away for half a second, and is back when the rest comes
+/// in time.
+const LIST_BEFORE_DUE_MS: u64 = 700;
+
+/// Groups that are whole later wait for the others of the step until this long after all results
+/// were due: a reader is back soon enough then not to find them overdue by more than 700 ms.
+const LIST_AFTER_DUE_MS: u64 = 400;
+
+/// A whole group waits for the others of the step for at most this long: two visits of a reader.
+const WHOLE_MAX_MS: u64 = 1_000;
+
 /// The terms on which a batch runs.
 #[derive(Clone, Copy, Debug)]
 pub struct BatchTerms {
@@ -30,46 +54,25 @@
     pub due_at: UnixMs,
     /// When items that have no result are given up.
     pub give_up_at: UnixMs,
+    /// From when on items that are not done count as long.
+    pub redo_from: UnixMs,
     /// Whether one weight version must have produced a whole text.
     pub single_version: bool,
 }
 
-/// The order in which items are started.
+/// The order in which items are started: the longest first.
 ///
-/// A trainer waits for its target of complete groups, and a group is complete with its longest
-/// item, so the longest items are started first. Groups beyond the target need not be whole: those with the longest items go last. Groups that
-/// an earlier batch left go first, because the trainer waits for them in any case.
-fn running_order(submission: &Submission, carried: impl Fn(&str) -> bool) -> Vec<usize> {
+/// A step ends with its longest item, so it answers steps of which a few items take as long as
+/// the trainer has time. Groups that an earlier batch left, or that the trainer may leave now, have
+/// no turn of their own: put first and last, they gave a mean worth of 0.719 on twenty days of
+/// 26 groups a step, and 0.734 without (spread of one day 0.06).
+fn running_order(submission: &Submission) -> Vec<usize> {
     let length = |item: &Item| item.length_hint_tokens.unwrap_or(item.tokens);
-    let mut longest: IndexMap<&str, u64> = IndexMap::new();
-    for item in &submission.items {
-        let held = longest.entry(group_of(item)).or_insert(0);
-        *held = (*held).max(length(item));
-    }
-    let spare = longest
-        .len()
-        .saturating_sub(submission.target_groups.map_or(longest.len(), |groups| groups as usize));
-    let mut by_length: Vec<(&str, u64)> = longest
-        .iter()
-        .map(|(group, tokens)| (*group, *tokens))
-        .filter(|(group, _)| !carried(group))
-        .collect();
-    by_length.sort_by_key(|(_, tokens)| std::cmp::Reverse(*tokens));
-    let last: IndexSet<&str> = by_length.iter().take(spare).map(|(group, _)| *group).collect();
     let mut order: Vec<usize> = (0..submission.items.len()).collect();
-    order.sort_by_key(|index| {
-        let item = &submission.items[*index];
-        let group = group_of(item);
-        let turn = if carried(group) { 0 } else { 1 + u8::from(last.contains(group)) };
-        (turn, std::cmp::Reverse(length(item)))
-    });
+    order.sort_by_key(|index| std::cmp::Reverse(length(&submission.items[*index])));
     order
 }
 
-fn group_of(item: &Item) -> &str {
-    item.group.as_deref().unwrap_or(&item.id)
-}
-
 /// Results that are made durable together.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Chunk {
@@ -99,10 +102,18 @@
     pub progress: Progress,
 }
 
+/// What decides when results are listed.
+struct Listing<'a> {
+    /// Whether the last groups that the trainer waits for are about to be whole.
+    is_tail: bool,
+    /// The groups of which an item waits or runs.
+    open: IndexSet<&'a str>,
+}
+
 /// A result that is not durable yet.
 #[derive(Clone, Debug)]
 struct Finished {
-    list_by: UnixMs,
+    at: UnixMs,
     result: ItemResult,
 }
 
@@ -122,6 +133,7 @@
     failures: Vec<u32>,
     finished: Vec<Finished>,
     flushing: Option<Chunk>,
+    groups: Groups,
     index: IndexMap<String, usize>,
     listed: Vec<ItemResult>,
     order: Vec<usize>,
@@ -143,9 +155,10 @@
             failures: vec![0; submission.items.len()],
             finished: Vec::new(),
             flushing: None,
+            groups: Groups::open(&submission, carried),
             index,
             listed: Vec::new(),
-            order: running_order(&submission, carried),
+            order: running_order(&submission),
             places: vec![waiting; submission.items.len()],
             submission,
             terms,
@@ -227,7 +240,7 @@
         let Some(at) = self.index.get(&result.id).copied() else { return };
         if !self.ended && matches!(self.places[at], Place::Running | Place::Waiting { .. }) {
             self.places[at] = Place::Finished;
-            self.finished.push(Finished { list_by: now.plus(UNLISTED_MAX_MS), result });
+            self.finished.push(Finished { at: now, result });
         }
     }
 
@@ -250,17 +263,35 @@
         count
     }
 
-    /// Returns the groups of which an item has no durable result.
-    pub fn incomplete_groups(&self) -> Vec<String> {
-        let mut groups: IndexSet<&String> = IndexSet::new();
-        for (place, item) in self.places.iter().zip(&self.submission.items) {
-            if let Some(group) = &item.group
-                && !matches!(place, Place::Listed)
-            {
-                groups.insert(group);
-            }
-        }
-        groups.into_iter().cloned().collect()
+    /// Returns the groups that the trainer has not taken: those of which an item has no durable
+    /// result, and those that were whole only after all that it waited for.
+    pub fn untaken_groups(&self) -> IndexSet<&str> {
+        self.groups
+            .untaken(self.listed.iter().filter_map(|result| self.index.get(&result.id).copied()))
+    }
+
+    /// Tells whether the trainer has all groups that it waits for, durable or about to be.
+    pub fn is_whole(&self) -> bool {
+        self.missing_groups() == Some(0)
+    }
+
+    fn missing_groups(&self) -> Option<usize> {
+        self.groups.missing(|at| matches!(self.places[at], Place::Finished | Place::Listed))
+    }
+
+    /// Returns the groups that the trainer will have taken once all that is finished is durable.
+    pub fn taken_groups(&self) -> IndexSet<&str> {
+        let finished = self.finished.iter().map(|held| &held.result);
+        let flushing = self.flushing.iter().flat_map(|chunk| &chunk.results);
+        let done = self.listed.iter().chain(flushing).chain(finished);
+        let untaken =
+            self.groups.untaken(done.filter_map(|result| self.index.get(&result.id).copied()));
+        self.submission
+            .items
+            .iter()
+            .map(group_of)
+            .filter(|group| !untaken.contains(group))
+            .collect()
     }
 
     /// Tells whether an item waits to be run.
@@ -269,13 +300,13 @@
     }
 
     /// Gives out what is held of the texts of items that wait, and the whole texts of groups that
-    /// are not complete; for a later batch of the same items.
+    /// the trainer has not taken; for a later batch of the same items.
     pub fn take_progress(&mut self) -> Vec<(String, Progress)> {
-        let incomplete: IndexSet<String> = self.incomplete_groups().into_iter().collect();
+        let untaken = self.untaken_groups();
         let left = self.listed.iter().filter(|result| {
-            let group = self.item(&result.id).and_then(|item| item.group.as_ref());
+            let group = self.item(&result.id).map(group_of);
             result.state == ItemState::Completed
-                && group.is_some_and(|group| incomplete.contains(group))
+                && group.is_some_and(|group| untaken.contains(group))
         });
         let mut held: Vec<(String, Progress)> =
             left.map(|result| (result.id.clone(), Progress::whole(result))).collect();
@@ -312,32 +343,52 @@
         false
     }
 
-    /// Returns when the first of the results that wait for the rest of their groups is listed
-    /// without them.
+    /// Returns when the next results are listed, should nothing else finish.
     pub fn list_by(&self) -> Option<UnixMs> {
-        self.finished.iter().map(|held| held.list_by).min()
+        let plan = self.listing();
+        self.finished.iter().map(|held| self.list_one_at(&plan, held)).min()
     }
 
     /// Returns the chunk to write next, of at most about `max_bytes`: the results of groups that
-    /// are complete, and all results once one of them has waited for its group long enough. It is
+    /// are whole, and all results once one of them has waited for its group long enough. It is
     /// the same one until it is [merged](Self::merge), so that a lost reply cannot list anything
     /// twice.
     pub fn chunk_to_write(&mut self, now: UnixMs, max_bytes: usize) -> Option<&Chunk> {
         if self.flushing.is_none() && !self.finished.is_empty() {
-            let open = self.unfinished_groups();
-            let items = &self.submission.items;
-            let index = &self.index;
-            let overdue = self.finished.iter().any(|held| held.list_by <= now);
-            let is_due = |held: &Finished| {
-                let group = index.get(&held.result.id).map(|at| group_of(&items[*at]));
-                overdue || group.is_none_or(|group| !open.contains(group))
-            };
-            let due: Vec<bool> = self.finished.iter().map(is_due).collect();
+            let plan = self.listing();
+            let is_due = |held: &Finished| self.list_one_at(&plan, held) <= now;
+            let overdue =
+                self.finished.iter().any(|held| !self.is_group_done(&plan, held) && is_due(held));
+            let due: Vec<bool> = self.finished.iter().map(|held| overdue || is_due(held)).collect();
             self.begin_chunk(&due, max_bytes);
         }
         self.flushing.as_ref()
     }
 
+    fn listing(&self) -> Listing<'_> {
+        let is_tail = self.missing_groups().is_some_and(|missing| self.groups.is_tail(missing));
+        Listing { is_tail, open: self.unfinished_groups() }
+    }
+
+    fn is_group_done(&self, plan: &Listing<'_>, held: &Finished) -> bool {
+        let group = self.item(&held.result.id).map(group_of);
+        group.is_none_or(|group| !plan.open.contains(group))
+    }
+
+    /// When a result is listed, should nothing else finish.
+    fn list_one_at(&self, plan: &Listing<'_>, held: &Finished) -> UnixMs {
+        let due_at = self.terms.due_at;
+        let before = UnixMs(due_at.0.saturating_sub(LIST_BEFORE_DUE_MS));
+        let after = due_at.plus(LIST_AFTER_DUE_MS);
+        match (plan.is_tail, self.is_group_done(plan, held)) {
+            (false, true) => AT_ONCE,
+            (true, true) if held.at < before => before,
+            (true, true) if held.at < after => held.at.plus(WHOLE_MAX_MS).min(after),
+            (true, true) => held.at.plus(WHOLE_MAX_MS),
+            (_, false) => held.at.max(before).plus(UNLISTED_MAX_MS),
+        }
+    }
+
     /// The same for all results, e.g. because this owner leaves.
     pub fn chunk_of_all(&mut self, max_bytes: usize) -> Option<&Chunk> {
         if self.flushing.is_none() {
@@ -388,7 +439,7 @@
             return Merge::Ours;
         }
         let lost = ours.into_iter().flat_map(|chunk| chunk.results);
-        let lost = lost.map(|result| Finished { list_by: UnixMs(0), result });
+        let lost = lost.map(|result| Finished { at: UnixMs(0), result });
         let waiting: Vec<Finished> = lost.chain(std::mem::take(&mut self.finished)).collect();
         self.finished =
             waiting.into_iter().filter(|held| !self.is_listed(&held.result.id)).collect();
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`TargetTable`]: which targets may receive work, from a registry that lags and has outages.
 //! - [`Load`]: what this process sees of each target by its own calls, and the choice among them.
 //! - [`Batch`]: a batch submission, its items, and the results in their fixed positions.
+//! - [`Lookahead`]: which weights a later batch of the same items will accept.
 //! - [`Rollout`]: which target is brought to which weight version, and when.
 //! - [`Demand`]: how many targets each model gets.
 //! - [`EventReader`]: the events of a token stream.
@@ -14,15 +15,17 @@
 mod batch;
 mod document;
 mod load;
+mod lookahead;
 mod rollout;
 mod shares;
 mod stream;
 mod submission;
 mod targets;
 
-pub use batch::{Batch, BatchTerms, Chunk, Merge, NextItem};
+pub use batch::{Batch, BatchTerms, Chunk, Merge, NextItem, group_of};
 pub use document::{Document, EngineTerms, Limits, PlainTerms, Route, RouteKind, WeightedService};
 pub use load::{Load, LoadSettings, Outcome, Pick};
+pub use lookahead::Lookahead;
 pub use rollout::{LoadOrder, OrderOutcome, Rollout, RolloutSettings, RolloutTarget};
 pub use shares::{Demand, deal};
 pub use stream::{EventReader, StreamEvent};
--- a/crates/serve/src/batches/accept.rs
+++ b/crates/serve/src/batches/accept.rs
@@ -45,12 +45,16 @@
 ) -> BatchTerms {
     // Without a bound of the operator's, a batch is kept running for an hour.
     const UNBOUNDED_MS: u64 = 3_600_000;
+    // An item that is not done after half of the time is one of the long ones: the mean takes a
+    // tenth of it.
+    const LONG_PARTS: u64 = 2;
     let due_ms = route.run_target_ms.unwrap_or(UNBOUNDED_MS);
     let give_up_ms = route.give_up_ms.unwrap_or(UNBOUNDED_MS);
     BatchTerms {
         attempts: route.attempts.max(reward_attempts).max(1),
         due_at: accepted_at.plus(due_ms),
         give_up_at: accepted_at.plus(give_up_ms + slack_ms),
+        redo_from: accepted_at.plus(due_ms / LONG_PARTS),
         single_version: route.single_version,
     }
 }
@@ -236,6 +240,7 @@
     let (batch, resumed) = open_batch(node, submission, terms, chunks, texts);
     line["resumed"] = json!(resumed);
     node.note("batch_owned", line);
+    node.batches.note_opening(batch.submission());
     let held = Rc::new(RefCell::new(Held {
         accepted_at,
         batch,
@@ -291,6 +296,18 @@
         resumed += usize::from(batch.resume_from(&id, progress));
     }
     for id in ids {
+        if let Some(progress) = node.batches.second_runs.take(&id) {
+            let (last_event, versions) = (progress.last_event_id, progress.versions.clone());
+            let fits = batch.resume_from(&id, progress);
+            node.note(
+                "second_run_taken",
+                json!({ "request": id, "last_event": last_event, "versions": versions, "fits": fits }),
+            );
+            if fits {
+                leftovers.texts.swap_remove(&id);
+                resumed += 1;
+            }
+        }
         if let Some((progress, _)) = leftovers.texts.swap_remove(&id)
             && batch.resume_from(&id, progress)
         {
--- a/crates/serve/src/batches/mod.rs
+++ b/crates/serve/src/batches/mod.rs
@@ -20,7 +20,8 @@
 
 use crate::clock;
 use crate::peers::Owner;
-use catkinmast_dispatch::{Batch, Progress};
+use crate::runs::SecondRuns;
+use catkinmast_dispatch::{Batch, Lookahead, Progress, Submission};
 use catkinmast_model::UnixMs;
 use indexmap::{IndexMap, IndexSet};
 use keys::Record;
@@ -127,8 +128,11 @@
 #[derive(Debug, Default)]
 pub(crate) struct Batches {
     leftovers: RefCell<Leftovers>,
+    pub lookahead: RefCell<Lookahead>,
     owned: RefCell<IndexMap<String, Rc<RefCell<Held>>>>,
     owners: RefCell<IndexMap<String, Owner>>,
+    /// Runs of items for batches to come.
+    pub second_runs: SecondRuns,
     taking: RefCell<IndexSet<String>>,
     /// Wakes the search for batches without an owner.
     pub orphaned: Notify,
@@ -155,6 +159,18 @@
         }
     }
 
+    /// Takes the opening of a batch: how many steps its trainer has open.
+    fn note_opening(&self, submission: &Submission) {
+        let (Some(model), Some(step)) = (&submission.model, submission.step) else { return };
+        let open = self.open();
+        let steps = open.iter().filter_map(|held| {
+            let held = held.borrow();
+            let open = held.batch.submission();
+            open.step.filter(|_| open.model.as_ref() == Some(model))
+        });
+        self.lookahead.borrow_mut().opened(model, step, steps);
+    }
+
     pub(crate) fn get(&self, batch: &str) -> Option<Rc<RefCell<Held>>> {
         self.owned.borrow().get(batch).cloned()
     }
--- a/crates/serve/src/batches/ownership.rs
+++ b/crates/serve/src/batches/ownership.rs
@@ -16,9 +16,14 @@
 pub(super) fn keep_leftovers<P: Platform>(node: &Node<P>, held: &mut Held) {
     let now = clock::now();
     let mut leftovers = node.batches.leftovers.borrow_mut();
-    for group in held.batch.incomplete_groups() {
-        leftovers.groups.insert(group, now);
+    for group in held.batch.untaken_groups() {
+        leftovers.groups.insert(group.to_owned(), now);
     }
+    let untaken = |id: &str| {
+        let group = held.batch.item(id).and_then(|item| item.group.as_deref());
+        group.is_some_and(|group| held.batch.untaken_groups().contains(group))
+    };
+    node.batches.second_runs.stop_where(|second| second.batch == held.id && !untaken(&second.item));
     for (id, progress) in held.batch.take_progress() {
         leftovers.texts.insert(id, (progress, now));
     }
--- a/crates/serve/src/batches/write.rs
+++ b/crates/serve/src/batches/write.rs
@@ -104,6 +104,10 @@
             }
             let (waiting, running, _) = held.borrow().batch.counts();
             let total = held.borrow().batch.submission().items.len();
+            if held.borrow().batch.is_whole() {
+                // The trainer waits for just these.
+                continue;
+            }
             if (waiting + running) * TAIL_PART > total {
                 sleep(GATHER).await;
             } else if waiting + running > 0 {
--- a/crates/serve/src/runs/mod.rs
+++ b/crates/serve/src/runs/mod.rs
@@ -2,8 +2,11 @@
 
 mod place;
 mod score;
+mod second;
 mod stream;
 
+pub(crate) use second::SecondRuns;
+
 use crate::batches::{Held, Run};
 use crate::clock;
 use crate::forward::{Chosen, InFlight};
@@ -12,6 +15,7 @@
 use catkinmast_dispatch::{ItemResult, NextItem};
 use place::{OwnTargets, choose, move_slow_runs};
 use score::start_scoring;
+use second::start_second_runs;
 use serde_json::json;
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -44,6 +48,7 @@
             start_items(&node, &held);
             move_slow_runs(&node, &held);
         }
+        start_second_runs(&node);
     }
 }
 
--- a/crates/serve/src/runs/stream.rs
+++ b/crates/serve/src/runs/stream.rs
@@ -30,9 +30,32 @@
 /// How long a run may take that its caller has not bounded.
 const RUN_MAX_MS: u64 = 30_000;
 
+/// What a run is made under.
+#[derive(Clone, Debug)]
+pub(super) struct RunTerms {
+    pub give_up_at: UnixMs,
+    pub host: String,
+    pub model: Option<String>,
+    /// The oldest version that may produce its events.
+    pub oldest_version: u64,
+}
+
+impl RunTerms {
+    /// Returns those of a batch's own runs.
+    pub(super) fn of(held: &Held) -> Self {
+        let submission = held.batch.submission();
+        Self {
+            give_up_at: held.batch.terms().give_up_at,
+            host: held.origin().0.to_owned(),
+            model: submission.model.clone(),
+            oldest_version: submission.oldest_version,
+        }
+    }
+}
+
 /// How a run ended.
 #[derive(Debug)]
-enum RunEnd {
+pub(super) enum RunEnd {
     /// The target's answer says that the item failed.
     Failed,
     /// The item can never be done.
@@ -54,8 +77,9 @@
     let began_at = clock::now();
     let resumed_after = progress.borrow().last_event_id;
     let item = held.borrow().batch.submission().items[index].clone();
+    let terms = RunTerms::of(&held.borrow());
     let longest_gap_ms = Cell::new(0);
-    let end = run(&node, &held, &item, &progress, &chosen, &longest_gap_ms).await;
+    let end = run(&node, &terms, &item, &progress, &chosen, &longest_gap_ms).await;
     let text = progress.borrow().clone();
     let outcome = match &end {
         RunEnd::Whole | RunEnd::Failed | RunEnd::Impossible => Outcome::Cancelled,
@@ -129,21 +153,16 @@
     }
 }
 
-async fn run<P: Platform>(
+pub(super) async fn run<P: Platform>(
     node: &Rc<Node<P>>,
-    held: &RefCell<Held>,
+    terms: &RunTerms,
     item: &Item,
     progress: &Rc<RefCell<Progress>>,
     chosen: &Chosen,
     longest_gap_ms: &Cell<u64>,
 ) -> RunEnd {
-    let (request, oldest_version, model) = {
-        let held = held.borrow();
-        let give_up_at = held.batch.terms().give_up_at;
-        let request = outgoing(item, held.origin().0, give_up_at, progress.borrow().last_event_id);
-        let submission = held.batch.submission();
-        (request, submission.oldest_version, submission.model.clone())
-    };
+    let after = progress.borrow().last_event_id;
+    let request = outgoing(item, &terms.host, terms.give_up_at, after);
     let broken = |why: &str, outcome| RunEnd::Broken { outcome, why: why.to_owned() };
     let opened = match timeout(FIRST_EVENT_MAX, forward::open(node, chosen, &request)).await {
         Ok(Ok(opened)) => opened,
@@ -182,8 +201,8 @@
     let mut stream = TokenStream {
         body,
         longest_gap_ms: 0,
-        model,
-        oldest_version,
+        model: terms.model.clone(),
+        oldest_version: terms.oldest_version,
         progress,
         version: marks.version,
     };
--- a/tests/all/dispatch/mod.rs
+++ b/tests/all/dispatch/mod.rs
@@ -2,6 +2,7 @@
 
 mod batch;
 mod load;
+mod lookahead;
 mod rollout;
 mod routes;
 mod shares;
