catkinmast-steps: where the time of each training step went

The command prints, per step, the critical path of the item that ended it (waited, running, standing between runs, listed, read) and the means per model; it reads the trails as they are, item_moved now says how long a run had lasted and how far it was.

--- a/crates/serve/src/runs/place.rs
+++ b/crates/serve/src/runs/place.rs
@@ -98,7 +98,13 @@
     let next = {
         let mut held = held.borrow_mut();
         let item = held.batch.submission().items[index].id.clone();
-        let line = json!({ "request": item, "batch": held.id, "from": from, "to": faster.id });
+        let run = held.runs.get(&index);
+        let last_event = run.and_then(|run| run.progress.borrow().last_event_id);
+        let ms = run.map(|run| clock::now().since_ms(run.began_at));
+        let line = json!({
+            "request": item, "batch": held.id, "from": from, "to": faster.id,
+            "last_event": last_event, "ms": ms,
+        });
         node.note("item_moved", line);
         held.stop_run(index);
         held.batch.take_item(index)
--- a/crates/trail/src/lib.rs
+++ b/crates/trail/src/lib.rs
@@ -4,6 +4,10 @@
 //! batch, and a batch's lines its owners; so the lines of an item's batch belong to the item's
 //! story, while those of its neighbours in the batch do not.
 
+mod steps;
+
+pub use steps::{StepAccount, StepTotals, steps, totals};
+
 use serde_json::Value;
 
 /// Fields that name a request, an item, a batch or a target.
@@ -20,7 +24,7 @@
 }
 
 /// Reads the JSON object of a line; what stands before it, e.g. a collector's prefix, is skipped.
-fn object(text: &str) -> Option<Value> {
+pub(crate) fn object(text: &str) -> Option<Value> {
     let start = text.find('{')?;
     serde_json::from_str(&text[start..]).ok().filter(Value::is_object)
 }
--- a/tests/all/trail.rs
+++ b/tests/all/trail.rs
@@ -1,6 +1,6 @@
 //! The story of a request from several processes' trails.
 
-use catkinmast_trail::{story, tell};
+use catkinmast_trail::{StepAccount, steps, story, tell, totals};
 
 const LOGS: &str = r#"
 collector-prefix {"at_unix_ms":1000,"at_ms":7,"node":"n1","event":"batch_owned","request":"b1"}
@@ -34,3 +34,47 @@
 
     assert_eq!(tell(&steps[0], 1_000), "    100 ms  n3  request_ended  request=\"q9\"  status=502");
 }
+
+/// The trail of one step of two items: one is short, the other moves and ends the step.
+const STEP: &str = r#"
+{"at_unix_ms":1000,"event":"batch_owned","model":"m","request":"b1","step":4}
+{"at_unix_ms":1500,"batch":"b1","event":"item_run","last_event":9,"ms":490,"outcome":"whole","request":"short"}
+{"at_unix_ms":1102,"batch":"b1","event":"item_run","last_event":null,"ms":2,"outcome":"broken","request":"long"}
+{"at_unix_ms":4200,"batch":"b1","event":"item_moved","last_event":60,"ms":3000,"request":"long"}
+{"at_unix_ms":7250,"batch":"b1","event":"item_run","last_event":130,"ms":3000,"outcome":"whole","request":"long"}
+{"at_unix_ms":7300,"event":"results_listed","request":"b1"}
+{"at_unix_ms":7500,"event":"batch_ended","request":"b1"}
+{"at_unix_ms":9000,"event":"batch_owned","model":"m","request":"b2","step":5}
+"#;
+
+#[test]
+fn a_steps_time_is_told_by_the_item_that_ended_it() {
+    let steps = steps(STEP.lines());
+
+    let expected = StepAccount {
+        batch: "b1".to_owned(),
+        events: 130,
+        item: "long".to_owned(),
+        listed_ms: 50,
+        model: "m".to_owned(),
+        owners: 1,
+        read_ms: 200,
+        running_ms: 6_000,
+        runs: 2,
+        standing_ms: 50,
+        step: Some(4),
+        took_ms: 6_500,
+        waited_ms: 200,
+    };
+    assert_eq!(steps, [expected], "a step that has not ended has no account");
+}
+
+#[test]
+fn the_parts_of_a_steps_time_add_up() {
+    let steps = steps(STEP.lines());
+
+    let mean = &totals(&steps)["m"];
+
+    let parts = mean.waited_ms + mean.running_ms + mean.standing_ms + mean.listed_ms + mean.read_ms;
+    assert_eq!((mean.steps, parts), (1, mean.took_ms));
+}
