The groups that a trainer has not taken are worked out once as a batch ends

They were worked out again over the whole batch for each of its second runs, by a second way of naming an item's group. Now once, with group_of as elsewhere.

--- a/crates/serve/src/batches/ownership.rs
+++ b/crates/serve/src/batches/ownership.rs
@@ -7,6 +7,7 @@
 use crate::node::Node;
 use crate::peers::{self, Owner};
 use crate::platform::Platform;
+use catkinmast_dispatch::group_of;
 use serde_json::json;
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -16,14 +17,15 @@
 pub(super) fn keep_leftovers<P: Platform>(node: &Node<P>, held: &mut Held) {
     let now = clock::now();
     let mut leftovers = node.batches.leftovers.borrow_mut();
-    for group in held.batch.untaken_groups() {
-        leftovers.groups.insert(group.to_owned(), now);
+    let untaken = held.batch.untaken_groups();
+    for group in &untaken {
+        leftovers.groups.insert((*group).to_owned(), now);
     }
-    let untaken = |id: &str| {
-        let group = held.batch.item(id).and_then(|item| item.group.as_deref());
-        group.is_some_and(|group| held.batch.untaken_groups().contains(group))
-    };
-    node.batches.second_runs.stop_where(|second| second.batch == held.id && !untaken(&second.item));
+    let is_untaken =
+        |id: &str| held.batch.item(id).is_some_and(|item| untaken.contains(group_of(item)));
+    node.batches
+        .second_runs
+        .stop_where(|second| second.batch == held.id && !is_untaken(&second.item));
     for (id, progress) in held.batch.take_progress() {
         leftovers.texts.insert(id, (progress, now));
     }
