A target that starts again under its id counts anew; entries of other writers name none

Cause: the platform now lets a worker start again under its former id, and others write where workers register. Leaving was sticky for an id, an entry with a lower heartbeat number counted as late, orders went on counting; a missing field was given a value of ours, an unknown state counted as leaving for good, and an entry that could not be read left the former one in use.

Change: entries and reports tell when a life began (none where workers do not tell). What belongs to an earlier life does not count: entries, reports, word of loads from peers; a later life starts with nothing held against it (leaving, heartbeat, versions, orders accepted, failures, runs, connections). Where most targets tell their start, an entry that does not names none. Fields that all workers write must be there and of their type, the state one of the two that exist; an entry that does not read names no target until the worker writes again.

Weighed: one foreign entry must not take out a fleet that tells no starts, so most targets decide; an entry of another writer over a worker's own takes that worker out rather than being passed over, since a drain could hide behind it.

--- a/crates/dispatch/src/load.rs
+++ b/crates/dispatch/src/load.rs
@@ -249,6 +249,14 @@
         seen.filter(|latency_ms| *latency_ms > 0).min().unwrap_or(0)
     }
 
+    /// Forgets what was seen of a target's earlier life. Calls that are in flight there still count
+    /// until they are given up.
+    pub fn reborn(&mut self, id: &str) {
+        let seen = self.entry(id);
+        let (in_flight, run_ends) = (seen.in_flight, std::mem::take(&mut seen.run_ends));
+        *seen = Seen { in_flight, run_ends, ..Seen::default() };
+    }
+
     /// Forgets targets that are gone and have no call in flight.
     pub fn retain(&mut self, kept: impl Fn(&str) -> bool) {
         self.seen.retain(|id, seen| seen.in_flight > 0 || kept(id));
--- a/crates/dispatch/src/targets.rs
+++ b/crates/dispatch/src/targets.rs
@@ -12,6 +12,12 @@
 //!   [`RETURN_GRACE_MS`] later; any other removal is believed at once.
 //! - *A target that the registry lost sight of is used on.* Its entry is gone, so it may not be;
 //!   only a newer entry brings it back.
+//! - *A target that started again under its id is taken for its earlier life*: its heartbeats and
+//!   orders count anew, so its entries look old and orders expect counts that it never had. It would
+//!   be noticed as a target that is passed over, or loads nothing, for good. So an entry tells when
+//!   its life began, and what belongs to an earlier life does not count.
+//! - *An entry that another program wrote is used.* It would be noticed as work sent to something
+//!   that is no target. Where most targets tell when they started, an entry that does not names none.
 
 use crate::shares::{Demand, SHARE_UNIT, deal};
 use catkinmast_model::UnixMs;
@@ -27,11 +33,13 @@
 pub struct TargetEntry {
     /// Where it listens.
     pub address: SocketAddr,
+    /// When this life of it began, by its own clock; none where targets do not tell.
+    pub born_at_unix_ms: Option<u64>,
     /// Where it stands.
     pub data_centre: String,
     /// Whether it leaves.
     pub draining: bool,
-    /// Its id; a restart has another.
+    /// Its id; a restart may have another, or the same and a later start.
     pub id: String,
     /// The weight versions that it holds, by model.
     pub models: Vec<(String, u64)>,
@@ -84,6 +92,8 @@
     Left(String),
     /// Nothing that matters here.
     None,
+    /// A target has started again under its id: what was known of it belongs to an earlier life.
+    Reborn(String),
 }
 
 #[derive(Clone, Debug)]
@@ -107,15 +117,33 @@
 /// The targets known, by id.
 #[derive(Clone, Debug, Default)]
 pub struct TargetTable {
+    /// Whether most targets tell when they started.
+    births_told: bool,
     known: IndexMap<String, Known>,
 }
 
 impl TargetTable {
     /// Takes an entry.
     pub fn seen(&mut self, entry: TargetEntry) -> TargetChange {
+        let change = self.take(entry);
+        let listed = self.known.values().filter(|known| known.presence == Presence::Listed);
+        let (born, all) = listed.fold((0, 0), |(born, all), known| {
+            (born + usize::from(known.entry.born_at_unix_ms.is_some()), all + 1)
+        });
+        self.births_told = born * 2 > all;
+        change
+    }
+
+    fn take(&mut self, entry: TargetEntry) -> TargetChange {
         let Some(known) = self.known.get_mut(&entry.id) else {
             return self.insert(entry);
         };
+        match (entry.born_at_unix_ms, known.entry.born_at_unix_ms) {
+            (Some(new), Some(held)) if new < held => return TargetChange::None,
+            (None, Some(_)) => return known.foreign(),
+            (new, held) if new != held => return known.reborn(entry),
+            _ => {}
+        }
         if entry.sequence < known.entry.sequence {
             return TargetChange::None;
         }
@@ -167,6 +195,28 @@
         changes
     }
 
+    /// Takes a target's own word of when its life began: an entry lags behind it.
+    ///
+    /// Returns whether what is said with it counts: false where it is of an earlier life than the one
+    /// that is known.
+    pub fn told_birth(&mut self, id: &str, born_at_unix_ms: Option<u64>) -> (bool, TargetChange) {
+        let Some(known) = self.known.get_mut(id) else { return (true, TargetChange::None) };
+        match (born_at_unix_ms, known.entry.born_at_unix_ms) {
+            (Some(told), Some(held)) if told < held => (false, TargetChange::None),
+            (Some(told), Some(held)) if told > held => {
+                let entry = TargetEntry {
+                    born_at_unix_ms,
+                    draining: false,
+                    models: Vec::new(),
+                    sequence: 0,
+                    ..known.entry.clone()
+                };
+                (true, known.reborn(entry))
+            }
+            _ => (true, TargetChange::None),
+        }
+    }
+
     /// Takes a target's own word that it leaves, or that another has its address.
     pub fn refused(&mut self, id: &str) -> TargetChange {
         match self.known.get_mut(id) {
@@ -191,10 +241,14 @@
     pub fn usable<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a TargetEntry> {
         self.known
             .values()
-            .filter(move |known| known.entry.service == service && known.usable())
+            .filter(move |known| known.entry.service == service && self.is_usable(known))
             .map(|known| &known.entry)
     }
 
+    const fn is_usable(&self, known: &Known) -> bool {
+        known.usable() && (known.entry.born_at_unix_ms.is_some() || !self.births_told)
+    }
+
     /// Returns the ids of the targets that are kept current for a model and may serve it, given the
     /// oldest version that may, the versions in force and the work of each model.
     ///
@@ -234,7 +288,7 @@
 
     /// Counts the targets that are not known to have left.
     pub fn count(&self) -> usize {
-        self.known.values().filter(|known| known.usable()).count()
+        self.known.values().filter(|known| self.is_usable(known)).count()
     }
 
     /// Returns a target's entry, also of one that left.
@@ -253,6 +307,26 @@
 }
 
 impl Known {
+    /// Takes the entry of a later life; nothing of the earlier one holds.
+    fn reborn(&mut self, entry: TargetEntry) -> TargetChange {
+        let id = entry.id.clone();
+        let left = entry.draining;
+        let was_usable = self.usable();
+        *self = Self { entry, left, presence: Presence::Listed };
+        match (was_usable, left) {
+            (_, false) => TargetChange::Reborn(id),
+            (true, true) => TargetChange::Left(id),
+            (false, true) => TargetChange::None,
+        }
+    }
+
+    /// Takes an entry that the target cannot have written: it names no target as it stands.
+    fn foreign(&mut self) -> TargetChange {
+        let was_usable = self.usable();
+        self.presence = Presence::Missing;
+        if was_usable { TargetChange::Left(self.entry.id.clone()) } else { TargetChange::None }
+    }
+
     const fn usable(&self) -> bool {
         !self.left && !matches!(self.presence, Presence::Missing)
     }
--- a/crates/serve/src/batches/mod.rs
+++ b/crates/serve/src/batches/mod.rs
@@ -171,6 +171,20 @@
         self.lookahead.borrow_mut().opened(model, step, steps);
     }
 
+    /// Stops all runs at a target; their items go on elsewhere, with what is held of their texts.
+    pub(crate) fn stop_runs_at(&self, target: &str) {
+        for held in self.owned.borrow().values() {
+            let mut held = held.borrow_mut();
+            let at_target =
+                held.runs.iter().filter(|(_, run)| run.target == target && !run.scoring);
+            let indices: Vec<usize> = at_target.map(|(index, _)| *index).collect();
+            for index in indices {
+                held.stop_run(index);
+            }
+        }
+        self.second_runs.stop_where(|second| second.target == target);
+    }
+
     pub(crate) fn get(&self, batch: &str) -> Option<Rc<RefCell<Held>>> {
         self.owned.borrow().get(batch).cloned()
     }
--- a/crates/serve/src/feed/apply.rs
+++ b/crates/serve/src/feed/apply.rs
@@ -4,7 +4,7 @@
 use crate::node::Node;
 use crate::platform::{OperatorNotice, Platform};
 use crate::store::{StoreEvent, StoredItem};
-use catkinmast_dispatch::{Document, TargetChange};
+use catkinmast_dispatch::Document;
 use serde_json::json;
 use std::rc::Rc;
 
@@ -77,7 +77,9 @@
             }
             StoreEvent::Written(item) => match decode_target(node, item) {
                 Some(entry) => node.targets.borrow_mut().seen(entry),
-                None => TargetChange::None,
+                // As it stands the entry names no target. Used on, the target that it named before
+                // could have left without a word of it.
+                None => node.targets.borrow_mut().removed(now, P::target_id(&item.key), false),
             },
         };
         node.target_changed(&change, "registry");
--- a/crates/serve/src/node.rs
+++ b/crates/serve/src/node.rs
@@ -172,6 +172,7 @@
         let (id, event) = match change {
             TargetChange::Joined(id) => (id, "target_joined"),
             TargetChange::Left(id) => (id, "target_left"),
+            TargetChange::Reborn(id) => (id, "target_reborn"),
             TargetChange::None => return,
         };
         let entry = self.targets.borrow().entry(id).cloned();
@@ -180,12 +181,17 @@
             event,
             json!({
                 "target": id, "service": entry.service, "address": entry.address,
-                "heartbeat": entry.sequence, "why": why,
+                "heartbeat": entry.sequence, "born_at_unix_ms": entry.born_at_unix_ms, "why": why,
             }),
         );
-        if event == "target_left" {
+        if !matches!(change, TargetChange::Joined(_)) {
             self.pool.forget(entry.address);
         }
+        if matches!(change, TargetChange::Reborn(_)) {
+            self.load.borrow_mut().reborn(id);
+            // Their connections may stay silent; the texts go on elsewhere at once.
+            self.batches.stop_runs_at(id);
+        }
         self.work.notify_one();
     }
 
--- a/crates/serve/src/orders.rs
+++ b/crates/serve/src/orders.rs
@@ -15,7 +15,9 @@
 use crate::pool::{CallError, read_whole};
 use crate::store::{Expectation, LeaseId, Put, StoreAnswer, StoreCall, StoreRefusal};
 use bytes::Bytes;
-use catkinmast_dispatch::{LoadOrder, OrderOutcome, Rollout, RolloutSettings, RolloutTarget};
+use catkinmast_dispatch::{
+    LoadOrder, OrderOutcome, Rollout, RolloutSettings, RolloutTarget, TargetEntry,
+};
 use catkinmast_lease::{Action, Change, HolderRecord, Report, Tenure, TenureSettings};
 use catkinmast_member::OwnerFact;
 use catkinmast_model::{Fence, Name, Verdict};
@@ -65,8 +67,8 @@
 #[derive(Debug)]
 struct Holder {
     lease: Cell<Option<LeaseId>>,
-    /// Orders that each target has accepted, as far as known.
-    accepted: RefCell<IndexMap<String, u64>>,
+    /// Orders that each target has accepted in which life, as far as known.
+    accepted: RefCell<IndexMap<String, Accepted>>,
     rollouts: RefCell<IndexMap<String, Rollout>>,
     /// How each service's targets were shared among models when it was last told.
     shared: RefCell<IndexMap<String, serde_json::Value>>,
@@ -74,6 +76,26 @@
     vacated: RefCell<Vec<String>>,
 }
 
+/// Orders that a target has accepted since it started.
+#[derive(Clone, Copy, Debug)]
+struct Accepted {
+    born_at_unix_ms: Option<u64>,
+    orders: u64,
+}
+
+impl Holder {
+    /// Returns how many orders a target has accepted in its present life. One that started again
+    /// counts anew: an order that names the former count is refused for good.
+    fn accepted(&self, entry: &TargetEntry) -> Option<u64> {
+        let accepted = self.accepted.borrow().get(&entry.id).copied()?;
+        (accepted.born_at_unix_ms == entry.born_at_unix_ms).then_some(accepted.orders)
+    }
+
+    fn note_accepted(&self, target: &str, born_at_unix_ms: Option<u64>, orders: u64) {
+        self.accepted.borrow_mut().insert(target.to_owned(), Accepted { born_at_unix_ms, orders });
+    }
+}
+
 fn duty() -> Name {
     peers::name_of(DUTY)
 }
@@ -319,8 +341,9 @@
 ) -> OrderOutcome {
     let entry = node.targets.borrow().entry(&order.target).cloned();
     let Some(entry) = entry else { return OrderOutcome::Failed };
+    let born_at_unix_ms = entry.born_at_unix_ms;
+    let known = holder.accepted(&entry);
     let chosen = Chosen { address: entry.address, id: entry.id };
-    let known = holder.accepted.borrow().get(&chosen.id).copied();
     let expected_orders = match known {
         Some(accepted) => accepted,
         None => match report(node, &chosen).await {
@@ -362,11 +385,11 @@
     holder.accepted.borrow_mut().swap_remove(&chosen.id);
     match sent {
         Ok((StatusCode::ACCEPTED, _)) => {
-            holder.accepted.borrow_mut().insert(chosen.id.clone(), expected_orders + 1);
+            holder.note_accepted(&chosen.id, born_at_unix_ms, expected_orders + 1);
             sleep(FIRST_LOOK).await;
         }
         Ok((StatusCode::OK, _)) => {
-            holder.accepted.borrow_mut().insert(chosen.id.clone(), expected_orders);
+            holder.note_accepted(&chosen.id, born_at_unix_ms, expected_orders);
             node.targets.borrow_mut().version_seen(&chosen.id, &order.model, order.version);
             return OrderOutcome::Done;
         }
@@ -424,7 +447,7 @@
     report: &EngineReport,
 ) {
     if !report.busy {
-        holder.accepted.borrow_mut().insert(chosen.id.clone(), report.orders_accepted);
+        holder.note_accepted(&chosen.id, report.born_at_unix_ms, report.orders_accepted);
     }
     for (model, version) in &report.models {
         node.targets.borrow_mut().version_seen(&chosen.id, model, *version);
@@ -439,7 +462,14 @@
     if status != StatusCode::OK {
         return Err(CallError::may_have_run(format!("the report was answered {status}")));
     }
-    P::report(&body).map_err(|error| CallError::may_have_run(error.to_string()))
+    let report = P::report(&body).map_err(|error| CallError::may_have_run(error.to_string()))?;
+    let (of_this_life, change) =
+        node.targets.borrow_mut().told_birth(&chosen.id, report.born_at_unix_ms);
+    node.target_changed(&change, "its report");
+    if !of_this_life {
+        return Err(CallError::may_have_run("the report is of an earlier life"));
+    }
+    Ok(report)
 }
 
 /// Sends an order, or asks for the report, at an engine.
--- a/crates/serve/src/peers.rs
+++ b/crates/serve/src/peers.rs
@@ -95,8 +95,8 @@
     Changes { changes: Changes, subject: Subject },
     /// Membership.
     Member(Message),
-    /// A target loads weights from now on, for about so long.
-    TargetLoads { for_ms: u64, target: String },
+    /// A target, in the life that began then, loads weights from now on, for about so long.
+    TargetLoads { born_at_unix_ms: Option<u64>, for_ms: u64, target: String },
 }
 
 /// A life of a node.
@@ -195,7 +195,14 @@
             node.note_demand(model.as_deref(), work_tokens);
             batches::told_owner(node, &batch, owner);
         }
-        Ok(Datagram::TargetLoads { for_ms, target }) => target_loads(node, &target, for_ms),
+        Ok(Datagram::TargetLoads { born_at_unix_ms, for_ms, target }) => {
+            let (of_this_life, change) =
+                node.targets.borrow_mut().told_birth(&target, born_at_unix_ms);
+            node.target_changed(&change, "a peer");
+            if of_this_life {
+                target_loads(node, &target, for_ms);
+            }
+        }
         Err(error) => {
             node.note("datagram_refused", json!({ "from": from, "why": error.to_string() }));
         }
@@ -271,7 +278,9 @@
 /// Tells the owners of batches, who alone start items, that a target loads.
 pub(crate) fn tell_load<P: Platform>(node: &Node<P>, target: &str, for_ms: u64) {
     target_loads(node, target, for_ms);
-    let datagram = Datagram::TargetLoads { for_ms, target: target.to_owned() };
+    let born_at_unix_ms =
+        node.targets.borrow().entry(target).and_then(|entry| entry.born_at_unix_ms);
+    let datagram = Datagram::TargetLoads { born_at_unix_ms, for_ms, target: target.to_owned() };
     for owner in node.batches.owner_addresses() {
         send(node, &datagram, owner);
     }
--- a/crates/serve/src/platform.rs
+++ b/crates/serve/src/platform.rs
@@ -117,6 +117,8 @@
 /// What an engine reports of itself.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct EngineReport {
+    /// When this life of it began, by its own clock; none where engines do not tell.
+    pub born_at_unix_ms: Option<u64>,
     /// Whether an order is being carried out.
     pub busy: bool,
     /// Weight versions by model.
@@ -180,7 +182,7 @@
     /// Reads a target's entry.
     ///
     /// # Errors
-    /// When the value is not in its format.
+    /// When the value is not in its format: others than targets may have written it.
     fn target_entry(key: &str, value: &[u8]) -> Result<TargetEntry, DecodeError>;
 
     /// Writes that a store machine is empty.
--- a/crates/serve/src/runs/second.rs
+++ b/crates/serve/src/runs/second.rs
@@ -38,6 +38,8 @@
     progress: Rc<RefCell<Progress>>,
     running: Rc<Cell<bool>>,
     stop_by: UnixMs,
+    /// Where it runs.
+    pub target: String,
     task: AbortHandle,
 }
 
@@ -148,7 +150,7 @@
     let (node_too, progress_too, running_too) =
         (Rc::clone(node), Rc::clone(&progress), Rc::clone(&running));
     let id = item.id.clone();
-    let batch_too = batch.clone();
+    let (batch_too, target) = (batch.clone(), chosen.id.clone());
     let task = tokio::task::spawn_local(async move {
         let began_at = clock::now();
         let gap = Cell::new(0);
@@ -176,6 +178,7 @@
         progress,
         running,
         stop_by,
+        target,
         task: task.abort_handle(),
     };
     node.batches.second_runs.0.borrow_mut().insert(id, second);
--- a/tests/all/dispatch/shares.rs
+++ b/tests/all/dispatch/shares.rs
@@ -34,6 +34,7 @@
     for target in targets {
         table.seen(TargetEntry {
             address: "127.0.0.1:1".parse().expect("an address"),
+            born_at_unix_ms: None,
             data_centre: target.data_centre.clone(),
             draining: false,
             id: target.id.clone(),
--- a/tests/all/dispatch/targets.rs
+++ b/tests/all/dispatch/targets.rs
@@ -7,6 +7,7 @@
 fn entry(id: &str, sequence: u64, draining: bool) -> TargetEntry {
     TargetEntry {
         address: "127.0.0.1:1".parse().expect("an address"),
+        born_at_unix_ms: None,
         data_centre: "dc".to_owned(),
         draining,
         id: id.to_owned(),
@@ -17,6 +18,11 @@
     }
 }
 
+/// An entry of a target that tells when its life began.
+fn born(id: &str, born_at_unix_ms: u64, sequence: u64, draining: bool) -> TargetEntry {
+    TargetEntry { born_at_unix_ms: Some(born_at_unix_ms), ..entry(id, sequence, draining) }
+}
+
 /// `in_force` is the version in force of both models.
 fn for_model<'a>(table: &'a TargetTable, model: &str, oldest: u64, in_force: u64) -> Vec<&'a str> {
     let versions = ["x", "y"].map(|model| (model.to_owned(), in_force));
@@ -101,3 +107,80 @@
     assert_eq!(for_model(&table, "x", 1, 4).len(), 6);
     assert!(for_model(&table, "x", 2, 4).is_empty(), "none is new enough");
 }
+
+// Symptom: a target that started again under its id receives no work for the rest of its life.
+// Sequence: it says that it leaves, ends, and starts again; its heartbeats count from 1.
+// Cause: leaving is sticky for an id, and an entry with a lower number counts as a late one.
+#[test]
+fn a_target_that_starts_again_under_its_id_receives_work() {
+    let mut table = TargetTable::default();
+    table.seen(born("a", 1_000, 40, false));
+    table.seen(born("a", 1_000, 41, true));
+
+    let change = table.seen(born("a", 9_000, 1, false));
+
+    assert_eq!(change, TargetChange::Reborn("a".to_owned()));
+    assert_eq!(usable(&table), ["a"]);
+}
+
+#[test]
+fn what_comes_late_of_an_earlier_life_does_not_count() {
+    let mut table = TargetTable::default();
+    table.seen(born("a", 1_000, 40, false));
+    table.version_seen("a", "x", 7);
+    table.seen(born("a", 9_000, 1, false));
+
+    assert_eq!(table.seen(born("a", 1_000, 41, true)), TargetChange::None);
+    assert_eq!(table.told_birth("a", Some(1_000)), (false, TargetChange::None));
+    assert_eq!(table.entry("a").and_then(|entry| entry.version("x")), Some(1));
+    assert_eq!(usable(&table), ["a"]);
+}
+
+#[test]
+fn a_report_of_a_later_life_comes_before_its_entry() {
+    let mut table = TargetTable::default();
+    table.seen(born("a", 1_000, 40, false));
+    table.version_seen("a", "x", 7);
+
+    let told = table.told_birth("a", Some(9_000));
+
+    assert_eq!(told, (true, TargetChange::Reborn("a".to_owned())));
+    assert_eq!(table.entry("a").and_then(|entry| entry.version("x")), None);
+    assert_eq!(table.seen(born("a", 9_000, 1, false)), TargetChange::None);
+    assert_eq!(table.seen(born("a", 1_000, 41, false)), TargetChange::None);
+}
+
+// Symptom: requests go to something that is no target.
+// Sequence: another program writes an entry whose fields are all there, but for the start.
+// Cause: nothing tells it from an entry of a target.
+#[test]
+fn where_most_targets_tell_their_start_an_entry_without_one_names_none() {
+    let mut table = TargetTable::default();
+    table.seen(entry("foreign", 1, false));
+    table.seen(born("a", 1_000, 1, false));
+    table.seen(born("b", 1_000, 1, false));
+
+    assert_eq!(usable(&table), ["a", "b"]);
+    assert_eq!(table.count(), 2);
+}
+
+#[test]
+fn one_entry_with_a_start_does_not_take_out_the_targets_that_tell_none() {
+    let mut table = TargetTable::default();
+    table.seen(entry("a", 1, false));
+    table.seen(entry("b", 1, false));
+    table.seen(born("foreign", 1_000, 1, false));
+
+    assert_eq!(usable(&table), ["a", "b", "foreign"]);
+}
+
+#[test]
+fn a_target_whose_entry_another_program_overwrote_is_out_until_it_writes_again() {
+    let mut table = TargetTable::default();
+    table.seen(born("a", 1_000, 4, false));
+    table.seen(born("b", 1_000, 4, false));
+
+    assert_eq!(table.seen(entry("a", 9, false)), TargetChange::Left("a".to_owned()));
+    assert_eq!(usable(&table), ["b"]);
+    assert_eq!(table.seen(born("a", 1_000, 5, false)), TargetChange::Joined("a".to_owned()));
+}
--- a/tests/all/platform_parsers.rs
+++ b/tests/all/platform_parsers.rs
@@ -22,7 +22,7 @@
 fn target() -> Value {
     json!({
         "service": "s", "address": "10.1.0.10:80", "zone": "z", "version": "1", "slots": 4,
-        "state": "ready", "coldLeftMs": 0, "seq": 3, "stage": "hybrid",
+        "state": "ready", "born": 1_764_720_000_000_u64, "coldLeftMs": 0, "seq": 3, "stage": "hybrid",
         "models": [{ "name": "m", "version": 2, "adapters": [] }],
     })
 }
@@ -63,6 +63,12 @@
     }
 }
 
+/// Values of a JSON type other than this one's.
+fn of_another_type(value: &Value) -> impl Fn(&Value) -> bool {
+    let kind = std::mem::discriminant(value);
+    move |other| std::mem::discriminant(other) != kind
+}
+
 fn read_everything(bytes: &[u8]) {
     // Whether it can be read does not matter here, only that trying does no harm.
     drop(UsersPlatform::submission(bytes));
@@ -97,6 +103,38 @@
         }
     }
 
+    // Symptom: work goes to something that is no worker.
+    // Sequence: another program writes under the workers' keys, with a field missing or of another
+    // type, or a state that no worker has.
+    // Cause: what is not there was given a value of ours.
+    #[test]
+    fn an_entry_with_a_field_missing_or_of_another_type_names_no_target(
+        field in prop::sample::select(vec![
+            "address", "born", "coldLeftMs", "seq", "service", "slots", "state", "version", "zone",
+        ]),
+        value in any_value(),
+        state in "[a-z]{0,9}",
+    ) {
+        let whole = target();
+        prop_assert!(UsersPlatform::target_entry("servers/t", whole.to_string().as_bytes()).is_ok());
+        let mut without = whole.clone();
+        without.as_object_mut().expect("an object").remove(field);
+        let mut other_type = whole.clone();
+        other_type[field] = value.clone();
+        let mut other_state = whole.clone();
+        other_state["state"] = json!(state);
+
+        let read = |entry: &Value| UsersPlatform::target_entry("servers/t", entry.to_string().as_bytes());
+
+        // Workers of earlier software do not tell their start.
+        prop_assert_eq!(read(&without).is_err(), field != "born");
+        if of_another_type(&whole[field])(&value) {
+            prop_assert!(read(&other_type).is_err(), "{field}: {value}");
+        }
+        let known = ["ready", "draining"].contains(&state.as_str());
+        prop_assert_eq!(read(&other_state).is_ok(), known);
+    }
+
     #[test]
     fn headers_of_any_text_do_no_harm(text in "[ -~]{0,40}", path in "/[-a-z0-9/?=&.%]{0,40}") {
         let mut headers = HeaderMap::new();
--- a/tests/all/site/orders.rs
+++ b/tests/all/site/orders.rs
@@ -104,3 +104,51 @@
         until("the report", || async { node.lines("orders_lease_report").get(1).cloned() });
     assert_eq!(report.await["orders_at_once"], true);
 }
+
+// Symptom: an engine that started again under its id gets no weights and no items any more.
+// Sequence: it says that it leaves, ends, and is back under its id with counts that start anew.
+// Cause: what is known of its earlier life is held against it.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_engine_that_starts_again_under_its_id_gets_orders_by_its_new_count() {
+    let mut site = Site::start(1, 1, 0).await;
+    site.engines[0].tell_birth(1_000);
+    name_version(&site, 2);
+    wait_for_version(&site, 2, 1).await;
+    site.engines[0].register("draining");
+    let node = &site.nodes[0];
+    until("the drain", || async { (!node.lines("target_left").is_empty()).then_some(()) }).await;
+
+    site.engines[0].start_again(9_000).await;
+    name_version(&site, 3);
+
+    wait_for_version(&site, 3, 1).await;
+    let lives = site.nodes[0].lines("target_reborn");
+    assert_eq!(lives.last().map(|line| line["born_at_unix_ms"].clone()), Some(json!(9_000)));
+    let expected: Vec<_> =
+        site.engines[0].orders_seen().iter().map(|order| order["expected"].clone()).collect();
+    assert_eq!(expected, [0, 0], "each life counts its own orders");
+}
+
+// Symptom: work goes to what another program wrote where workers register.
+// Sequence: a worker's entry is overwritten with one in a state that no worker has, beside others of
+// which a field is missing or that cannot be read.
+// Cause: what is not there is given a value of ours, and what cannot be read is passed over.
+#[tokio::test(flavor = "multi_thread")]
+async fn entries_of_other_writers_name_no_worker_and_the_others_hold() {
+    let mut site = Site::start(1, 0, 2).await;
+    let foreign = json!({ "service": "plain", "address": "127.0.0.1:9", "state": "ready" });
+    site.store.put("servers/foreign-1", &foreign);
+    site.store.put("servers/foreign-2", &json!("not an entry"));
+
+    site.plain[0].register("paused");
+
+    let node = &site.nodes[0];
+    until("the entry is out", || async { (!node.lines("target_left").is_empty()).then_some(()) })
+        .await;
+    for number in 0..8 {
+        let answer = site.call(node, "/lookup/x", &format!("r-{number}")).await.expect("an answer");
+        assert_eq!(answer.status(), 200);
+    }
+    assert!(site.plain[0].ran().is_empty(), "its entry names no worker as it stands");
+    assert_eq!(site.plain[1].ran().len(), 8);
+}
--- a/tests/all/site/worker.rs
+++ b/tests/all/site/worker.rs
@@ -65,6 +65,8 @@
 
 struct State {
     abandoned: u64,
+    /// When its life began, in milliseconds; none where it does not tell.
+    born: Option<u64>,
     busy_until: Option<Instant>,
     conduct: Conduct,
     event_ms: u64,
@@ -112,6 +114,7 @@
         let versions = BTreeMap::from([("model-a".to_owned(), 1), ("model-b".to_owned(), 1)]);
         let state = Arc::new(Mutex::new(State {
             abandoned: 0,
+            born: None,
             busy_until: None,
             conduct: Conduct::Sound,
             event_ms: 10,
@@ -121,12 +124,7 @@
             versions,
             work_ms: 5,
         }));
-        let (shared, log, name) = (Arc::clone(&state), runs.clone(), id.to_owned());
-        let server = Server::bind(move |request| {
-            let (state, runs, id) = (Arc::clone(&shared), log.clone(), name.clone());
-            async move { serve(&state, &runs, &id, request).await }.boxed()
-        })
-        .await;
+        let server = listen(&state, runs, id).await;
         let mut worker = Self {
             id: id.to_owned(),
             runs: runs.clone(),
@@ -150,13 +148,36 @@
             .iter()
             .map(|(name, version)| json!({ "name": name, "version": version, "adapters": [] }))
             .collect();
-        let entry = json!({
+        let mut entry = json!({
             "service": self.service, "address": server.address, "zone": "zone-a", "version": "v1",
             "slots": 4, "state": state, "coldLeftMs": 0, "models": models, "seq": self.sequence,
         });
+        if let Some(born) = self.lock().born {
+            entry["born"] = json!(born);
+        }
         self.store.put(&format!("servers/{}", self.id), &entry);
     }
 
+    /// Lets the worker tell when its life began.
+    pub(crate) fn tell_birth(&mut self, born: u64) {
+        self.lock().born = Some(born);
+        self.register("ready");
+    }
+
+    /// Starts the worker again under its id, at another address; it knows nothing of before.
+    pub(crate) async fn start_again(&mut self, born: u64) {
+        self.server = None;
+        {
+            let mut state = self.lock();
+            state.born = Some(born);
+            state.busy_until = None;
+            state.orders = 0;
+        }
+        self.sequence = 0;
+        self.server = Some(listen(&self.state, &self.runs, &self.id).await);
+        self.register("ready");
+    }
+
     /// Removes the worker's entry; it serves on.
     pub(crate) fn deregister(&self) {
         self.store.remove(&format!("servers/{}", self.id));
@@ -221,6 +242,15 @@
     }
 }
 
+async fn listen(state: &Arc<Mutex<State>>, runs: &Runs, id: &str) -> Server {
+    let (shared, log, name) = (Arc::clone(state), runs.clone(), id.to_owned());
+    Server::bind(move |request| {
+        let (state, runs, id) = (Arc::clone(&shared), log.clone(), name.clone());
+        async move { serve(&state, &runs, &id, request).await }.boxed()
+    })
+    .await
+}
+
 fn settle(state: &mut State) {
     if state.busy_until.is_some_and(|until| until <= Instant::now()) {
         state.busy_until = None;
@@ -340,7 +370,11 @@
         .map(|(name, version)| json!({ "name": name, "version": version }))
         .collect();
     let busy = state.busy_until.is_some();
-    let body = json!({ "stage": "hybrid", "models": models, "busy": busy, "seq": state.orders });
+    let mut body =
+        json!({ "stage": "hybrid", "models": models, "busy": busy, "seq": state.orders });
+    if let Some(born) = state.born {
+        body["born"] = json!(born);
+    }
     answer(200, body.to_string())
 }
 
