Items of a dead owner's batch run on while the store is away

Cause: nobody may own a batch that the store has not acknowledged, and runs waited for an owner.

Weighed: copies on the disks of store machines (bulk data that nobody needs twice); saving more often in the store (it is what is away); a copy at the node that is first in rank to follow the owner, in memory, losable. The last needs no agreement: nothing is owned, listed or shown by it.

Change: an owner sends what was submitted to the node that would follow it. When that one takes the batch and the store does not answer within 0.2 s, it runs the items meanwhile; the takeover goes on from the longer of its texts and the saved ones. The end of the batch, an owner that lives or another follower stop the runs.

The two new tests: with it they pass; without it the first cannot (no item runs twice while the store is away).

--- a/crates/serve/src/batches/accept.rs
+++ b/crates/serve/src/batches/accept.rs
@@ -3,6 +3,7 @@
 use super::keys::{
     Record, TRANSACTION_MAX_KEYS, encode, part_key, part_max_bytes, record_key, unexpected,
 };
+use super::standby::send_copy;
 use super::write::{RETRY, save_texts, write_results};
 use super::{Held, LEFTOVER_KEPT_MS};
 use crate::clock;
@@ -223,39 +224,26 @@
     if node.batches.get(id).is_some() {
         return;
     }
-    let Source { record, record_revision, submission, texts } = source;
+    let Source { record, record_revision, submission, .. } = &source;
     let route =
         node.document().and_then(|document| document.route(&record.host, &record.path).cloned());
     let Some(route) = route else {
         node.note("batch_without_route", json!({ "request": id, "host": record.host }));
         return;
     };
-    let terms = terms(&route, reward_attempts(node, &submission), accepted_at, slack_ms);
+    let terms = terms(&route, reward_attempts(node, submission), accepted_at, slack_ms);
     let mut line = json!({
         "request": id, "items": submission.items.len(), "model": submission.model,
         "step": submission.step, "oldest_version": submission.oldest_version,
         "target_groups": submission.target_groups, "chunks": chunks.len(),
         "record_revision": record_revision, "route": route.name,
     });
-    let (batch, resumed) = open_batch(node, submission, terms, chunks, texts);
+    let (mut held, resumed) = open(node, id, source, accepted_at, terms, chunks);
+    held.taken_over = slack_ms > 0;
     line["resumed"] = json!(resumed);
     node.note("batch_owned", line);
-    node.batches.note_opening(batch.submission());
-    let held = Rc::new(RefCell::new(Held {
-        accepted_at,
-        batch,
-        changed: Rc::new(Notify::new()),
-        doubted: false,
-        finished: Rc::new(Notify::new()),
-        group_targets: IndexMap::new(),
-        record,
-        record_revision,
-        id: id.to_owned(),
-        owned: true,
-        runs: IndexMap::new(),
-        settled_at: None,
-        taken_over: slack_ms > 0,
-    }));
+    node.batches.note_opening(held.batch.submission());
+    let held = Rc::new(RefCell::new(held));
     node.batches.owned.borrow_mut().insert(id.to_owned(), Rc::clone(&held));
     node.metrics.batches_open.set(node.batches.owned.borrow().len() as i64);
     let (model, work_tokens) = {
@@ -270,9 +258,39 @@
     }
     node.work.notify_one();
     tokio::task::spawn_local(write_results(Rc::clone(node), Rc::clone(&held)));
+    tokio::task::spawn_local(send_copy(Rc::clone(node), Rc::clone(&held)));
     tokio::task::spawn_local(save_texts(Rc::clone(node), held));
 }
 
+/// Opens a batch with what is known of it; returns how many texts it goes on from.
+pub(super) fn open<P: Platform>(
+    node: &Node<P>,
+    id: &str,
+    source: Source,
+    accepted_at: UnixMs,
+    terms: BatchTerms,
+    chunks: &[Chunk],
+) -> (Held, usize) {
+    let Source { record, record_revision, submission, texts } = source;
+    let (batch, resumed) = open_batch(node, submission, terms, chunks, texts);
+    let held = Held {
+        accepted_at,
+        batch,
+        changed: Rc::new(Notify::new()),
+        doubted: false,
+        finished: Rc::new(Notify::new()),
+        group_targets: IndexMap::new(),
+        record,
+        record_revision,
+        id: id.to_owned(),
+        owned: true,
+        runs: IndexMap::new(),
+        settled_at: None,
+        taken_over: false,
+    };
+    (held, resumed)
+}
+
 /// Opens a batch with what is durable of it, and with the texts that an earlier batch left of its
 /// items; returns how many of those fit.
 pub(super) fn open_batch<P: Platform>(
--- a/crates/serve/src/batches/end.rs
+++ b/crates/serve/src/batches/end.rs
@@ -8,6 +8,7 @@
 };
 use super::ownership::{stop, take_record};
 use super::read::{Asked, Lookup, ask_owner};
+use super::standby::tell_standby;
 use super::write::RETRY;
 use crate::clock;
 use crate::metrics::count;
@@ -58,6 +59,8 @@
                 take_record(node, &held, record, revision);
                 if held.borrow().taken_over {
                     tell_ended(node, batch);
+                } else {
+                    tell_standby(node, batch);
                 }
                 return PeerAnswer::Ended;
             }
--- a/crates/serve/src/batches/keys.rs
+++ b/crates/serve/src/batches/keys.rs
@@ -24,7 +24,7 @@
 
 /// What the store holds first of a batch.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub(super) struct Record {
+pub(crate) struct Record {
     pub(super) accepted_at_unix_ms: u64,
     pub(super) ended: bool,
     pub(super) host: String,
--- a/crates/serve/src/batches/mod.rs
+++ b/crates/serve/src/batches/mod.rs
@@ -9,6 +9,7 @@
 mod keys;
 mod ownership;
 mod read;
+mod standby;
 mod succession;
 mod write;
 
@@ -16,6 +17,7 @@
 pub(crate) use end::{end, end_owned};
 pub(crate) use ownership::{doubt_all, told_ended, told_owner};
 pub(crate) use read::{Lookup, item_body, item_body_owned, read, read_owned};
+pub(crate) use standby::{BatchCopy, keep_copy};
 pub(crate) use succession::{adopt, adopt_orphans, hand_over_all, told_orphaned};
 
 use crate::clock;
@@ -25,6 +27,7 @@
 use catkinmast_model::UnixMs;
 use indexmap::{IndexMap, IndexSet};
 use keys::Record;
+use standby::Standby;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -145,6 +148,7 @@
     owners: RefCell<IndexMap<String, ToldOwner>>,
     /// Runs of items for batches to come.
     pub second_runs: SecondRuns,
+    pub standby: Standby,
     taking: RefCell<IndexSet<String>>,
     /// Wakes the search for batches without an owner.
     pub orphaned: Notify,
@@ -212,7 +216,8 @@
 
     /// Stops all runs at a target; their items go on elsewhere, with what is held of their texts.
     pub(crate) fn stop_runs_at(&self, target: &str) {
-        for held in self.owned.borrow().values() {
+        let owned: Vec<Rc<RefCell<Held>>> = self.owned.borrow().values().cloned().collect();
+        for held in owned.into_iter().chain(self.standby.interim()) {
             let mut held = held.borrow_mut();
             let at_target =
                 held.runs.iter().filter(|(_, run)| run.target == target && !run.scoring);
--- a/crates/serve/src/batches/ownership.rs
+++ b/crates/serve/src/batches/ownership.rs
@@ -69,6 +69,7 @@
 /// Takes the word that a batch is ended, which is only given once that is durable.
 pub(crate) fn told_ended<P: Platform>(node: &Rc<Node<P>>, batch: &str) {
     node.batches.note_ended(batch);
+    node.batches.standby.forget(batch);
     let Some(held) = node.batches.get(batch) else { return };
     if held.borrow().batch.is_ended() {
         return;
--- /dev/null
+++ b/crates/serve/src/batches/standby.rs
@@ -0,0 +1,161 @@
+//! Copies of open batches at the node that would follow their owner.
+//!
+//! *The death of an owner while the store is away stops its steps.* Nobody may own a batch, or list a
+//! result of it, that the store has not acknowledged; so all its items waited for the store's return,
+//! and it would be noticed as steps that wait for as long as the outage (10.3 s of a step's 12.4 s).
+//! But runs need no owner. The owner sends what was submitted to the node that is first in rank to
+//! follow it, which holds it in memory. When it takes the batch and the store does not answer, it runs
+//! the items meanwhile; what it has of their texts goes on as soon as the batch has an owner.
+//!
+//! A copy is soft state: it is lost without harm, and nothing of it is listed or shown. An owner that
+//! turns out to live, the end of the batch or another owner stop the runs.
+
+use super::accept::{Source, open, reward_attempts, terms};
+use super::keys::Record;
+use super::succession::SKEW_MAX_MS;
+use super::{Held, OPEN_MAX_MS};
+use crate::clock;
+use crate::node::Node;
+use crate::peers::{self, Datagram, PeerCall};
+use crate::platform::Platform;
+use catkinmast_dispatch::{Progress, Submission};
+use catkinmast_model::UnixMs;
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// How long the other node may take to accept a copy of some hundred KB.
+const COPY_MAX: Duration = Duration::from_secs(1);
+
+/// What was submitted, and the record under which it is kept.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(crate) struct BatchCopy {
+    record: Record,
+    submission: Submission,
+}
+
+/// A copy, and when it came.
+#[derive(Debug)]
+struct HeldCopy {
+    copy: BatchCopy,
+    since: UnixMs,
+}
+
+/// The copies that this node holds, and the batches of which it runs items without owning them.
+#[derive(Debug, Default)]
+pub(crate) struct Standby {
+    copies: RefCell<IndexMap<String, HeldCopy>>,
+    interim: RefCell<IndexMap<String, Rc<RefCell<Held>>>>,
+}
+
+impl Standby {
+    /// Returns the batches of which items run here until they have an owner.
+    pub(crate) fn interim(&self) -> Vec<Rc<RefCell<Held>>> {
+        self.interim.borrow().values().cloned().collect()
+    }
+
+    /// Returns the ids of these batches.
+    pub(super) fn interim_ids(&self) -> Vec<String> {
+        self.interim.borrow().keys().cloned().collect()
+    }
+
+    /// Stops the interim runs of a batch and returns what is held of their texts.
+    pub(super) fn take_texts(&self, batch: &str) -> Vec<(String, Progress)> {
+        let Some(held) = self.interim.borrow_mut().swap_remove(batch) else { return Vec::new() };
+        let mut held = held.borrow_mut();
+        held.stop_runs();
+        held.batch.end();
+        held.batch.take_progress()
+    }
+
+    /// Forgets a batch: it is ended, or has an owner that lives.
+    pub(super) fn forget(&self, batch: &str) {
+        self.copies.borrow_mut().swap_remove(batch);
+        drop(self.take_texts(batch));
+    }
+
+    fn keep(&self, now: UnixMs, batch: String, copy: BatchCopy) {
+        let mut copies = self.copies.borrow_mut();
+        copies.retain(|_, held| now.since_ms(held.since) < OPEN_MAX_MS);
+        copies.insert(batch, HeldCopy { copy, since: now });
+    }
+}
+
+/// Sends a copy of a batch to the node that would follow this one as its owner.
+pub(super) async fn send_copy<P: Platform>(node: Rc<Node<P>>, held: Rc<RefCell<Held>>) {
+    let (batch, copy) = {
+        let held = held.borrow();
+        let submission = held.batch.submission().clone();
+        (held.id.clone(), Box::new(BatchCopy { record: held.record.clone(), submission }))
+    };
+    let Some(successor) = peers::successor_for(&node, &batch) else { return };
+    let call = PeerCall::KeepCopy { batch: batch.clone(), copy };
+    if let Err(error) = node.ask_peer(successor.address, &call, COPY_MAX).await {
+        let why = json!({ "request": batch, "to": successor.node, "why": error.message });
+        node.note("copy_unsent", why);
+    }
+}
+
+/// Keeps a copy for the owner of a batch.
+pub(crate) fn keep_copy<P: Platform>(node: &Node<P>, batch: String, copy: BatchCopy) {
+    node.batches.note_owner(&batch, copy.record.owner.clone());
+    node.batches.standby.keep(clock::now(), batch, copy);
+}
+
+/// Tells the node that holds the copy of a batch that it is ended.
+pub(super) fn tell_standby<P: Platform>(node: &Node<P>, batch: &str) {
+    if let Some(successor) = peers::successor_for(node, batch) {
+        let datagram = Datagram::BatchEnded { batch: batch.to_owned() };
+        peers::send(node, &datagram, successor.address);
+    }
+}
+
+/// Runs the items of a batch whose owner is dead until the store names another, if there is a copy.
+pub(super) fn start_interim<P: Platform>(node: &Rc<Node<P>>, batch: &str) {
+    let Some(HeldCopy { copy, .. }) = node.batches.standby.copies.borrow_mut().swap_remove(batch)
+    else {
+        return;
+    };
+    let BatchCopy { record, submission } = copy;
+    let document = node.document();
+    let route = document.as_ref().and_then(|document| document.route(&record.host, &record.path));
+    let Some(route) = route else { return };
+    let age_ms = UnixMs::from_wall_clock().since_ms(UnixMs(record.accepted_at_unix_ms));
+    let accepted_at = UnixMs(clock::now().0.saturating_sub(age_ms));
+    let terms = terms(route, reward_attempts(node, &submission), accepted_at, SKEW_MAX_MS);
+    node.note(
+        "batch_run_in_interim",
+        json!({
+            "request": batch, "owner": record.owner.node, "items": submission.items.len(),
+            "age_ms": age_ms,
+        }),
+    );
+    let source = Source { record, record_revision: 0, submission, texts: Vec::new() };
+    let (mut held, _) = open(node, batch, source, accepted_at, terms, &[]);
+    held.owned = false;
+    let held = Rc::new(RefCell::new(held));
+    node.batches.standby.interim.borrow_mut().insert(batch.to_owned(), held);
+    node.work.notify_one();
+}
+
+/// Returns for each item the longer of two texts.
+pub(super) fn longer_texts(
+    texts: Vec<(String, Progress)>,
+    others: Vec<(String, Progress)>,
+) -> Vec<(String, Progress)> {
+    let mut longest: IndexMap<String, Progress> = IndexMap::new();
+    for (item, progress) in texts.into_iter().chain(others) {
+        let reach = |progress: &Progress| (progress.whole, progress.last_event_id);
+        match longest.get_mut(&item) {
+            Some(held) if reach(held) >= reach(&progress) => {}
+            Some(held) => *held = progress,
+            None => {
+                longest.insert(item, progress);
+            }
+        }
+    }
+    longest.into_iter().collect()
+}
--- a/crates/serve/src/batches/succession.rs
+++ b/crates/serve/src/batches/succession.rs
@@ -9,6 +9,7 @@
 };
 use super::ownership::take_record;
 use super::read::OWNER_SLACK;
+use super::standby::{longer_texts, start_interim};
 use super::write::write_chunk;
 use crate::clock;
 use crate::node::Node;
@@ -19,6 +20,7 @@
 use catkinmast_model::UnixMs;
 use serde_json::json;
 use std::cell::RefCell;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{sleep, timeout};
@@ -35,6 +37,10 @@
 /// it, see [`take_known`].
 const GATHER_DEATHS: Duration = Duration::from_millis(200);
 
+/// How long a takeover may take before the batch's items run without an owner: its three calls take
+/// some milliseconds each, and a slow store's a quarter of a second.
+const INTERIM_AFTER: Duration = Duration::from_millis(200);
+
 /// Pause before a batch is taken again after the store did not answer.
 const TAKE_AGAIN: Duration = Duration::from_millis(500);
 
@@ -89,6 +95,7 @@
 /// Takes the batches that this node was told of and that fall to it.
 fn take_known<P: Platform>(node: &Rc<Node<P>>) {
     let Some(me) = peers::me(node) else { return };
+    stop_needless_runs(node);
     for (id, owner) in node.batches.owners_told_lately(clock::now()) {
         let of_former_life = owner.node == me.node && owner.incarnation < me.incarnation;
         let falls_here =
@@ -99,6 +106,20 @@
     }
 }
 
+/// Stops interim runs of batches that do not fall to this node any more: their owner lives, or
+/// another node follows it.
+fn stop_needless_runs<P: Platform>(node: &Rc<Node<P>>) {
+    for id in node.batches.standby.interim_ids() {
+        let owner = node.batches.owner_of(&id);
+        let falls_here = owner.is_some_and(|owner| is_dead(node, &owner))
+            && peers::is_first_for(node, &id)
+            && !node.leaving.get();
+        if !falls_here {
+            node.batches.standby.forget(&id);
+        }
+    }
+}
+
 /// Takes the word of a searching node that a batch's owner is dead and that it falls to this node.
 pub(crate) fn told_orphaned<P: Platform>(node: &Rc<Node<P>>, batch: &str, owner: Owner) {
     let is_dead = is_dead(node, &owner);
@@ -178,16 +199,30 @@
     }
     let (node, id) = (Rc::clone(node), id.to_owned());
     tokio::task::spawn_local(async move {
-        let taken = take_over(&node, &id, Vec::new()).await;
-        if let Err(refusal) = taken {
+        if let Err(refusal) = take_or_run(&node, &id).await {
             node.note("batch_untaken", json!({ "request": id, "why": refusal.message }));
             sleep(TAKE_AGAIN).await;
             node.batches.orphaned.notify_one();
+        } else {
+            node.batches.standby.forget(&id);
         }
         node.batches.taking.borrow_mut().swap_remove(&id);
     });
 }
 
+/// Takes a batch over; where the store does not answer soon, its items run meanwhile.
+async fn take_or_run<P: Platform>(node: &Rc<Node<P>>, id: &str) -> Result<(), StoreRefusal> {
+    let mut taking = pin!(take_over(node, id, Vec::new()));
+    if let Ok(taken) = timeout(INTERIM_AFTER, &mut taking).await {
+        if taken.is_err() {
+            start_interim(node, id);
+        }
+        return taken;
+    }
+    start_interim(node, id);
+    taking.await
+}
+
 /// Tells whether a node's life is the owner, or one that came after it.
 fn is_or_was(me: &Owner, owner: &Owner) -> bool {
     me.node == owner.node && me.incarnation >= owner.incarnation
@@ -240,6 +275,7 @@
                 "age_ms": age_ms, "record_revision": revision }),
     );
     let texts = if texts_given.is_empty() { texts } else { texts_given };
+    let texts = longer_texts(texts, node.batches.standby.take_texts(id));
     let source = Source { record, record_revision: revision, submission, texts };
     own(node, id, source, accepted_at, SKEW_MAX_MS, &chunks);
     Ok(())
@@ -248,6 +284,9 @@
 /// Gives all batches with work left to live peers, with the texts that were begun; for a planned
 /// stop.
 pub(crate) async fn hand_over_all<P: Platform>(node: Rc<Node<P>>) {
+    for id in node.batches.standby.interim_ids() {
+        node.batches.standby.forget(&id);
+    }
     for held in node.batches.open() {
         hand_over(&node, &held).await;
     }
--- a/crates/serve/src/peers.rs
+++ b/crates/serve/src/peers.rs
@@ -1,6 +1,6 @@
 //! The other nodes: who lives, and calls between nodes.
 
-use crate::batches;
+use crate::batches::{self, BatchCopy};
 use crate::clock;
 use crate::feed::{self, Changes, Subject};
 use crate::node::Node;
@@ -52,6 +52,8 @@
     Changes { after: u64, subject: Subject },
     /// Ends a batch that the receiver owns.
     End { batch: String },
+    /// Keeps a copy of a batch for its owner, whom the receiver would follow.
+    KeepCopy { batch: String, copy: Box<BatchCopy> },
     /// Reads the body of an item of a batch that the receiver owns.
     ItemBody { batch: String, item: String },
     /// Reads results of a batch that the receiver owns.
@@ -421,6 +423,10 @@
             batches::adopt(&node, batch, texts);
             PeerAnswer::Adopting
         }
+        PeerCall::KeepCopy { batch, copy } => {
+            batches::keep_copy(&node, batch, *copy);
+            PeerAnswer::Accepted
+        }
         PeerCall::Changes { after, subject } => feed::changes_since(&node, subject, after)
             .map_or(PeerAnswer::Unavailable, PeerAnswer::Changes),
         PeerCall::End { batch } => batches::end_owned(&node, &batch).await,
--- a/crates/serve/src/runs/mod.rs
+++ b/crates/serve/src/runs/mod.rs
@@ -34,8 +34,7 @@
 /// Starts items as targets become free, until the process ends.
 pub(crate) async fn schedule<P: Platform>(node: Rc<Node<P>>) {
     loop {
-        let open = node.batches.open();
-        if open.is_empty() {
+        if node.batches.open().is_empty() && node.batches.standby.interim().is_empty() {
             node.work.notified().await;
         } else {
             // Either way the batches are looked at.
@@ -44,7 +43,7 @@
         if node.leaving.get() {
             continue;
         }
-        for held in node.batches.open() {
+        for held in node.batches.open().into_iter().chain(node.batches.standby.interim()) {
             start_items(&node, &held);
             move_slow_runs(&node, &held);
         }
--- a/tests/all/site/mod.rs
+++ b/tests/all/site/mod.rs
@@ -15,5 +15,6 @@
 mod orders;
 mod requests;
 mod soak;
+mod standby;
 mod starts;
 mod stops;
--- /dev/null
+++ b/tests/all/site/standby.rs
@@ -0,0 +1,89 @@
+//! The node that would follow an owner holds copies of its batches, for outages of the store.
+
+use super::harness::{Site, submission, until, whole_text};
+use super::store::Door;
+use std::time::Duration;
+
+/// The time in which a copy arrives, with much to spare.
+const COPIED: Duration = Duration::from_millis(500);
+
+fn set_doors(site: &Site, door: Door) {
+    site.nodes.iter().for_each(|node| site.store.set_door(node.door, door));
+}
+
+async fn until_seen_gone(site: &Site, by: &[usize]) {
+    for other in by {
+        until("the owner is seen gone", || async {
+            let seen = site.nodes[*other].lines("node_seen");
+            seen.iter().any(|line| line["state"] == "gone").then_some(())
+        })
+        .await;
+    }
+}
+
+// Symptom: a step whose owner dies during an outage of the store stands still until the outage is over.
+// Sequence: the store is away, the owner is killed; nobody can take its batch.
+// Cause: runs wait for an owner, although they need none.
+#[yare::parameterized(
+    refusing = { Door::Refuses },
+    silent = { Door::Silent },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread"))]
+async fn items_of_a_dead_owners_batch_run_on_while_the_store_is_away(away: Door) {
+    let site = Site::start(3, 3, 1).await;
+    for engine in &site.engines {
+        engine.set_pace(50, 5);
+    }
+    assert_eq!(site.submit(&site.nodes[0], "b1", &submission("b1", 6, 60, 1)).await, 202);
+    let owner = site.owner_of("b1").await;
+    let others: Vec<usize> = (0..3).filter(|number| *number != owner).collect();
+    tokio::time::sleep(COPIED).await;
+
+    set_doors(&site, away);
+    site.nodes[owner].signal("KILL");
+    until_seen_gone(&site, &others).await;
+
+    until("all items run again while the store is away", || async {
+        (0..6).all(|item| site.runs.of(&format!("b1i{item}")).len() >= 2).then_some(())
+    })
+    .await;
+    for other in &others {
+        assert!(site.nodes[*other].lines("batch_taken_over").is_empty(), "nobody can own it yet");
+        assert!(site.nodes[*other].lines("results_listed").is_empty(), "nothing is listed");
+    }
+    set_doors(&site, Door::Open);
+    let results = site.read_all(&site.nodes[others[0]], "b1", 6).await;
+    for result in results {
+        let item = result["id"].as_str().expect("an id");
+        assert_eq!(result["text"], whole_text(item, 60));
+    }
+    let resumed = site.runs.all().iter().filter(|run| run.after > 0).count();
+    assert!(resumed > 0, "the new owner goes on from the texts that were run meanwhile");
+}
+
+// Symptom: items run although their batch was ended.
+// Sequence: a batch is ended; later its owner dies while the store is away.
+// Cause: the copy outlives its batch.
+#[tokio::test(flavor = "multi_thread")]
+async fn nothing_runs_of_a_copy_whose_batch_was_ended() {
+    let site = Site::start(3, 3, 1).await;
+    for engine in &site.engines {
+        engine.set_pace(100, 5);
+    }
+    assert_eq!(site.submit(&site.nodes[0], "b1", &submission("b1", 6, 80, 1)).await, 202);
+    let owner = site.owner_of("b1").await;
+    let others: Vec<usize> = (0..3).filter(|number| *number != owner).collect();
+    tokio::time::sleep(COPIED).await;
+    assert_eq!(site.end(&site.nodes[0], "b1").await, 200);
+    let ran = site.runs.all().len();
+
+    set_doors(&site, Door::Refuses);
+    site.nodes[owner].signal("KILL");
+    until_seen_gone(&site, &others).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+
+    assert_eq!(site.runs.all().len(), ran);
+    for other in &others {
+        assert!(site.nodes[*other].lines("batch_run_in_interim").is_empty());
+    }
+}
