All are told that the store is back, and what waits for it is asked again

Cause: a call to a silent store counts as lost after 1.2 s, and the ways are tried one after the other: a dead owner's batch was taken 1.3 s after the store's return, results that were ready were listed up to 3.6 s after it.

Weighed: a shorter limit for each call (a slow store takes a quarter of a second, and more in a queue), calls begun anew every 0.4 s by all (three times the calls of an outage). Two nodes that ask and tell cost a call a second in an outage.

Change: watching nodes ask every 0.2 s with an old read; as one is answered all are told, and calls that wait are made once more. A call made twice is never said not to have run.

The new test fails without the mechanism (no call is made again).

--- a/crates/serve/src/feed/mod.rs
+++ b/crates/serve/src/feed/mod.rs
@@ -121,7 +121,7 @@
 /// Tells whether this node watches. One that has just started does not know yet who else is there, and
 /// what it has read holds until it does: when each watched meanwhile, a start cost two calls of the
 /// store more (660 of 7,560 on a day with 330 starts).
-fn is_watcher<P: Platform>(node: &Node<P>) -> bool {
+pub(crate) fn is_watcher<P: Platform>(node: &Node<P>) -> bool {
     peers::settles_in_ms(node) == Some(0)
         && peers::rank_for(node, "feeds").is_some_and(|rank| rank < WATCHERS)
 }
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -16,6 +16,7 @@
 mod metrics;
 mod node;
 mod orders;
+mod outage;
 mod peers;
 mod platform;
 mod pool;
--- a/crates/serve/src/node.rs
+++ b/crates/serve/src/node.rs
@@ -4,6 +4,7 @@
 use crate::clock;
 use crate::feed::Feeds;
 use crate::metrics::{Metrics, count};
+use crate::outage::{self, Outage};
 use crate::peers::{PeerAnswer, PeerCall};
 use crate::platform::Platform;
 use crate::pool::{Pool, read_whole};
@@ -69,6 +70,7 @@
     pub metrics: Metrics,
     /// When the last batch of each model was opened.
     pub opened: RefCell<IndexMap<String, UnixMs>>,
+    pub outage: Outage,
     pub pool: Pool,
     pub ready: Cell<bool>,
     /// The incarnations under which nodes were registered when this one started.
@@ -106,6 +108,7 @@
             members: RefCell::new(None),
             metrics,
             opened: RefCell::new(IndexMap::new()),
+            outage: Outage::default(),
             pool,
             ready: Cell::new(false),
             registered: RefCell::new(IndexMap::new()),
@@ -259,25 +262,16 @@
             StoreCall::Watch { wait_ms, .. } => Duration::from_millis(wait_ms + WATCH_SLACK_MS),
             _ => STORE_MAX,
         };
-        let result = match timeout(max, self.exchange_with_store(call)).await {
-            Ok(result) => result,
-            Err(_) => Err(StoreRefusal {
-                message: "no answer in time".to_owned(),
-                verdict: Verdict::MayHaveRun,
-            }),
-        };
-        let rested = self.store_rests_until.get() > UnixMs(0);
+        let result = self.exchange_until_over(call, max).await;
         match &result {
-            Ok(_) if rested => {
+            Ok(_) => {
                 self.store_rests_until.set(UnixMs(0));
-                self.note("store_regained", json!({ "by": call.duty() }));
-                self.batches.store_returned();
+                outage::answered(self, call.duty());
             }
-            Ok(_) => self.batches.store_returned(),
             Err(refusal) => {
                 count(&self.metrics.store_failures, "direct");
                 self.store_rests_until.set(clock::now().plus(STORE_REST_MS));
-                if !rested {
+                if self.outage.noticed() {
                     let why = json!({ "by": call.duty(), "why": refusal.message });
                     self.note("store_lost", why);
                 }
@@ -286,7 +280,39 @@
         result
     }
 
-    async fn exchange_with_store(&self, call: &StoreCall) -> Result<StoreAnswer, StoreRefusal> {
+    /// Makes a call, and makes it again when an outage ends while it waits for its answer.
+    async fn exchange_until_over(
+        &self,
+        call: &StoreCall,
+        max: Duration,
+    ) -> Result<StoreAnswer, StoreRefusal> {
+        let may_have_run = |message: &str| StoreRefusal {
+            message: message.to_owned(),
+            verdict: Verdict::MayHaveRun,
+        };
+        let is_over = self.outage.over.notified();
+        tokio::select! {
+            result = timeout(max, self.exchange_with_store(call)) => {
+                return result.unwrap_or_else(|_| Err(may_have_run("no answer in time")));
+            }
+            () = is_over => {}
+        }
+        if matches!(call, StoreCall::Watch { .. }) {
+            return Err(may_have_run("it was made during an outage"));
+        }
+        self.note("store_call_again", json!({ "by": call.duty() }));
+        let again = timeout(max, self.exchange_with_store(call)).await;
+        // The first one may yet have been done, whatever became of the second.
+        again
+            .unwrap_or_else(|_| Err(may_have_run("no answer in time")))
+            .map_err(|refusal| StoreRefusal { verdict: Verdict::MayHaveRun, ..refusal })
+    }
+
+    /// Makes a call of the store once, and waits for its answer without bound.
+    pub(crate) async fn exchange_with_store(
+        &self,
+        call: &StoreCall,
+    ) -> Result<StoreAnswer, StoreRefusal> {
         let written = P::store_request(call);
         let address = self.settings().store;
         let request = Request::builder()
--- a/crates/serve/src/orders.rs
+++ b/crates/serve/src/orders.rs
@@ -31,7 +31,7 @@
 use tokio::time::{sleep, timeout};
 
 /// The key of the lease.
-const LEASE_KEY: &str = "cm/orders";
+pub(crate) const LEASE_KEY: &str = "cm/orders";
 /// The duty's name among nodes.
 const DUTY: &str = "orders";
 /// How often what is due is done.
--- /dev/null
+++ b/crates/serve/src/outage.rs
@@ -0,0 +1,97 @@
+//! How nodes learn that the store is back after an outage.
+//!
+//! *Work stands still after the store's return.* A call that was made while the store was silent counts
+//! as lost only after a second, and the ways to the store are tried one after the other. It would be
+//! noticed as results that are listed, and batches that are taken over, up to 3.6 s after the return
+//! (1.3 s for a dead owner's batch on a day with an outage of seven seconds). So the nodes that watch
+//! the store ask it again and again with a read that costs a tenth; as one is answered they tell all,
+//! and what waits for an answer is asked again at once.
+
+use crate::feed;
+use crate::metrics::count;
+use crate::node::Node;
+use crate::peers::{self, Datagram};
+use crate::platform::Platform;
+use crate::store::StoreCall;
+use crate::{clock, orders};
+use catkinmast_model::UnixMs;
+use serde_json::json;
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::time::{sleep, timeout};
+
+/// How often a watching node asks whether the store is back: at two nodes and a tenth of the price, a
+/// call a second.
+const ASK_EVERY: Duration = Duration::from_millis(200);
+/// How long such a question may take; a slow store takes a quarter of a second.
+const ASK_MAX: Duration = Duration::from_millis(600);
+/// An outage this short is over before the first call is given up; nobody is told of its end.
+const TOLD_FROM_MS: u64 = 500;
+
+/// What a node knows of an outage of the store.
+#[derive(Debug, Default)]
+pub(crate) struct Outage {
+    /// Since when the store has not answered this node; none while it answers.
+    since: Cell<Option<UnixMs>>,
+    /// Wakes the calls that wait for an answer.
+    pub over: Notify,
+}
+
+impl Outage {
+    /// Tells whether the store did not answer this node when it was last asked.
+    pub(crate) const fn lasts(&self) -> bool {
+        self.since.get().is_some()
+    }
+
+    /// Takes a call that failed; returns whether it is the first.
+    pub(crate) fn noticed(&self) -> bool {
+        if self.lasts() {
+            return false;
+        }
+        self.since.set(Some(clock::now()));
+        true
+    }
+}
+
+/// Takes an answer of the store.
+pub(crate) fn answered<P: Platform>(node: &Node<P>, by: &'static str) {
+    node.batches.store_returned();
+    let Some(since) = node.outage.since.take() else { return };
+    node.note("store_regained", json!({ "by": by }));
+    if clock::now().since_ms(since) < TOLD_FROM_MS {
+        return;
+    }
+    node.outage.over.notify_waiters();
+    if feed::is_watcher(node) {
+        peers::tell_all(node, &Datagram::StoreReturned);
+    }
+}
+
+/// Takes the word of a watching node that the store answers again.
+pub(crate) fn told_over<P: Platform>(node: &Node<P>) {
+    if node.outage.since.take().is_some() {
+        node.note("store_regained", json!({ "by": "a peer's word" }));
+        node.batches.store_returned();
+        node.outage.over.notify_waiters();
+    }
+}
+
+/// Asks for the store's return while an outage lasts, where this node watches the store.
+pub(crate) async fn look_for_return<P: Platform>(node: Rc<Node<P>>) {
+    loop {
+        sleep(ASK_EVERY).await;
+        if node.outage.lasts() && feed::is_watcher(&node) {
+            tokio::task::spawn_local(ask(Rc::clone(&node)));
+        }
+    }
+}
+
+async fn ask<P: Platform>(node: Rc<Node<P>>) {
+    let call = StoreCall::Get { key: orders::LEASE_KEY.to_owned(), may_be_old: true };
+    count(&node.metrics.store_calls, call.duty());
+    if matches!(timeout(ASK_MAX, node.exchange_with_store(&call)).await, Ok(Ok(_))) {
+        answered(&node, call.duty());
+    }
+}
--- a/crates/serve/src/peers.rs
+++ b/crates/serve/src/peers.rs
@@ -4,6 +4,7 @@
 use crate::clock;
 use crate::feed::{self, Changes, Subject};
 use crate::node::Node;
+use crate::outage;
 use crate::platform::Platform;
 use crate::pool::CallError;
 use crate::settings::Settings;
@@ -102,6 +103,8 @@
     Changes { changes: Changes, subject: Subject },
     /// Membership.
     Member(Message),
+    /// The store answers again after an outage.
+    StoreReturned,
     /// A target, in the life that began then, loads weights from now on, for about so long.
     TargetLoads { born_at_unix_ms: Option<u64>, for_ms: u64, target: String },
 }
@@ -210,6 +213,7 @@
             node.note_demand(model.as_deref(), work_tokens);
             batches::told_owner(node, &batch, owner);
         }
+        Ok(Datagram::StoreReturned) => outage::told_over(node),
         Ok(Datagram::TargetLoads { born_at_unix_ms, for_ms, target }) => {
             let (of_this_life, change) =
                 node.targets.borrow_mut().told_birth(&target, born_at_unix_ms);
--- a/crates/serve/src/process.rs
+++ b/crates/serve/src/process.rs
@@ -6,6 +6,7 @@
 use crate::listener::{self, ADDRESSES_TTL_MS};
 use crate::node::Node;
 use crate::orders;
+use crate::outage;
 use crate::peers;
 use crate::platform::Platform;
 use crate::runs;
@@ -111,6 +112,7 @@
     spawn_local(feed::follow(Rc::clone(&node), Subject::Operators));
     spawn_local(feed::follow(Rc::clone(&node), Subject::Targets));
     spawn_local(feed::say_alive(Rc::clone(&node)));
+    spawn_local(outage::look_for_return(Rc::clone(&node)));
     spawn_local(take_part(Rc::clone(&node)));
     stop.recv().await;
     leave(&node).await;
--- a/tests/all/site/standby.rs
+++ b/tests/all/site/standby.rs
@@ -47,6 +47,7 @@
         (0..6).all(|item| site.runs.of(&format!("b1i{item}")).len() >= 2).then_some(())
     })
     .await;
+    tokio::time::sleep(COPIED).await;
     for other in &others {
         assert!(site.nodes[*other].lines("batch_taken_over").is_empty(), "nobody can own it yet");
         assert!(site.nodes[*other].lines("results_listed").is_empty(), "nothing is listed");
@@ -87,3 +88,30 @@
         assert!(site.nodes[*other].lines("batch_run_in_interim").is_empty());
     }
 }
+
+// Symptom: results that were ready during an outage are listed a second and more after the store's
+// return.
+// Sequence: the store falls silent while a batch runs; it returns while the write of results waits.
+// Cause: a call to a silent store is only made again when it counts as lost.
+#[tokio::test(flavor = "multi_thread")]
+async fn what_waits_for_the_store_is_asked_again_as_it_returns() {
+    let site = Site::start(3, 3, 1).await;
+    assert_eq!(site.submit(&site.nodes[0], "b1", &submission("b1", 6, 100, 1)).await, 202);
+    let owner = &site.nodes[site.owner_of("b1").await];
+    set_doors(&site, Door::Silent);
+    until("the outage is noticed", || async {
+        site.nodes.iter().all(|node| !node.lines("store_lost").is_empty()).then_some(())
+    })
+    .await;
+    until("all texts are whole", || async { (owner.lines("item_run").len() == 6).then_some(()) })
+        .await;
+
+    set_doors(&site, Door::Open);
+
+    // At the owner, or at a peer that makes the call for it.
+    until("a call that waits is made again", || async {
+        site.nodes.iter().any(|node| !node.lines("store_call_again").is_empty()).then_some(())
+    })
+    .await;
+    assert_eq!(site.read_all(&site.nodes[0], "b1", 6).await.len(), 6);
+}
