Texts in progress are copied to the node that would follow an owner

Weighed: the texts whole each 1.2 s, as they are saved in the store (each byte crosses several times); what is new of each text, with the digest of what comes before it. The second costs each byte once, and cannot join texts of two runs.

Change: dispatch::Told and dispatch::CopiedTexts, without a network; each 0.6 s an owner sends what is new.

The tests of the copies include random losses; the test of processes fails where texts are not sent (nothing is resumed).

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -14,6 +14,7 @@
 //! - [`EventReader`]: the events of a token stream.
 
 mod batch;
+mod copies;
 mod document;
 mod lengths;
 mod load;
@@ -25,6 +26,7 @@
 mod targets;
 
 pub use batch::{Batch, BatchTerms, Chunk, Merge, NextItem, group_of};
+pub use copies::{CopiedTexts, TextNews, Told};
 pub use document::{Document, EngineTerms, Limits, PlainTerms, Route, RouteKind, WeightedService};
 pub use lengths::Lengths;
 pub use load::{Load, LoadSettings, Outcome, Pick};
--- a/crates/serve/src/batches/accept.rs
+++ b/crates/serve/src/batches/accept.rs
@@ -3,7 +3,7 @@
 use super::keys::{
     Record, TRANSACTION_MAX_KEYS, encode, part_key, part_max_bytes, record_key, unexpected,
 };
-use super::standby::send_copy;
+use super::standby::send_copies;
 use super::write::{RETRY, save_texts, write_results};
 use super::{Held, LEFTOVER_KEPT_MS};
 use crate::clock;
@@ -258,7 +258,7 @@
     }
     node.work.notify_one();
     tokio::task::spawn_local(write_results(Rc::clone(node), Rc::clone(&held)));
-    tokio::task::spawn_local(send_copy(Rc::clone(node), Rc::clone(&held)));
+    tokio::task::spawn_local(send_copies(Rc::clone(node), Rc::clone(&held)));
     tokio::task::spawn_local(save_texts(Rc::clone(node), held));
 }
 
--- a/crates/serve/src/batches/mod.rs
+++ b/crates/serve/src/batches/mod.rs
@@ -17,7 +17,7 @@
 pub(crate) use end::{end, end_owned};
 pub(crate) use ownership::{doubt_all, told_ended, told_owner};
 pub(crate) use read::{Lookup, item_body, item_body_owned, read, read_owned};
-pub(crate) use standby::{BatchCopy, keep_copy};
+pub(crate) use standby::{BatchCopy, keep_copy, keep_texts};
 pub(crate) use succession::{adopt, adopt_orphans, hand_over_all, told_orphaned};
 
 use crate::clock;
@@ -77,6 +77,11 @@
         (&self.record.host, &self.record.path)
     }
 
+    /// Tells whether this node owns it and has something of it to run.
+    fn is_running(&self) -> bool {
+        self.owned && !self.batch.is_ended() && !self.batch.is_settled()
+    }
+
     /// Returns what runs of at least this age hold of their texts, by item, and the texts of items
     /// that are finished but not durable.
     fn texts(&self, least_age_ms: u64) -> Vec<(String, Progress)> {
--- a/crates/serve/src/batches/standby.rs
+++ b/crates/serve/src/batches/standby.rs
@@ -5,7 +5,9 @@
 //! and it would be noticed as steps that wait for as long as the outage (10.3 s of a step's 12.4 s).
 //! But runs need no owner. The owner sends what was submitted to the node that is first in rank to
 //! follow it, which holds it in memory. When it takes the batch and the store does not answer, it runs
-//! the items meanwhile; what it has of their texts goes on as soon as the batch has an owner.
+//! the items meanwhile; what it has of their texts goes on as soon as the batch has an owner. It is also
+//! sent what is new of the texts in progress: without, a step whose longest text was three seconds old
+//! ended two seconds later.
 //!
 //! A copy is soft state: it is lost without harm, and nothing of it is listed or shown. An owner that
 //! turns out to live, the end of the batch or another owner stop the runs.
@@ -13,12 +15,13 @@
 use super::accept::{Source, open, reward_attempts, terms};
 use super::keys::Record;
 use super::succession::SKEW_MAX_MS;
+use super::write::SAVE_AFTER_MS;
 use super::{Held, OPEN_MAX_MS};
 use crate::clock;
 use crate::node::Node;
-use crate::peers::{self, Datagram, PeerCall};
+use crate::peers::{self, Datagram, Owner, PeerAnswer, PeerCall};
 use crate::platform::Platform;
-use catkinmast_dispatch::{Progress, Submission};
+use catkinmast_dispatch::{CopiedTexts, Progress, Submission, TextNews, Told};
 use catkinmast_model::UnixMs;
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
@@ -26,9 +29,13 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::time::sleep;
 
 /// How long the other node may take to accept a copy of some hundred KB.
 const COPY_MAX: Duration = Duration::from_secs(1);
+/// How often what is new of the texts is sent. Each byte is sent once, so this is what a text loses with
+/// its owner, and a call each 0.6 s for each open batch.
+const COPY_EVERY: Duration = Duration::from_millis(600);
 
 /// What was submitted, and the record under which it is kept.
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -42,6 +49,7 @@
 struct HeldCopy {
     copy: BatchCopy,
     since: UnixMs,
+    texts: CopiedTexts,
 }
 
 /// The copies that this node holds, and the batches of which it runs items without owning them.
@@ -80,22 +88,63 @@
     fn keep(&self, now: UnixMs, batch: String, copy: BatchCopy) {
         let mut copies = self.copies.borrow_mut();
         copies.retain(|_, held| now.since_ms(held.since) < OPEN_MAX_MS);
-        copies.insert(batch, HeldCopy { copy, since: now });
+        copies.insert(batch, HeldCopy { copy, since: now, texts: CopiedTexts::default() });
     }
 }
 
-/// Sends a copy of a batch to the node that would follow this one as its owner.
-pub(super) async fn send_copy<P: Platform>(node: Rc<Node<P>>, held: Rc<RefCell<Held>>) {
+/// Sends a copy of a batch to the node that would follow this one as its owner, and what is new of its
+/// texts for as long as it is open.
+pub(super) async fn send_copies<P: Platform>(node: Rc<Node<P>>, held: Rc<RefCell<Held>>) {
+    let id = held.borrow().id.clone();
+    let mut told = Told::default();
+    let mut sent_to = None;
+    loop {
+        if !held.borrow().is_running() {
+            return;
+        }
+        let Some(successor) = peers::successor_for(&node, &id) else { return };
+        if sent_to.as_ref() != Some(&successor) {
+            told.forget();
+            let sent = send_copy(&node, &held, &successor).await;
+            sent_to = sent.then_some(successor);
+        } else if !send_texts(&node, &held, &successor, &mut told).await {
+            sent_to = None;
+        }
+        sleep(COPY_EVERY).await;
+    }
+}
+
+async fn send_copy<P: Platform>(node: &Node<P>, held: &RefCell<Held>, to: &Owner) -> bool {
     let (batch, copy) = {
         let held = held.borrow();
         let submission = held.batch.submission().clone();
         (held.id.clone(), Box::new(BatchCopy { record: held.record.clone(), submission }))
     };
-    let Some(successor) = peers::successor_for(&node, &batch) else { return };
-    let call = PeerCall::KeepCopy { batch: batch.clone(), copy };
-    if let Err(error) = node.ask_peer(successor.address, &call, COPY_MAX).await {
-        let why = json!({ "request": batch, "to": successor.node, "why": error.message });
-        node.note("copy_unsent", why);
+    ask(node, to, &PeerCall::KeepCopy { batch, copy }).await
+}
+
+async fn send_texts<P: Platform>(
+    node: &Node<P>,
+    held: &RefCell<Held>,
+    to: &Owner,
+    told: &mut Told,
+) -> bool {
+    let texts = told.news(&held.borrow().texts(SAVE_AFTER_MS));
+    if texts.is_empty() {
+        return true;
+    }
+    let batch = held.borrow().id.clone();
+    ask(node, to, &PeerCall::KeepTexts { batch, texts }).await
+}
+
+/// Asks the other node to keep something; returns whether it does.
+async fn ask<P: Platform>(node: &Node<P>, to: &Owner, call: &PeerCall) -> bool {
+    match node.ask_peer(to.address, call, COPY_MAX).await {
+        Ok(answer) => matches!(answer, PeerAnswer::Accepted),
+        Err(error) => {
+            node.note("copy_unsent", json!({ "to": to.node, "why": error.message }));
+            false
+        }
     }
 }
 
@@ -105,6 +154,12 @@
     node.batches.standby.keep(clock::now(), batch, copy);
 }
 
+/// Keeps what is new of the texts of a copied batch; returns false when something before is missing.
+pub(crate) fn keep_texts<P: Platform>(node: &Node<P>, batch: &str, texts: Vec<TextNews>) -> bool {
+    let mut copies = node.batches.standby.copies.borrow_mut();
+    copies.get_mut(batch).is_some_and(|held| held.texts.take(texts))
+}
+
 /// Tells the node that holds the copy of a batch that it is ended.
 pub(super) fn tell_standby<P: Platform>(node: &Node<P>, batch: &str) {
     if let Some(successor) = peers::successor_for(node, batch) {
@@ -115,26 +170,24 @@
 
 /// Runs the items of a batch whose owner is dead until the store names another, if there is a copy.
 pub(super) fn start_interim<P: Platform>(node: &Rc<Node<P>>, batch: &str) {
-    let Some(HeldCopy { copy, .. }) = node.batches.standby.copies.borrow_mut().swap_remove(batch)
-    else {
-        return;
-    };
-    let BatchCopy { record, submission } = copy;
+    let copy = node.batches.standby.copies.borrow_mut().swap_remove(batch);
+    let Some(HeldCopy { copy: BatchCopy { record, submission }, texts, .. }) = copy else { return };
     let document = node.document();
     let route = document.as_ref().and_then(|document| document.route(&record.host, &record.path));
     let Some(route) = route else { return };
     let age_ms = UnixMs::from_wall_clock().since_ms(UnixMs(record.accepted_at_unix_ms));
     let accepted_at = UnixMs(clock::now().0.saturating_sub(age_ms));
     let terms = terms(route, reward_attempts(node, &submission), accepted_at, SKEW_MAX_MS);
+    let texts = texts.into_texts();
+    let source = Source { record, record_revision: 0, submission, texts };
+    let (mut held, resumed) = open(node, batch, source, accepted_at, terms, &[]);
     node.note(
         "batch_run_in_interim",
         json!({
-            "request": batch, "owner": record.owner.node, "items": submission.items.len(),
-            "age_ms": age_ms,
+            "request": batch, "owner": held.record.owner.node, "resumed": resumed,
+            "items": held.batch.submission().items.len(), "age_ms": age_ms,
         }),
     );
-    let source = Source { record, record_revision: 0, submission, texts: Vec::new() };
-    let (mut held, _) = open(node, batch, source, accepted_at, terms, &[]);
     held.owned = false;
     let held = Rc::new(RefCell::new(held));
     node.batches.standby.interim.borrow_mut().insert(batch.to_owned(), held);
--- a/crates/serve/src/batches/write.rs
+++ b/crates/serve/src/batches/write.rs
@@ -45,7 +45,7 @@
         sleep(SAVE_EVERY).await;
         let (id, texts) = {
             let held = held.borrow();
-            if !held.owned || held.batch.is_ended() || held.batch.is_settled() {
+            if !held.is_running() {
                 return;
             }
             (held.id.clone(), held.texts(SAVE_AFTER_MS))
--- a/crates/serve/src/peers.rs
+++ b/crates/serve/src/peers.rs
@@ -10,7 +10,7 @@
 use crate::settings::Settings;
 use crate::store::{StoreAnswer, StoreCall, StoreRefusal};
 use bytes::Bytes;
-use catkinmast_dispatch::{ItemResult, Progress, Submission};
+use catkinmast_dispatch::{ItemResult, Progress, Submission, TextNews};
 use catkinmast_member::{
     DutyRank, Fact, Membership, MembershipSettings, Message, NodeFact, NodeState, Output, OwnerFact,
 };
@@ -55,6 +55,8 @@
     End { batch: String },
     /// Keeps a copy of a batch for its owner, whom the receiver would follow.
     KeepCopy { batch: String, copy: Box<BatchCopy> },
+    /// Keeps what is new of the texts of a batch of which the receiver has a copy.
+    KeepTexts { batch: String, texts: Vec<TextNews> },
     /// Reads the body of an item of a batch that the receiver owns.
     ItemBody { batch: String, item: String },
     /// Reads results of a batch that the receiver owns.
@@ -431,6 +433,13 @@
             batches::keep_copy(&node, batch, *copy);
             PeerAnswer::Accepted
         }
+        PeerCall::KeepTexts { batch, texts } => {
+            if batches::keep_texts(&node, &batch, texts) {
+                PeerAnswer::Accepted
+            } else {
+                PeerAnswer::Unavailable
+            }
+        }
         PeerCall::Changes { after, subject } => feed::changes_since(&node, subject, after)
             .map_or(PeerAnswer::Unavailable, PeerAnswer::Changes),
         PeerCall::End { batch } => batches::end_owned(&node, &batch).await,
--- /dev/null
+++ b/tests/all/dispatch/copies.rs
@@ -0,0 +1,83 @@
+//! The texts in progress, as the node that would follow their owner has them.
+
+use catkinmast_dispatch::{CopiedTexts, Progress, TextNews, Told};
+use proptest::prelude::*;
+
+fn text(item: &str, events: std::ops::RangeInclusive<u64>, run: &str) -> (String, Progress) {
+    let mut progress = Progress::default();
+    progress.note_version(1);
+    for event in events {
+        progress.push(&format!("{run}-{event}"), Some(event));
+    }
+    (item.to_owned(), progress)
+}
+
+fn bytes(news: &[TextNews]) -> usize {
+    news.iter().map(|news| news.progress.text.len()).sum()
+}
+
+#[test]
+fn a_copy_follows_texts_that_grow_and_each_byte_is_sent_once() {
+    let (mut told, mut copy) = (Told::default(), CopiedTexts::default());
+    let mut sent_bytes = 0;
+
+    for events in [3, 8, 8, 20] {
+        let news = told.news(&[text("a", 1..=events, "r"), text("b", 1..=2, "r")]);
+        sent_bytes += bytes(&news);
+        assert!(copy.take(news));
+    }
+
+    let expected = [text("a", 1..=20, "r"), text("b", 1..=2, "r")];
+    assert_eq!(copy.into_texts(), expected);
+    assert_eq!(sent_bytes, expected.iter().map(|(_, progress)| progress.text.len()).sum::<usize>());
+}
+
+// Symptom: a result joins texts of two runs.
+// Sequence: a run fails and the item begins anew; its text outgrows what was told of the first run.
+// Cause: what is new is told by its length alone.
+#[test]
+fn a_text_that_begins_anew_replaces_the_former_one() {
+    let (mut told, mut copy) = (Told::default(), CopiedTexts::default());
+    assert!(copy.take(told.news(&[text("a", 1..=5, "first")])));
+
+    assert!(copy.take(told.news(&[text("a", 1..=9, "other")])));
+
+    assert_eq!(copy.into_texts(), [text("a", 1..=9, "other")]);
+}
+
+#[test]
+fn a_copy_that_missed_a_part_says_so_and_is_told_all() {
+    let (mut told, mut copy) = (Told::default(), CopiedTexts::default());
+    assert!(copy.take(told.news(&[text("a", 1..=2, "r")])));
+    let _lost = told.news(&[text("a", 1..=4, "r")]);
+
+    assert!(!copy.take(told.news(&[text("a", 1..=6, "r")])));
+    told.forget();
+
+    assert!(copy.take(told.news(&[text("a", 1..=6, "r")])));
+    assert_eq!(copy.into_texts(), [text("a", 1..=6, "r")]);
+}
+
+proptest! {
+    // Whatever is lost on the way, a copy holds what some run had at some time, or less: never a mix.
+    #[test]
+    fn a_copy_never_joins_texts_of_two_runs(
+        steps in prop::collection::vec((1..30_u64, any::<bool>(), any::<bool>()), 1..20),
+    ) {
+        let (mut told, mut copy) = (Told::default(), CopiedTexts::default());
+        let mut run = 0;
+        for (events, begins_anew, is_lost) in steps {
+            run += u64::from(begins_anew);
+            let news = told.news(&[text("a", 1..=events, &format!("run{run}"))]);
+            if !is_lost && !copy.take(news) {
+                told.forget();
+            }
+        }
+        for (_, progress) in copy.into_texts() {
+            let runs: std::collections::BTreeSet<&str> =
+                progress.text.lines().filter_map(|line| line.split('-').next()).collect();
+            prop_assert!(runs.len() <= 1, "{}", progress.text);
+            prop_assert_eq!(progress.text.lines().count() as u64, progress.last_event_id.unwrap_or(0));
+        }
+    }
+}
--- a/tests/all/dispatch/mod.rs
+++ b/tests/all/dispatch/mod.rs
@@ -1,6 +1,7 @@
 //! The decisions between callers and targets, played without a network.
 
 mod batch;
+mod copies;
 mod load;
 mod lookahead;
 mod rollout;
--- a/tests/all/site/standby.rs
+++ b/tests/all/site/standby.rs
@@ -4,6 +4,8 @@
 use super::store::Door;
 use std::time::Duration;
 
+/// The time in which texts that last are copied: those of a second's age, every 0.6 s.
+const TEXTS_COPIED: Duration = Duration::from_secs(2);
 /// The time in which a copy arrives, with much to spare.
 const COPIED: Duration = Duration::from_millis(500);
 
@@ -34,10 +36,10 @@
     for engine in &site.engines {
         engine.set_pace(50, 5);
     }
-    assert_eq!(site.submit(&site.nodes[0], "b1", &submission("b1", 6, 60, 1)).await, 202);
+    assert_eq!(site.submit(&site.nodes[0], "b1", &submission("b1", 6, 120, 1)).await, 202);
     let owner = site.owner_of("b1").await;
     let others: Vec<usize> = (0..3).filter(|number| *number != owner).collect();
-    tokio::time::sleep(COPIED).await;
+    tokio::time::sleep(TEXTS_COPIED).await;
 
     set_doors(&site, away);
     site.nodes[owner].signal("KILL");
@@ -56,8 +58,11 @@
     let results = site.read_all(&site.nodes[others[0]], "b1", 6).await;
     for result in results {
         let item = result["id"].as_str().expect("an id");
-        assert_eq!(result["text"], whole_text(item, 60));
+        assert_eq!(result["text"], whole_text(item, 120));
     }
+    let interim = others.iter().flat_map(|node| site.nodes[*node].lines("batch_run_in_interim"));
+    let texts = interim.filter_map(|line| line["resumed"].as_u64()).max();
+    assert!(texts > Some(0), "texts that the owner had begun go on: {texts:?}");
     let resumed = site.runs.all().iter().filter(|run| run.after > 0).count();
     assert!(resumed > 0, "the new owner goes on from the texts that were run meanwhile");
 }
