--- a/crates/serve/src/batches/mod.rs
+++ b/crates/serve/src/batches/mod.rs
@@ -180,6 +180,11 @@
         }
     }
 
+    /// Tells whether a batch is known to be ended.
+    fn is_ended(&self, batch: &str) -> bool {
+        self.owners.borrow().get(batch).is_some_and(|told| told.told_at.is_none())
+    }
+
     /// Returns the owner of a batch, as far as this node was told.
     fn owner_of(&self, batch: &str) -> Option<Owner> {
         self.owners.borrow().get(batch).map(|told| told.owner.clone())
--- a/crates/serve/src/batches/standby.rs
+++ b/crates/serve/src/batches/standby.rs
@@ -120,7 +120,7 @@
         let submission = held.batch.submission().clone();
         (held.id.clone(), Box::new(BatchCopy { record: held.record.clone(), submission }))
     };
-    ask(node, to, &PeerCall::KeepCopy { batch, copy }).await
+    ask(node, to, &batch, &PeerCall::KeepCopy { batch: batch.clone(), copy }).await
 }
 
 async fn send_texts<P: Platform>(
@@ -134,22 +134,26 @@
         return true;
     }
     let batch = held.borrow().id.clone();
-    ask(node, to, &PeerCall::KeepTexts { batch, texts }).await
+    ask(node, to, &batch, &PeerCall::KeepTexts { batch: batch.clone(), texts }).await
 }
 
 /// Asks the other node to keep something; returns whether it does.
-async fn ask<P: Platform>(node: &Node<P>, to: &Owner, call: &PeerCall) -> bool {
+async fn ask<P: Platform>(node: &Node<P>, to: &Owner, batch: &str, call: &PeerCall) -> bool {
     match node.ask_peer(to.address, call, COPY_MAX).await {
         Ok(answer) => matches!(answer, PeerAnswer::Accepted),
         Err(error) => {
-            node.note("copy_unsent", json!({ "to": to.node, "why": error.message }));
+            let why = json!({ "request": batch, "to": to.node, "why": error.message });
+            node.note("copy_unsent", why);
             false
         }
     }
 }
 
-/// Keeps a copy for the owner of a batch.
+/// Keeps a copy for the owner of a batch, unless the word of its end came first.
 pub(crate) fn keep_copy<P: Platform>(node: &Node<P>, batch: String, copy: BatchCopy) {
+    if node.batches.is_ended(&batch) {
+        return;
+    }
     node.batches.note_owner(&batch, copy.record.owner.clone());
     node.batches.standby.keep(clock::now(), batch, copy);
 }
