--- a/tests/all/site/standby.rs
+++ b/tests/all/site/standby.rs
@@ -13,6 +13,18 @@
     site.nodes.iter().for_each(|node| site.store.set_door(node.door, door));
 }
 
+/// Starts three nodes with a batch of six items; returns its owner and the other nodes.
+async fn site_with_batch(event_ms: u64, events: u8) -> (Site, usize, Vec<usize>) {
+    let site = Site::start(3, 3, 1).await;
+    for engine in &site.engines {
+        engine.set_pace(event_ms, 5);
+    }
+    assert_eq!(site.submit(&site.nodes[0], "b1", &submission("b1", 6, events, 1)).await, 202);
+    let owner = site.owner_of("b1").await;
+    let others = (0..3).filter(|number| *number != owner).collect();
+    (site, owner, others)
+}
+
 async fn until_seen_gone(site: &Site, by: &[usize]) {
     for other in by {
         until("the owner is seen gone", || async {
@@ -32,13 +44,7 @@
 )]
 #[test_macro(tokio::test(flavor = "multi_thread"))]
 async fn items_of_a_dead_owners_batch_run_on_while_the_store_is_away(away: Door) {
-    let site = Site::start(3, 3, 1).await;
-    for engine in &site.engines {
-        engine.set_pace(50, 5);
-    }
-    assert_eq!(site.submit(&site.nodes[0], "b1", &submission("b1", 6, 120, 1)).await, 202);
-    let owner = site.owner_of("b1").await;
-    let others: Vec<usize> = (0..3).filter(|number| *number != owner).collect();
+    let (site, owner, others) = site_with_batch(50, 120).await;
     tokio::time::sleep(TEXTS_COPIED).await;
 
     set_doors(&site, away);
@@ -72,13 +78,7 @@
 // Cause: the copy outlives its batch.
 #[tokio::test(flavor = "multi_thread")]
 async fn nothing_runs_of_a_copy_whose_batch_was_ended() {
-    let site = Site::start(3, 3, 1).await;
-    for engine in &site.engines {
-        engine.set_pace(100, 5);
-    }
-    assert_eq!(site.submit(&site.nodes[0], "b1", &submission("b1", 6, 80, 1)).await, 202);
-    let owner = site.owner_of("b1").await;
-    let others: Vec<usize> = (0..3).filter(|number| *number != owner).collect();
+    let (site, owner, others) = site_with_batch(100, 80).await;
     tokio::time::sleep(COPIED).await;
     assert_eq!(site.end(&site.nodes[0], "b1").await, 200);
     let ran = site.runs.all().len();
@@ -132,13 +132,7 @@
 // Cause: only the texts are kept, and each score is asked for again.
 #[tokio::test(flavor = "multi_thread")]
 async fn results_that_were_scored_meanwhile_are_not_scored_again() {
-    let site = Site::start(3, 3, 1).await;
-    for engine in &site.engines {
-        engine.set_pace(50, 5);
-    }
-    assert_eq!(site.submit(&site.nodes[0], "b1", &submission("b1", 6, 40, 1)).await, 202);
-    let owner = site.owner_of("b1").await;
-    let others: Vec<usize> = (0..3).filter(|number| *number != owner).collect();
+    let (site, owner, others) = site_with_batch(50, 40).await;
     tokio::time::sleep(COPIED).await;
 
     set_doors(&site, Door::Refuses);
