The trail names what a request asked, and says when a target ended under it

Cause: in the trail of the incident each repeat of a request has an id of its own, so nobody can tell that two lines speak of the same one, nor whether a connection broke because its target ended. The hypotheses cannot be told apart.

Ruled out: telling an end by the registry alone; its word comes about four seconds later, after three or four more targets.

Change: a fingerprint of method, host, path and body in the lines of attempts that may have run and of broken runs of items; a line target_ended, with a counter, once the address of a target whose connection broke refuses connections, or the registry says that it is gone. A target that leaves as planned does not count. No decision changes. catkinmast-trail follows a fingerprint.

--- /dev/null
+++ b/crates/serve/src/crashes.rs
@@ -0,0 +1,87 @@
+//! Whether a target ended with a request of ours under way.
+//!
+//! A connection breaks for many reasons: a target that crashes, one that is told to leave, a reset on
+//! the way. Only the first says something of the request, so the target's fate is found out: its address
+//! is asked at once, and the registry's word counts for some seconds after the break.
+
+use crate::forward::{Chosen, Outgoing};
+use crate::metrics::count;
+use crate::node::Node;
+use crate::platform::Platform;
+use catkinmast_dispatch::{TargetChange, TargetEntry};
+use catkinmast_model::UnixMs;
+use catkinmast_quarantine::{Fate, Life};
+use serde_json::json;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// Pause before an address that still took a connection is asked once more: a process that ends may
+/// close its connections some milliseconds before its listener.
+const ASK_AGAIN_AFTER: Duration = Duration::from_millis(200);
+
+/// Takes a request whose connection to its target broke while it may have run.
+pub(crate) fn broke_off<P: Platform>(node: &Rc<Node<P>>, chosen: &Chosen, outgoing: &Outgoing) {
+    let Some(entry) = node.targets.borrow().entry(&chosen.id).cloned() else { return };
+    // One that leaves as planned may break off what it has not finished by the end.
+    if entry.draining {
+        return;
+    }
+    let life = life_of(&entry);
+    let now = UnixMs::from_wall_clock();
+    let is_first = node.broken_off.borrow_mut().note(now, outgoing.fingerprint(), &life);
+    if is_first {
+        tokio::task::spawn_local(ask(Rc::clone(node), chosen.address, life));
+    }
+}
+
+fn life_of(entry: &TargetEntry) -> Life {
+    Life { born_at_unix_ms: entry.born_at_unix_ms, id: entry.id.clone() }
+}
+
+/// Asks a target's address whether anybody listens there.
+async fn ask<P: Platform>(node: Rc<Node<P>>, address: SocketAddr, life: Life) {
+    let mut is_closed = node.pool.is_closed(address).await;
+    if !is_closed {
+        sleep(ASK_AGAIN_AFTER).await;
+        is_closed = node.pool.is_closed(address).await;
+    }
+    if is_closed {
+        take(&node, Fate::Ended(&life), "refused");
+    }
+}
+
+/// Takes the registry's word of a target, or its own.
+pub(crate) fn target_changed<P: Platform>(
+    node: &Node<P>,
+    change: &TargetChange,
+    entry: &TargetEntry,
+) {
+    match change {
+        TargetChange::Left(id) if !entry.draining => take(node, Fate::Gone { id }, "registry"),
+        TargetChange::Reborn(id) => {
+            let born_at_unix_ms = entry.born_at_unix_ms;
+            take(node, Fate::Reborn { born_at_unix_ms, id }, "registry");
+        }
+        TargetChange::Left(_) | TargetChange::Joined(_) | TargetChange::None => {}
+    }
+}
+
+fn take<P: Platform>(node: &Node<P>, fate: Fate<'_>, by: &'static str) {
+    if node.broken_off.borrow().is_empty() {
+        return;
+    }
+    let ended = node.broken_off.borrow_mut().take(UnixMs::from_wall_clock(), fate);
+    let Some((_, life)) = ended.first() else { return };
+    count(&node.metrics.targets_ended, by);
+    for (fingerprint, _) in &ended {
+        node.note(
+            "target_ended",
+            json!({
+                "target": life.id, "born_at_unix_ms": life.born_at_unix_ms, "by": by,
+                "fingerprint": fingerprint.to_string(), "under_way": ended.len(),
+            }),
+        );
+    }
+}
--- a/crates/serve/src/forward.rs
+++ b/crates/serve/src/forward.rs
@@ -1,6 +1,7 @@
 //! Sends a request to a target and says what is certain about it afterwards.
 
 use crate::clock;
+use crate::crashes;
 use crate::metrics::count;
 use crate::node::Node;
 use crate::platform::{AnswerMarks, Platform, RequestMarks};
@@ -8,6 +9,7 @@
 use bytes::Bytes;
 use catkinmast_dispatch::Outcome;
 use catkinmast_model::{UnixMs, Verdict};
+use catkinmast_quarantine::Fingerprint;
 use http::{HeaderMap, HeaderName, Method, Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -59,6 +61,20 @@
     pub request_id: Option<String>,
 }
 
+impl Outgoing {
+    /// Names what it asks, whatever its id.
+    pub(crate) fn fingerprint(&self) -> Fingerprint {
+        let host = self.headers.get(http::header::HOST).and_then(|host| host.to_str().ok());
+        let method = self.method.as_str();
+        Fingerprint::of(method, host.unwrap_or_default(), &self.path, &self.body)
+    }
+
+    /// The same for the trail, of an attempt that may have run; the others tell nothing of it.
+    pub(crate) fn fingerprint_if(&self, verdict: Verdict) -> Option<String> {
+        verdict.may_have_run().then(|| self.fingerprint().to_string())
+    }
+}
+
 /// A target that was chosen.
 #[derive(Clone, Debug)]
 pub(crate) struct Chosen {
@@ -141,7 +157,7 @@
 
 /// Sends a request and reads the head of the answer.
 pub(crate) async fn open<P: Platform>(
-    node: &Node<P>,
+    node: &Rc<Node<P>>,
     chosen: &Chosen,
     outgoing: &Outgoing,
 ) -> Result<(Response<Incoming>, Connection, AnswerMarks), CallError> {
@@ -160,7 +176,12 @@
         request_id: outgoing.request_id.as_deref(),
     };
     P::mark_request(request.headers_mut(), &marks);
-    let (response, connection) = node.pool.send(chosen.address, request).await?;
+    let sent = node.pool.send(chosen.address, request).await;
+    let (response, connection) = sent.inspect_err(|error| {
+        if error.verdict.may_have_run() {
+            crashes::broke_off(node, chosen, outgoing);
+        }
+    })?;
     let marks = P::answer_marks(response.headers());
     // A late answer to an abandoned request may stand where ours is expected.
     if marks.request_id.is_some() && marks.request_id != outgoing.request_id {
@@ -213,6 +234,7 @@
                 "request": outgoing.request_id, "target": chosen.id, "why": failure.message,
                 "verdict": failure.verdict, "ms": clock::now().since_ms(began_at),
                 "left_ms": outgoing.deadline_at.since_ms(clock::now()),
+                "fingerprint": outgoing.fingerprint_if(failure.verdict),
             }),
         );
     }
@@ -231,7 +253,10 @@
         let change = node.targets.borrow_mut().refused(&chosen.id);
         node.target_changed(&change, "another target answered at its address");
     }
-    let body = read_whole(body, HELD_MAX_BYTES).await.map_err(AttemptFailure::of)?;
+    let body = read_whole(body, HELD_MAX_BYTES).await.map_err(|error| {
+        crashes::broke_off(node, chosen, outgoing);
+        AttemptFailure::of(error)
+    })?;
     node.pool.keep(connection, &head.headers);
     if let Some(refusal) = refusal(head.status, &marks) {
         return Err(refusal);
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -10,6 +10,7 @@
 mod batches;
 mod caller;
 mod clock;
+mod crashes;
 mod feed;
 mod forward;
 mod listener;
--- a/crates/serve/src/metrics.rs
+++ b/crates/serve/src/metrics.rs
@@ -32,6 +32,7 @@
     pub request_seconds: Histogram,
     pub store_calls: Family<Reason, Counter>,
     pub store_failures: Family<Reason, Counter>,
+    pub targets_ended: Family<Reason, Counter>,
     registry: Registry,
 }
 
@@ -50,6 +51,7 @@
             request_seconds: Histogram::new(LATENCY_BUCKETS_S),
             store_calls: Family::default(),
             store_failures: Family::default(),
+            targets_ended: Family::default(),
             registry: Registry::default(),
         };
         let m = &metrics;
@@ -84,6 +86,11 @@
             "Calls of the store that failed, by way",
             m.store_failures.clone(),
         );
+        registry.register(
+            "targets_ended",
+            "Lives of targets that ended with a request of ours under way, by how that was seen",
+            m.targets_ended.clone(),
+        );
         Self { registry, ..metrics }
     }
 
--- a/crates/serve/src/node.rs
+++ b/crates/serve/src/node.rs
@@ -2,6 +2,7 @@
 
 use crate::batches::Batches;
 use crate::clock;
+use crate::crashes;
 use crate::feed::Feeds;
 use crate::metrics::{Metrics, count};
 use crate::outage::{self, Outage};
@@ -17,6 +18,7 @@
 };
 use catkinmast_member::{Membership, NodeState};
 use catkinmast_model::{Incarnation, Name, UnixMs, Verdict};
+use catkinmast_quarantine::BrokenOff;
 use catkinmast_wire::SharedKey;
 use http::Request;
 use http_body_util::Full;
@@ -52,6 +54,8 @@
 #[derive(Debug)]
 pub(crate) struct Node<P> {
     pub batches: Batches,
+    /// Requests that broke off at targets of which nothing was heard since.
+    pub broken_off: RefCell<BrokenOff>,
     /// Whether no more connections and requests of callers are taken, because the process ends.
     pub closing: watch::Sender<bool>,
     pub datagrams: UdpSocket,
@@ -93,6 +97,7 @@
         let pool = Pool::open(metrics.connections_opened.clone());
         Self {
             batches: Batches::default(),
+            broken_off: RefCell::new(BrokenOff::default()),
             closing: watch::Sender::new(false),
             datagrams,
             demand: RefCell::new(Demand::default()),
@@ -193,6 +198,7 @@
         if !matches!(change, TargetChange::Joined(_)) {
             self.pool.forget(entry.address);
         }
+        crashes::target_changed(self, change, &entry);
         if matches!(change, TargetChange::Reborn(_)) {
             self.load.borrow_mut().reborn(id);
             // Their connections may stay silent; the texts go on elsewhere at once.
--- a/crates/serve/src/pool.rs
+++ b/crates/serve/src/pool.rs
@@ -17,6 +17,7 @@
 use prometheus_client::metrics::counter::Counter;
 use socket2::{SockRef, TcpKeepalive};
 use std::cell::RefCell;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -162,6 +163,15 @@
         }
     }
 
+    /// Tells whether nobody listens at an address: the process that did has ended. One that does not
+    /// answer may be cut off.
+    pub(crate) async fn is_closed(&self, address: SocketAddr) -> bool {
+        self.opened.inc();
+        let opened = timeout(CONNECT_MAX, TcpStream::connect(address)).await;
+        let refused = |error: &std::io::Error| error.kind() == ErrorKind::ConnectionRefused;
+        matches!(opened, Ok(Err(error)) if refused(&error))
+    }
+
     async fn connect(&self, address: SocketAddr) -> Result<Connection, CallError> {
         self.opened.inc();
         let stream = match timeout(CONNECT_MAX, TcpStream::connect(address)).await {
--- a/crates/serve/src/relay.rs
+++ b/crates/serve/src/relay.rs
@@ -119,7 +119,7 @@
             in_flight.end(Outcome::Failed);
             let why = json!({
                 "request": outgoing.request_id, "target": chosen.id, "why": error.message,
-                "verdict": error.verdict,
+                "verdict": error.verdict, "fingerprint": outgoing.fingerprint_if(error.verdict),
             });
             node.note("attempt_failed", why);
             return Err(AttemptFailure {
--- a/crates/serve/src/runs/stream.rs
+++ b/crates/serve/src/runs/stream.rs
@@ -4,12 +4,14 @@
 use super::{FAILED_PAUSE_MS, FULL_PAUSE_MS, finish};
 use crate::batches::Held;
 use crate::clock;
+use crate::crashes;
 use crate::forward::{self, Chosen, InFlight, Outgoing};
 use crate::metrics::count;
 use crate::node::Node;
 use crate::platform::Platform;
 use catkinmast_dispatch::{EventReader, Item, ItemResult, Outcome, Progress};
 use catkinmast_model::UnixMs;
+use catkinmast_quarantine::Fingerprint;
 use http::header::HOST;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
 use http_body_util::BodyExt;
@@ -93,13 +95,14 @@
         RunEnd::Broken { why, .. } => ("broken", why.as_str()),
     };
     count(&node.metrics.item_runs, label);
+    let fingerprint = (label == "broken").then(|| fingerprint(&item, &terms.host).to_string());
     node.note(
         "item_run",
         json!({
             "request": item.id, "batch": held.borrow().id, "target": chosen.id, "outcome": label,
             "why": why, "versions": text.versions, "resumed_after": resumed_after,
             "last_event": text.last_event_id, "longest_gap_ms": longest_gap_ms.get(),
-            "ms": clock::now().since_ms(began_at),
+            "ms": clock::now().since_ms(began_at), "fingerprint": fingerprint,
         }),
     );
     match end {
@@ -132,6 +135,11 @@
     node.work.notify_one();
 }
 
+/// Names what an item asks, as its [requests](outgoing) do.
+fn fingerprint(item: &Item, host: &str) -> Fingerprint {
+    Fingerprint::of(Method::POST.as_str(), host, &item.path, &item.body)
+}
+
 fn outgoing(item: &Item, host: &str, give_up_at: UnixMs, after: Option<u64>) -> Outgoing {
     let mut headers = HeaderMap::new();
     for (name, value) in &item.headers {
@@ -218,10 +226,23 @@
             stream.progress.borrow_mut().whole = true;
             RunEnd::Whole
         }
-        Err(why) => broken(&why, Outcome::Failed),
+        Err(ReadEnd::BrokeOff(why)) => {
+            crashes::broke_off(node, chosen, &request);
+            broken(&why, Outcome::Failed)
+        }
+        Err(ReadEnd::Other(why)) => broken(&why, Outcome::Failed),
     }
 }
 
+/// Why a stream was not read to its end.
+#[derive(Debug)]
+enum ReadEnd {
+    /// The connection broke.
+    BrokeOff(String),
+    /// Silence, or events that cannot be used.
+    Other(String),
+}
+
 /// The events of one run.
 struct TokenStream {
     body: Incoming,
@@ -234,7 +255,7 @@
 
 impl TokenStream {
     /// Reads events until the stream's end; an error says why it is not whole.
-    async fn read<P: Platform>(&mut self, node: &Node<P>, chosen: &Chosen) -> Result<(), String> {
+    async fn read<P: Platform>(&mut self, node: &Node<P>, chosen: &Chosen) -> Result<(), ReadEnd> {
         let mut events = EventReader::default();
         let mut max = FIRST_EVENT_MAX;
         let mut last_at = clock::now();
@@ -242,14 +263,19 @@
         loop {
             let frame = match timeout(max, self.body.frame()).await {
                 Ok(Some(Ok(frame))) => frame,
-                Ok(Some(Err(error))) => return Err(error.to_string()),
+                Ok(Some(Err(error))) => return Err(ReadEnd::BrokeOff(error.to_string())),
                 Ok(None) if events.is_between_events() => return Ok(()),
-                Ok(None) => return Err("the stream ended within an event".to_owned()),
-                Err(_) => return Err(format!("silent for {} ms", max.as_millis())),
+                Ok(None) => {
+                    let why = "the stream ended within an event".to_owned();
+                    return Err(ReadEnd::BrokeOff(why));
+                }
+                Err(_) => {
+                    return Err(ReadEnd::Other(format!("silent for {} ms", max.as_millis())));
+                }
             };
             let Some(data) = frame.data_ref() else { continue };
             for event in events.read(data) {
-                self.take::<P>(node, chosen, &event)?;
+                self.take::<P>(node, chosen, &event).map_err(ReadEnd::Other)?;
             }
             let now = clock::now();
             if !first {
--- a/crates/trail/src/lib.rs
+++ b/crates/trail/src/lib.rs
@@ -12,8 +12,8 @@
 
 use serde_json::Value;
 
-/// Fields that name a request, an item, a batch or a target.
-const NAMING: [&str; 3] = ["request", "batch", "target"];
+/// Fields that name a request, an item, a batch, a target, or what a request asks.
+const NAMING: [&str; 4] = ["request", "batch", "target", "fingerprint"];
 
 /// One line of a story.
 #[derive(Clone, Debug, PartialEq)]
--- a/tests/all/site/harness.rs
+++ b/tests/all/site/harness.rs
@@ -369,13 +369,24 @@
         node: &Node,
         path: &str,
         id: &str,
+    ) -> reqwest::Result<reqwest::Response> {
+        self.call_with(node, path, id, "question").await
+    }
+
+    /// The same with a body.
+    pub(crate) async fn call_with(
+        &self,
+        node: &Node,
+        path: &str,
+        id: &str,
+        body: &str,
     ) -> reqwest::Result<reqwest::Response> {
         self.client
             .post(format!("http://{}{path}", node.callers))
             .header("Host", HOST)
             .header("X-Catkinmast-Request-Id", id)
             .header("X-Catkinmast-Deadline-Ms", "3000")
-            .body("question")
+            .body(body.to_owned())
             .send()
             .await
     }
--- a/tests/all/site/mod.rs
+++ b/tests/all/site/mod.rs
@@ -12,6 +12,7 @@
 mod bad_input;
 mod batches;
 mod configuration;
+mod crashes;
 mod orders;
 mod requests;
 mod soak;
--- a/tests/all/site/web.rs
+++ b/tests/all/site/web.rs
@@ -44,7 +44,15 @@
     where
         H: Fn(http::Request<Incoming>) -> BoxFuture<'static, Answer> + Send + Sync + 'static,
     {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        Self::bind_at(SocketAddr::from(([127, 0, 0, 1], 0)), handle).await
+    }
+
+    /// Serves at an address.
+    pub(crate) async fn bind_at<H>(address: SocketAddr, handle: H) -> Self
+    where
+        H: Fn(http::Request<Incoming>) -> BoxFuture<'static, Answer> + Send + Sync + 'static,
+    {
+        let listener = TcpListener::bind(address).await.expect("a free port");
         let address = listener.local_addr().expect("a bound address");
         let (cut, cuts) = watch::channel(0);
         let handle = Arc::new(handle);
--- a/tests/all/site/worker.rs
+++ b/tests/all/site/worker.rs
@@ -12,9 +12,13 @@
 use hyper::body::{Frame, Incoming};
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+/// A request whose body begins so ends each worker that begins to run it.
+pub(crate) const CRASHING_BODY: &str = "crash";
+
 /// How a worker behaves.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Conduct {
@@ -65,14 +69,19 @@
 
 struct State {
     abandoned: u64,
+    /// How long after a crash the worker starts again, under another id.
+    back_after: Duration,
     /// When its life began, in milliseconds; none where it does not tell.
     born: Option<u64>,
     busy_until: Option<Instant>,
     conduct: Conduct,
+    crashes: u64,
     event_ms: u64,
     load_ms: u64,
     orders: u64,
     orders_seen: Vec<Value>,
+    /// Where it listens; none while it is down.
+    server: Option<Server>,
     versions: BTreeMap<String, u64>,
     work_ms: u64,
 }
@@ -80,11 +89,16 @@
 /// A worker.
 pub(crate) struct Worker {
     pub(crate) id: String,
-    runs: Runs,
-    server: Option<Server>,
-    service: String,
+    home: Home,
     sequence: u64,
     state: Arc<Mutex<State>>,
+}
+
+/// What a worker's lives share.
+#[derive(Clone)]
+struct Home {
+    runs: Runs,
+    service: String,
     store: Store,
 }
 
@@ -114,48 +128,33 @@
         let versions = BTreeMap::from([("model-a".to_owned(), 1), ("model-b".to_owned(), 1)]);
         let state = Arc::new(Mutex::new(State {
             abandoned: 0,
+            back_after: Duration::from_secs(3),
             born: None,
             busy_until: None,
             conduct: Conduct::Sound,
+            crashes: 0,
             event_ms: 10,
             load_ms: 200,
             orders: 0,
             orders_seen: Vec::new(),
+            server: None,
             versions,
             work_ms: 5,
         }));
-        let server = listen(&state, runs, id).await;
-        let mut worker = Self {
-            id: id.to_owned(),
-            runs: runs.clone(),
-            server: Some(server),
-            service: service.to_owned(),
-            sequence: 0,
-            state,
-            store: store.clone(),
-        };
+        let home = Home { runs: runs.clone(), service: service.to_owned(), store: store.clone() };
+        listen(&state, &home, id, ANY_PORT).await;
+        let mut worker = Self { id: id.to_owned(), home, sequence: 0, state };
         worker.register("ready");
         worker
     }
 
     /// Writes the worker's entry.
     pub(crate) fn register(&mut self, state: &str) {
-        let Some(server) = &self.server else { return };
-        self.sequence += 1;
-        let models: Vec<Value> = self
-            .lock()
-            .versions
-            .iter()
-            .map(|(name, version)| json!({ "name": name, "version": version, "adapters": [] }))
-            .collect();
-        let mut entry = json!({
-            "service": self.service, "address": server.address, "zone": "zone-a", "version": "v1",
-            "slots": 4, "state": state, "coldLeftMs": 0, "models": models, "seq": self.sequence,
-        });
-        if let Some(born) = self.lock().born {
-            entry["born"] = json!(born);
+        if self.lock().server.is_none() {
+            return;
         }
-        self.store.put(&format!("servers/{}", self.id), &entry);
+        self.sequence += 1;
+        register(&self.lock(), &self.home, &self.id, state, self.sequence);
     }
 
     /// Lets the worker tell when its life began.
@@ -173,16 +172,16 @@
 
     /// Starts the worker again under its id, at another address; it knows nothing of before.
     pub(crate) async fn start_again(&mut self, born: u64) {
-        self.server = None;
+        self.crash();
         self.begin_life(born);
         self.sequence = 0;
-        self.server = Some(listen(&self.state, &self.runs, &self.id).await);
+        listen(&self.state, &self.home, &self.id, ANY_PORT).await;
         self.register("ready");
     }
 
     /// Removes the worker's entry; it serves on.
     pub(crate) fn deregister(&self) {
-        self.store.remove(&format!("servers/{}", self.id));
+        self.home.store.remove(&format!("servers/{}", self.id));
     }
 
     /// Writes an entry as an older heartbeat had it.
@@ -233,24 +232,74 @@
         self.lock().abandoned
     }
 
+    /// Returns how often a request has ended the worker.
     /// Ends the worker without a word.
     pub(crate) fn crash(&mut self) {
-        self.server = None;
+        let server = self.lock().server.take();
+        drop(server);
     }
 
     /// Returns what this worker ran.
     pub(crate) fn ran(&self) -> Vec<Run> {
-        self.runs.all().into_iter().filter(|run| run.worker == self.id).collect()
+        self.home.runs.all().into_iter().filter(|run| run.worker == self.id).collect()
     }
 }
 
-async fn listen(state: &Arc<Mutex<State>>, runs: &Runs, id: &str) -> Server {
-    let (shared, log, name) = (Arc::clone(state), runs.clone(), id.to_owned());
-    Server::bind(move |request| {
-        let (state, runs, id) = (Arc::clone(&shared), log.clone(), name.clone());
-        async move { serve(&state, &runs, &id, request).await }.boxed()
+/// A free port of the loopback address.
+const ANY_PORT: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+
+async fn listen(state: &Arc<Mutex<State>>, home: &Home, id: &str, address: SocketAddr) {
+    let (shared, home, name) = (Arc::clone(state), home.clone(), id.to_owned());
+    let server = Server::bind_at(address, move |request| {
+        let (state, home, id) = (Arc::clone(&shared), home.clone(), name.clone());
+        async move { serve(&state, &home, &id, request).await }.boxed()
     })
-    .await
+    .await;
+    state.lock().expect("no test panics while it holds a worker").server = Some(server);
+}
+
+fn register(state: &State, home: &Home, id: &str, status: &str, sequence: u64) {
+    let Some(server) = &state.server else { return };
+    let models: Vec<Value> = state
+        .versions
+        .iter()
+        .map(|(name, version)| json!({ "name": name, "version": version, "adapters": [] }))
+        .collect();
+    let mut entry = json!({
+        "service": home.service, "address": server.address, "zone": "zone-a", "version": "v1",
+        "slots": 4, "state": status, "coldLeftMs": 0, "models": models, "seq": sequence,
+    });
+    if let Some(born) = state.born {
+        entry["born"] = json!(born);
+    }
+    home.store.put(&format!("servers/{id}"), &entry);
+}
+
+/// Ends a worker with all its connections; it is back at its address after a while, under another id.
+fn end_by_request(state: &Arc<Mutex<State>>, home: &Home, id: &str) {
+    let (server, back_after, crashes) = {
+        let mut state = state.lock().expect("no test panics while it holds a worker");
+        let Some(server) = state.server.take() else { return };
+        state.crashes += 1;
+        (server, state.back_after, state.crashes)
+    };
+    let address = server.address;
+    let (state, home, old) = (Arc::clone(state), home.clone(), id.to_owned());
+    let first = old.split('+').next().unwrap_or_default();
+    let new = format!("{first}+{crashes}");
+    tokio::spawn(async move {
+        tokio::time::sleep(back_after).await;
+        home.store.remove(&format!("servers/{old}"));
+        listen(&state, &home, &new, address).await;
+        register(
+            &state.lock().expect("no test panics while it holds a worker"),
+            &home,
+            &new,
+            "ready",
+            1,
+        );
+    });
+    drop(server);
 }
 
 fn settle(state: &mut State) {
@@ -273,7 +322,7 @@
 
 async fn serve(
     state: &Arc<Mutex<State>>,
-    runs: &Runs,
+    home: &Home,
     id: &str,
     request: http::Request<Incoming>,
 ) -> Answer {
@@ -301,7 +350,12 @@
     }
     let after = text(&head, "last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
     let run = Run { after, at: Instant::now(), request: request.clone(), worker: id.to_owned() };
-    runs.push(run);
+    home.runs.push(run);
+    if body.starts_with(CRASHING_BODY.as_bytes()) {
+        tokio::time::sleep(Duration::from_millis(work_ms)).await;
+        end_by_request(state, home, id);
+        return None;
+    }
     if conduct == Conduct::LosesAnswers {
         return None;
     }
