A difference between boards is pulled within 1.5 s whatever else is new

Cause: a node pulls what it has missed only once two seconds have passed without any news. In a fleet that is being restarted there is always some, so a node that was cut off while a fact was told does without it: it would send on a request that all others hold back.

Ruled out: a question of its own to a peer at each start and doubt (tried and taken out: in calm it was always later than the pull, so it had no test that could fail).

Change: a difference that has lasted 1.5 s is pulled.

Measured: with news three times in four at 300 ms the node never pulled in 12 s, now within 3 s (test, failed first).

--- a/crates/member/src/membership.rs
+++ b/crates/member/src/membership.rs
@@ -27,6 +27,11 @@
 const PUSH_FANOUT: usize = 3;
 /// How long a fact rests before its digest counts in a comparison.
 const SETTLE_MS: u64 = 2_000;
+/// How long a difference is left to news that may be on its way. *A node that was cut off does without
+/// what it has missed* for as long as anything else is new, as in a fleet that is being restarted. It would
+/// be noticed as a request that this node sends on after all others hold it back. A fact reaches all within
+/// a second, so a difference that lasts longer is none of those.
+const DIFFERENCE_MAX_MS: u64 = 1_500;
 /// How long a gone node or target is remembered, so that a late message does not bring it back.
 const GONE_KEPT_MS: u64 = 600_000;
 /// Time between two tries to reach a node that was lost, or a seed that is no peer.
@@ -137,6 +142,8 @@
     pub(crate) order: Vec<Name>,
     pub(crate) probe: Option<Probe>,
     pub(crate) pull_after: UnixMs,
+    /// When a difference that has been seen is pulled at the latest; none while there is none.
+    pub(crate) pull_by: Option<UnixMs>,
     pub(crate) rejoin_at: UnixMs,
     pub(crate) relays: IndexMap<u64, Relay>,
     pub(crate) rng: Pcg64Mcg,
@@ -166,6 +173,7 @@
             order: Vec::new(),
             probe: None,
             pull_after: UnixMs(0),
+            pull_by: None,
             rejoin_at: UnixMs(0),
             relays: IndexMap::new(),
             rng,
@@ -410,12 +418,19 @@
         }
     }
 
-    /// Pulls when the boards differ and nothing is on its way that would explain it.
+    /// Pulls when the boards differ and nothing is on its way that would explain it, or they have differed
+    /// for too long.
     fn compare(&mut self, now: UnixMs, from: SocketAddr, digest: u64, outputs: &mut Vec<Output>) {
+        if digest == self.board.digest() {
+            self.pull_by = None;
+            return;
+        }
+        let pull_by = *self.pull_by.get_or_insert(now.plus(DIFFERENCE_MAX_MS));
         let knows_nobody = self.peers().next().is_none();
-        if digest == self.board.digest() || (now < self.pull_after && !knows_nobody) {
+        if now < self.pull_after.min(pull_by) && !knows_nobody {
             return;
         }
+        self.pull_by = None;
         self.pull_after = now.plus(SETTLE_MS);
         let buckets = self.board.buckets().to_vec();
         outputs.push(Output::Send { message: Message::Pull { buckets }, to: from });
--- a/tests/all/membership.rs
+++ b/tests/all/membership.rs
@@ -74,6 +74,40 @@
     assert!(distinct.len() >= 5, "16 duties on 8 nodes: {distinct:?}");
 }
 
+/// Symptom: a node that has missed a fact does without it for as long as the fleet is being restarted.
+/// Sequence: it was cut off as the fact was told; since then a node comes or goes each second.
+/// Cause: it pulls what differs only once two seconds have passed without any news. It never pulled.
+#[test]
+fn a_node_pulls_what_it_has_missed_also_where_there_is_always_news() {
+    const PING_EVERY_MS: u64 = 300;
+    const PULLS_WITHIN_MS: u64 = 3_000;
+    let settings = MembershipSettings { probe_every_ms: PING_EVERY_MS, ..Default::default() };
+    let me = node_of("me", 250);
+    let rng = Pcg64Mcg::seed_from_u64(1);
+    let mut members = Membership::open(me, Vec::new(), settings, rng);
+    let from = SocketAddr::from(([127, 0, 0, 2], 7_400));
+    let (begin, mut pulled_after_ms) = (UnixMs(100_000), None);
+    members.receive(begin, from, Message::Facts { facts: vec![Fact::Node(node_of("other", 250))] });
+
+    for turn in 1..40 {
+        let now = begin.plus(turn * PING_EVERY_MS);
+        // Something else is new three times in four; the digest differs by what was missed.
+        let facts = match turn % 4 {
+            0 => Vec::new(),
+            _ => vec![target(turn, InstanceState::Live, TargetReport::List)],
+        };
+        let outputs =
+            members.receive(now, from, Message::Ping { digest: turn, facts, sequence: turn });
+        let pulls =
+            |output: &Output| matches!(output, Output::Send { message: Message::Pull { .. }, .. });
+        if pulled_after_ms.is_none() && outputs.iter().any(pulls) {
+            pulled_after_ms = Some(now.since_ms(begin));
+        }
+    }
+
+    assert!(pulled_after_ms.is_some_and(|ms| ms <= PULLS_WITHIN_MS), "{pulled_after_ms:?}");
+}
+
 /// A node that comes or goes changes nothing for duties that it does not come first for.
 #[test]
 fn a_node_that_goes_leaves_the_duties_of_the_others_alone() {
