Streams count as survived from their first event on

Cause: found in reading: a stream that waited at its engine for a second before it began to run, and then ended it, counted as one that the engine survived, which even cleared what was known.

Change: the second counts from the first event. A stream that broke off before any event counts against its request however long it waited.

Measured: the tests of crashes pass; no test of its own yet.

--- a/crates/serve/src/crashes/fate.rs
+++ b/crates/serve/src/crashes/fate.rs
@@ -13,6 +13,7 @@
 use catkinmast_model::UnixMs;
 use catkinmast_quarantine::{Fate, Life};
 use serde_json::json;
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -21,26 +22,35 @@
 /// Pause before an address that still took a connection is asked once more: a process that ends may
 /// close its connections some milliseconds before its listener.
 const ASK_AGAIN_AFTER: Duration = Duration::from_millis(200);
-/// A stream that has run for so long shows by its events that its target survives it. Engines end with
-/// all their streams, which last for seconds; held against each, every one of them would soon have three.
-const EARLY_MS: u64 = 1_000;
+/// A stream that has brought events for so long shows that its target survives it. Engines end with all
+/// their streams, which last for seconds; held against each, every one of them would soon have three.
+const SURVIVED_AFTER_MS: u64 = 1_000;
 
 /// A stream under way at a target.
 #[derive(Debug)]
 pub(crate) struct StreamRun {
-    began_at: UnixMs,
     chosen: Chosen,
+    /// When its first event came: until then it may have waited at the target.
+    first_event_at: Cell<Option<UnixMs>>,
     outgoing: Outgoing,
 }
 
 impl StreamRun {
-    pub(crate) const fn begin(chosen: Chosen, outgoing: Outgoing, began_at: UnixMs) -> Self {
-        Self { began_at, chosen, outgoing }
+    pub(crate) const fn begin(chosen: Chosen, outgoing: Outgoing) -> Self {
+        Self { chosen, first_event_at: Cell::new(None), outgoing }
+    }
+
+    /// Takes it that a part of its answer came.
+    pub(crate) fn heard(&self) {
+        if self.first_event_at.get().is_none() {
+            self.first_event_at.set(Some(clock::now()));
+        }
     }
 
     /// Takes it that its connection broke.
     pub(crate) fn broke_off<P: Platform>(&self, node: &Rc<Node<P>>) {
-        if clock::now().since_ms(self.began_at) < EARLY_MS {
+        let ran_ms = self.first_event_at.get().map_or(0, |first| clock::now().since_ms(first));
+        if ran_ms < SURVIVED_AFTER_MS {
             broke_off(node, &self.chosen, &self.outgoing);
         } else {
             super::survived(node, &self.outgoing);
--- a/crates/serve/src/relay.rs
+++ b/crates/serve/src/relay.rs
@@ -46,7 +46,8 @@
         match &polled {
             Poll::Ready(None) => self.finish(true),
             Poll::Ready(Some(Err(_))) => self.finish(false),
-            _ => {}
+            Poll::Ready(Some(Ok(_))) => self.run.heard(),
+            Poll::Pending => {}
         }
         polled
     }
@@ -152,7 +153,7 @@
             in_flight: Some(in_flight),
             latency_ms,
             node: Rc::clone(node),
-            run: StreamRun::begin(chosen.clone(), outgoing.clone(), began_at),
+            run: StreamRun::begin(chosen.clone(), outgoing.clone()),
         };
         return Ok(Response::from_parts(head, Either::Right(relay)));
     }
--- a/crates/serve/src/runs/stream.rs
+++ b/crates/serve/src/runs/stream.rs
@@ -188,7 +188,7 @@
 ) -> RunEnd {
     let after = progress.borrow().last_event_id;
     let request = outgoing(item, &terms.host, terms.give_up_at, after);
-    let sent = StreamRun::begin(chosen.clone(), request.clone(), clock::now());
+    let sent = StreamRun::begin(chosen.clone(), request.clone());
     let broken = |why: &str, outcome| RunEnd::Broken { outcome, why: why.to_owned() };
     let opened = match timeout(FIRST_EVENT_MAX, forward::open(node, chosen, &request)).await {
         Ok(Ok(opened)) => opened,
@@ -233,7 +233,7 @@
         progress,
         version: marks.version,
     };
-    let read = stream.read(node, chosen).await;
+    let read = stream.read(node, chosen, &sent).await;
     longest_gap_ms.set(stream.longest_gap_ms);
     match read {
         Ok(()) => {
@@ -271,7 +271,12 @@
 
 impl TokenStream {
     /// Reads events until the stream's end; an error says why it is not whole.
-    async fn read<P: Platform>(&mut self, node: &Node<P>, chosen: &Chosen) -> Result<(), ReadEnd> {
+    async fn read<P: Platform>(
+        &mut self,
+        node: &Node<P>,
+        chosen: &Chosen,
+        sent: &StreamRun,
+    ) -> Result<(), ReadEnd> {
         let mut events = EventReader::default();
         let mut max = FIRST_EVENT_MAX;
         let mut last_at = clock::now();
@@ -290,6 +295,7 @@
                 }
             };
             let Some(data) = frame.data_ref() else { continue };
+            sent.heard();
             for event in events.read(data) {
                 self.take::<P>(node, chosen, &event).map_err(ReadEnd::Other)?;
             }
