--- a/tests/all/site/crashes.rs
+++ b/tests/all/site/crashes.rs
@@ -331,6 +331,10 @@
 async fn what_is_barred_is_refused_at_once_where_there_is_no_target() {
     let site = site_of_three(0, 6).await;
     bar_a_lookup(&site).await;
+    until("the three are back", || async {
+        (site.nodes[1].lines("target_joined").len() == 9).then_some(())
+    })
+    .await;
     for key in site.store.keys("servers/") {
         site.store.remove(&key);
     }
