The soak sends a request that ends its targets

Cause: the soak played no request that crashes what runs it, so evidence, restarts, outages and takeovers never met in it.

Change: a caller sends such a request at all nodes while the seeded faults go on; after them, three seconds after one node has refused it, it runs once more at most at all nodes together.

--- a/tests/all/site/soak.rs
+++ b/tests/all/site/soak.rs
@@ -7,7 +7,7 @@
 
 use super::harness::{Site, document, submission, until, whole_text};
 use super::proxy::Link;
-use super::worker::Conduct;
+use super::worker::{CRASHING_BODY, Conduct};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use serde_json::{Value, json};
@@ -26,6 +26,10 @@
 const FAULTS: usize = 14;
 const EVENTS: u8 = 6;
 const ITEMS: usize = 8;
+/// How soon a target is back that a request has ended.
+const BACK_AFTER: Duration = Duration::from_millis(500);
+/// The users' time within which all nodes know what is barred.
+const KNOWN_WITHIN: Duration = Duration::from_secs(3);
 
 /// What callers have seen of the batches, and of calls that may not be repeated.
 #[derive(Default)]
@@ -63,14 +67,19 @@
         }
         observed.stopped.set(true);
     };
-    let lines = futures::future::join3(
+    for worker in &site.plain {
+        worker.set_back_after(BACK_AFTER);
+    }
+    let lines = futures::future::join4(
         trainer(&site, &observed, "a"),
         trainer(&site, &observed, "b"),
         caller(&site, &observed),
+        ender(&site, &observed),
     );
     let ((), _) = tokio::join!(chaos, lines);
     heal(&mut site).await;
     check(&site, &observed, seed).await;
+    check_barred(&site, seed).await;
 }
 
 /// Causes one fault; those that last are ended by a task of their own, so that they overlap.
@@ -196,6 +205,36 @@
     }
 }
 
+/// A caller whose request ends each target that runs it; it comes again and again, at all nodes.
+async fn ender(site: &Site, observed: &Seen) {
+    let mut number = 0;
+    while !observed.stopped.get() {
+        sleep(Duration::from_millis(300)).await;
+        number += 1;
+        let node = &site.nodes[number % NODES];
+        drop(site.call_with(node, "/lookup/a", &format!("e{number}"), CRASHING_BODY).await);
+    }
+}
+
+/// Checks that a request that ends targets is held back at every node.
+async fn check_barred(site: &Site, seed: u64) {
+    until("the request is barred", || async {
+        let answer = site.call_with(&site.nodes[0], "/lookup/a", "e", CRASHING_BODY).await.ok()?;
+        let barred = answer.text().await.is_ok_and(|body| body.contains("targets have ended"));
+        barred.then_some(())
+    })
+    .await;
+    sleep(KNOWN_WITHIN).await;
+    let mut ran = 0;
+    for (number, node) in site.nodes.iter().enumerate() {
+        let id = format!("held{number}");
+        drop(site.call_with(node, "/lookup/a", &id, CRASHING_BODY).await);
+        ran += site.runs.of(&id).len();
+    }
+    // One, where another request with the same record has to be told apart by a trial.
+    assert!(ran <= 1, "seed {seed}: sent {ran} times more");
+}
+
 async fn heal(site: &mut Site) {
     sleep(Duration::from_secs(3)).await;
     for worker in site.engines.iter().chain(&site.plain) {
