--- a/tests/all/site/crashes.rs
+++ b/tests/all/site/crashes.rs
@@ -9,6 +9,7 @@
 //! target, under ids that never came twice and at all nodes.
 
 use super::harness::{HOST, Site, submission, until};
+use super::proxy::{Link, Proxy};
 use super::store::Door;
 use super::worker::{CRASHING_BODY, CRASHING_LATE_BODY, Conduct, Worker};
 use base64::Engine;
@@ -424,3 +425,78 @@
     sleep(Duration::from_secs(1)).await;
     assert_eq!(node.lines("target_ended"), Vec::<serde_json::Value>::new());
 }
+
+// Symptom: the end of a target is not noticed, and the request goes on to end others.
+// Sequence: the target stands behind something that listens on when it has ended.
+// Cause: its address is the only witness; the registry's word is not heard.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_registry_tells_of_an_end_where_the_address_does_not() {
+    let site = Site::start(1, 0, 1).await;
+    let node = &site.nodes[0];
+    site.plain[0].set_back_after(BACK_AFTER);
+    let behind = Proxy::start(site.plain[0].address()).await;
+    site.store.change("servers/plain-0", |value| {
+        let entry = String::from_utf8_lossy(value);
+        let direct = site.plain[0].address().to_string();
+        *value = entry.replace(&direct, &behind.address.to_string()).into_bytes();
+    });
+    behind.set(Link::Resets);
+    until("calls go by the other address", || async {
+        let answer = site.call(node, "/check/a", "q").await.expect("an answer");
+        (answer.status() == 502).then_some(())
+    })
+    .await;
+    behind.set(Link::Open);
+
+    let answer = site.call_with(node, "/check/a", "p", CRASHING_BODY).await;
+
+    assert_eq!(answer.expect("an answer").status(), 502);
+    let broken = until("its line", || async {
+        node.lines("attempt_failed").into_iter().find(|line| line["request"] == "p")
+    })
+    .await;
+    let line = until("its end is seen", || async {
+        let ended = node.lines("target_ended");
+        ended.into_iter().find(|line| line["fingerprint"] == broken["fingerprint"])
+    })
+    .await;
+    assert_eq!(line["by"], "registry");
+}
+
+// Symptom: a sound request that was under way as targets crashed is turned away for minutes.
+// Sequence: its target crashes twice; it is answered; its target crashes twice more.
+// Cause: an answer clears nothing, so ends of different causes add up.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_was_answered_between_crashes_is_served() {
+    let mut site = Site::start(1, 0, 1).await;
+    site.plain[0].tell_birth(1);
+    site.plain[0].set_pace(10, 200);
+    for life in 1..=4 {
+        let id = format!("q{life}");
+        let started = site.call(&site.nodes[0], "/check/a", &id);
+        let crash = async {
+            until("it runs", || async { (!site.runs.of(&id).is_empty()).then_some(()) }).await;
+            site.plain[0].crash();
+        };
+        let (answer, ()) = futures::future::join(started, crash).await;
+        assert_eq!(answer.expect("an answer").status(), 502);
+        until("its end is seen", || async {
+            (site.nodes[0].lines("target_ended").len() == life as usize).then_some(())
+        })
+        .await;
+        site.plain[0].start_again(life + 1).await;
+        until("it is back", || async {
+            let lives = site.nodes[0].lines("target_reborn");
+            lives.iter().any(|line| line["born_at_unix_ms"] == life + 1).then_some(())
+        })
+        .await;
+        if life == 2 {
+            let answer = site.call(&site.nodes[0], "/check/a", "between").await;
+            assert_eq!(answer.expect("an answer").status(), 200);
+        }
+    }
+
+    let answer = site.call(&site.nodes[0], "/check/a", "last").await;
+
+    assert_eq!(answer.expect("an answer").status(), 200);
+}
--- a/tests/all/site/requests.rs
+++ b/tests/all/site/requests.rs
@@ -96,8 +96,8 @@
 async fn targets_that_do_not_listen_are_not_tried_without_a_pause() {
     // One round of the two targets in each pause of a free slot, and as many again.
     const ATTEMPTS_MAX: usize = 600;
-    let mut site = Site::start(1, 0, 2).await;
-    site.plain.iter_mut().for_each(super::worker::Worker::crash);
+    let site = Site::start(1, 0, 2).await;
+    site.plain.iter().for_each(super::worker::Worker::crash);
 
     let answer = site.call(&site.nodes[0], "/lookup/a", "q1").await.expect("an answer");
 
@@ -212,7 +212,7 @@
 // Cause: the answer to the caller is ended as if it were complete.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_that_breaks_off_does_not_look_whole() {
-    let mut site = Site::start(1, 1, 0).await;
+    let site = Site::start(1, 1, 0).await;
     site.engines[0].set_conduct(Conduct::SilentAfter(2));
     let request = site
         .client
--- a/tests/all/site/worker.rs
+++ b/tests/all/site/worker.rs
@@ -248,8 +248,13 @@
         self.lock().back_after = back_after;
     }
 
+    /// Returns where the worker listens.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.lock().server.as_ref().expect("it is up").address
+    }
+
     /// Ends the worker without a word.
-    pub(crate) fn crash(&mut self) {
+    pub(crate) fn crash(&self) {
         let server = self.lock().server.take();
         drop(server);
     }
