The trail and a metric say how old a node's view of the store is

Cause: no line and no metric told how old a configuration or a list of targets was when it decided, nor who vouched for it; the two hypotheses of the incident could not be told apart.

Change: changes carry the age of the store's answer that they rest on, whoever passes them on. request_ended has document_age_ms, attempt_failed targets_age_ms, document_in_force and version_named have 'by'; feed_old and feed_current; gauge catkinmast_feed_age_ms. What a node does with it is unchanged: it still goes by when it last heard a watcher.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`TargetTable`]: which targets may receive work, from a registry that lags and has outages.
 //! - [`Load`]: what this process sees of each target by its own calls, and the choice among them.
 //! - [`Batch`]: a batch submission, its items, and the results in their fixed positions.
+//! - [`Freshness`]: how old a node's view of the store is.
 //! - [`Lengths`]: how long items run.
 //! - [`Lookahead`]: which weights a later batch of the same items will accept.
 //! - [`Rollout`]: which target is brought to which weight version, and when.
@@ -16,6 +17,7 @@
 mod batch;
 mod copies;
 mod document;
+mod freshness;
 mod lengths;
 mod load;
 mod lookahead;
@@ -28,6 +30,7 @@
 pub use batch::{Batch, BatchTerms, Chunk, Merge, NextItem, group_of};
 pub use copies::{CopiedTexts, TextNews, Told};
 pub use document::{Document, EngineTerms, Limits, PlainTerms, Route, RouteKind, WeightedService};
+pub use freshness::Freshness;
 pub use lengths::Lengths;
 pub use load::{Load, LoadSettings, Outcome, Pick};
 pub use lookahead::Lookahead;
--- a/crates/serve/src/caller.rs
+++ b/crates/serve/src/caller.rs
@@ -3,6 +3,7 @@
 use crate::batches::{self, Acceptance, Lookup};
 use crate::clock;
 use crate::crashes;
+use crate::feed::{self, Subject};
 use crate::forward::{self, AttemptFailure, Cause, Chosen, Outgoing, WholeAnswer};
 use crate::metrics::count;
 use crate::node::Node;
@@ -272,6 +273,7 @@
         json!({
             "request": id, "status": ending.status.as_u16(), "why": ending.message,
             "route": route.map(|route| &route.name), "document_version": version,
+            "document_age_ms": feed::age_ms(node, Subject::Operators),
             "come_back_ms": ending.come_back_ms,
         }),
     );
--- a/crates/serve/src/feed/apply.rs
+++ b/crates/serve/src/feed/apply.rs
@@ -1,5 +1,6 @@
 //! What changes of a feed mean: a configuration, a version, a target that comes or goes.
 
+use super::known::Teller;
 use crate::clock;
 use crate::node::Node;
 use crate::platform::{OperatorNotice, Platform};
@@ -12,9 +13,11 @@
 /// that leave do so one by one.
 const VANISHED_PART: usize = 3;
 
-pub(super) fn take_operator_item<P: Platform>(node: &Node<P>, item: &StoredItem) {
+pub(super) fn take_operator_item<P: Platform>(node: &Node<P>, item: &StoredItem, teller: Teller) {
     match P::operator_notice(&item.key, &item.value) {
-        Ok(Some(OperatorNotice::Document(document))) => install(node, document, item.revision),
+        Ok(Some(OperatorNotice::Document(document))) => {
+            install(node, document, item.revision, teller)
+        }
         Ok(Some(OperatorNotice::Version { model, version })) => {
             let mut versions = node.versions.borrow_mut();
             let held = versions.entry(model.clone()).or_insert(0);
@@ -23,7 +26,10 @@
                 drop(versions);
                 node.note(
                     "version_named",
-                    json!({ "model": model, "version": version, "revision": item.revision }),
+                    json!({
+                        "model": model, "version": version, "revision": item.revision,
+                        "by": teller.to_string(),
+                    }),
                 );
             }
         }
@@ -44,7 +50,7 @@
 
 /// Puts a configuration in force if it is newer than the one held: a late answer must not bring
 /// an old one back.
-fn install<P: Platform>(node: &Node<P>, document: Document, revision: u64) {
+fn install<P: Platform>(node: &Node<P>, document: Document, revision: u64, teller: Teller) {
     let held = node.document().map_or(0, |held| held.version);
     if node.document().is_some() && document.version <= held {
         return;
@@ -53,7 +59,7 @@
         "document_in_force",
         json!({
             "version": document.version, "was": held, "routes": document.routes.len(),
-            "revision": revision,
+            "revision": revision, "by": teller.to_string(),
         }),
     );
     node.metrics.document_version.set(document.version as i64);
--- a/crates/serve/src/feed/known.rs
+++ b/crates/serve/src/feed/known.rs
@@ -1,10 +1,14 @@
 //! What a node knows of a feed, and how changes of it are told.
 
+use crate::metrics::Reason;
 use crate::store::{StoreEvent, StoredItem};
+use catkinmast_dispatch::Freshness;
 use catkinmast_model::UnixMs;
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 use std::collections::VecDeque;
+use std::fmt::{Display, Formatter};
+use std::net::SocketAddr;
 
 /// Bytes of changes in one datagram.
 const DATAGRAM_CHANGES_BYTES: usize = 1_200;
@@ -20,6 +24,16 @@
     Targets,
 }
 
+impl Subject {
+    /// Returns the label of this subject in metrics.
+    pub(super) const fn reason(self) -> Reason {
+        match self {
+            Self::Operators => Reason { reason: "operators" },
+            Self::Targets => Reason { reason: "targets" },
+        }
+    }
+}
+
 /// Changes of a feed, as they go between nodes.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub(crate) struct Changes {
@@ -29,14 +43,47 @@
     pub after_outage: bool,
     /// The revision up to which they are complete.
     pub as_of: u64,
+    /// How long before it sent them the teller's view was known to be complete; clocks of two
+    /// instances cannot be compared. None where it never was.
+    pub confirmed_ms_ago: Option<u64>,
     /// The changes; left out where they do not fit a datagram.
     pub events: Option<Vec<StoreEvent>>,
 }
 
+/// Who told of changes.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Teller {
+    Peer(SocketAddr),
+    Store,
+}
+
+impl Display for Teller {
+    fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Peer(address) => address.fmt(f),
+            Self::Store => f.write_str("the store"),
+        }
+    }
+}
+
+/// Changes as a node takes them.
+#[derive(Debug)]
+pub(super) struct News {
+    /// Whether the store was away before them.
+    pub(super) after_outage: bool,
+    /// The revision up to which they are complete.
+    pub(super) as_of: u64,
+    /// When the view that they complete was known to be complete, by this node's clock.
+    pub(super) confirmed_at: Option<UnixMs>,
+    pub(super) events: Vec<StoreEvent>,
+    pub(super) teller: Teller,
+}
+
 /// What a node knows of a feed.
 #[derive(Debug, Default)]
 pub(super) struct Known {
     pub(super) as_of: u64,
+    pub(super) freshness: Freshness,
     pub(super) heard_at: UnixMs,
     pub(super) items: IndexMap<String, (u64, Vec<u8>)>,
     pub(super) log: VecDeque<StoreEvent>,
@@ -99,7 +146,7 @@
 /// Cuts changes into parts that fit a datagram each; one change that does not fit is left out of
 /// its part, and the receiver asks for it.
 pub(super) fn datagrams(changes: Changes) -> Vec<Changes> {
-    let Changes { after, after_outage, as_of, events } = changes;
+    let Changes { after, after_outage, as_of, confirmed_ms_ago, events } = changes;
     let mut parts = Vec::new();
     let mut part: Vec<StoreEvent> = Vec::new();
     let mut part_after = after;
@@ -107,19 +154,27 @@
     for event in events.unwrap_or_default() {
         let size_bytes = event.size_bytes();
         if size_bytes > DATAGRAM_CHANGES_BYTES {
-            return vec![Changes { after, after_outage, as_of, events: None }];
+            return vec![Changes { after, after_outage, as_of, confirmed_ms_ago, events: None }];
         }
         if spent_bytes + size_bytes > DATAGRAM_CHANGES_BYTES {
             let until = part.last().map_or(part_after, StoreEvent::revision).max(part_after);
             let events = Some(std::mem::take(&mut part));
-            parts.push(Changes { after: part_after, after_outage, as_of: until, events });
+            let part = Changes {
+                after: part_after,
+                after_outage,
+                as_of: until,
+                confirmed_ms_ago: None,
+                events,
+            };
+            parts.push(part);
             part_after = until;
             spent_bytes = 0;
         }
         spent_bytes += size_bytes;
         part.push(event);
     }
-    parts.push(Changes { after: part_after, after_outage, as_of, events: Some(part) });
+    let events = Some(part);
+    parts.push(Changes { after: part_after, after_outage, as_of, confirmed_ms_ago, events });
     parts
 }
 
--- a/crates/serve/src/feed/mod.rs
+++ b/crates/serve/src/feed/mod.rs
@@ -20,9 +20,9 @@
 use crate::store::{StoreAnswer, StoreCall, StoreEvent, StoreRefusal, StoredItem};
 use apply::{take_operator_item, take_target_events};
 use catkinmast_model::UnixMs;
-use known::{Known, datagrams};
+use known::{Known, News, Teller, datagrams};
 use serde_json::json;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -46,6 +46,8 @@
 /// First pause after a failure; doubled up to [`PAUSE_MAX_MS`], with jitter.
 const PAUSE_MS: u64 = 100;
 const PAUSE_MAX_MS: u64 = 800;
+/// Age from which a view of the store counts as old in the trail.
+const OLD_MS: u64 = 2_000;
 /// How long a peer may take to tell what came since.
 const CATCH_UP_MAX: Duration = Duration::from_millis(500);
 
@@ -54,6 +56,8 @@
 pub(crate) struct Feed {
     behind: Notify,
     behind_of: RefCell<Option<SocketAddr>>,
+    /// Whether the view was older than it may be when it was last looked at.
+    is_old: Cell<bool>,
     known: RefCell<Known>,
 }
 
@@ -89,10 +93,14 @@
                 .await;
             continue;
         }
+        let began_at = clock::now();
         if let Ok((items, as_of)) = read_whole(&node, prefix::<P>(subject)).await {
             pause_ms = PAUSE_MS;
             let events = node.feeds.of(subject).known.borrow().difference(&items, as_of);
-            arrived(&node, subject, events, as_of, std::mem::take(&mut after_outage));
+            let after_outage = std::mem::take(&mut after_outage);
+            let confirmed_at = Some(began_at);
+            let teller = Teller::Store;
+            arrived(&node, subject, News { after_outage, as_of, confirmed_at, events, teller });
             // One way to the store that fails is no outage: the whole is read by way of a peer.
             failed = false;
             if peers::settles_in_ms(&node).is_none_or(|left_ms| left_ms > 0) {
@@ -137,10 +145,10 @@
     let Some(peer) = feed.behind_of.borrow_mut().take() else { return };
     let after = feed.known.borrow().as_of;
     let call = PeerCall::Changes { after, subject };
+    let began_at = clock::now();
     match node.ask_peer(peer, &call, CATCH_UP_MAX).await {
         Ok(PeerAnswer::Changes(changes)) => {
-            let events = changes.events.unwrap_or_default();
-            take_changes(node, subject, events, changes.as_of, changes.after_outage);
+            take_changes(node, subject, heard(changes, peer, began_at));
         }
         // Unheard, the next round watches for itself.
         _ => feed.known.borrow_mut().heard_at = UnixMs(0),
@@ -163,7 +171,27 @@
         // What was deleted since cannot be told any more; the whole list is read from the store.
         return None;
     };
-    Some(Changes { after, after_outage: false, as_of: known.as_of, events: Some(events) })
+    let confirmed_ms_ago = known.freshness.age_ms(clock::now());
+    let events = Some(events);
+    Some(Changes { after, after_outage: false, as_of: known.as_of, confirmed_ms_ago, events })
+}
+
+/// Returns how long ago a view of the store was last known to be complete, in milliseconds.
+pub(crate) fn age_ms<P: Platform>(node: &Node<P>, subject: Subject) -> Option<u64> {
+    node.feeds.of(subject).known.borrow().freshness.age_ms(clock::now())
+}
+
+/// Turns what a peer told, not before `told_at`, into what this node may believe.
+fn heard(changes: Changes, from: SocketAddr, told_at: UnixMs) -> News {
+    News {
+        after_outage: changes.after_outage,
+        as_of: changes.as_of,
+        confirmed_at: changes
+            .confirmed_ms_ago
+            .map(|ago_ms| UnixMs(told_at.since_ms(UnixMs(ago_ms)))),
+        events: changes.events.unwrap_or_default(),
+        teller: Teller::Peer(from),
+    }
 }
 
 /// Takes a watcher's datagram.
@@ -180,32 +208,30 @@
         feed.behind.notify_one();
         return;
     }
-    feed.known.borrow_mut().heard_at = clock::now();
-    if changes.as_of > as_of {
-        let events = changes.events.unwrap_or_default();
-        take_changes(node, subject, events, changes.as_of, changes.after_outage);
+    let mut news = heard(changes, from, clock::now());
+    if news.as_of <= as_of {
+        // Late changes could bring back what was deleted since.
+        news.events.clear();
     }
+    take_changes(node, subject, news);
 }
 
 /// Takes changes that this node saw itself, and passes them on.
-fn arrived<P: Platform>(
-    node: &Node<P>,
-    subject: Subject,
-    events: Vec<StoreEvent>,
-    as_of: u64,
-    after_outage: bool,
-) {
+fn arrived<P: Platform>(node: &Node<P>, subject: Subject, news: News) {
     let after = {
         let mut known = node.feeds.of(subject).known.borrow_mut();
         if !known.started {
             known.started = true;
-            known.log_from = as_of;
+            known.log_from = news.as_of;
         }
         known.as_of
     };
-    take_changes(node, subject, events.clone(), as_of, after_outage);
+    let (after_outage, as_of) = (news.after_outage, news.as_of);
+    let events = Some(news.events.clone());
+    take_changes(node, subject, news);
     if is_watcher(node) {
-        pass_on(node, subject, Changes { after, after_outage, as_of, events: Some(events) });
+        let confirmed_ms_ago = age_ms(node, subject);
+        pass_on(node, subject, Changes { after, after_outage, as_of, confirmed_ms_ago, events });
     }
 }
 
@@ -219,27 +245,25 @@
     }
 }
 
-fn take_changes<P: Platform>(
-    node: &Node<P>,
-    subject: Subject,
-    events: Vec<StoreEvent>,
-    as_of: u64,
-    after_outage: bool,
-) {
-    let news = {
+fn take_changes<P: Platform>(node: &Node<P>, subject: Subject, news: News) {
+    let News { after_outage, as_of, confirmed_at, events, teller } = news;
+    let events = {
         let mut known = node.feeds.of(subject).known.borrow_mut();
         known.heard_at = clock::now();
+        if let Some(at) = confirmed_at {
+            known.freshness.confirm(at);
+        }
         known.take(events, as_of)
     };
     match subject {
         Subject::Operators => {
-            for event in &news {
+            for event in &events {
                 if let StoreEvent::Written(item) = event {
-                    take_operator_item(node, item);
+                    take_operator_item(node, item, teller);
                 }
             }
         }
-        Subject::Targets => take_target_events(node, &news, after_outage),
+        Subject::Targets => take_target_events(node, &events, after_outage),
     }
 }
 
@@ -301,10 +325,14 @@
         let after = node.feeds.of(subject).known.borrow().as_of;
         let prefix = prefix::<P>(subject).to_owned();
         let call = StoreCall::Watch { after, prefix, wait_ms: WAIT_MS };
+        let began_at = clock::now();
         match node.store(&call).await {
             Ok(StoreAnswer::Events { as_of, events }) => {
                 let any = !events.is_empty();
-                arrived(node, subject, events, as_of, false);
+                let confirmed_at = Some(answered_from(began_at, any));
+                let teller = Teller::Store;
+                let news = News { after_outage: false, as_of, confirmed_at, events, teller };
+                arrived(node, subject, news);
                 if any {
                     sleep(gather).await;
                 }
@@ -322,6 +350,26 @@
     }
 }
 
+/// Returns the earliest moment at which the store can have answered a watch that was made at
+/// `began_at`: without a change it answers only when the wait is over.
+fn answered_from(began_at: UnixMs, with_changes: bool) -> UnixMs {
+    let waited_until = began_at.plus(WAIT_MS);
+    if with_changes || clock::now() < waited_until { began_at } else { waited_until }
+}
+
+/// Writes down when this node's view of the store gets old, and when it is current again.
+fn watch_age<P: Platform>(node: &Node<P>, subject: Subject) {
+    let Some(age_ms) = age_ms(node, subject) else { return };
+    node.metrics.feed_age_ms.get_or_create(&subject.reason()).set(age_ms as i64);
+    let is_old = age_ms > OLD_MS;
+    if node.feeds.of(subject).is_old.replace(is_old) != is_old {
+        let event = if is_old { "feed_old" } else { "feed_current" };
+        let as_of = node.feeds.of(subject).known.borrow().as_of;
+        let subject = format!("{subject:?}");
+        node.note(event, json!({ "subject": subject, "age_ms": age_ms, "revision": as_of }));
+    }
+}
+
 /// Tells the others that this node still watches, as long as it hears the store.
 pub(crate) async fn say_alive<P: Platform>(node: Rc<Node<P>>) {
     loop {
@@ -330,6 +378,9 @@
         for change in &gone {
             node.target_changed(change, "not back after the registry's outage");
         }
+        for subject in [Subject::Operators, Subject::Targets] {
+            watch_age(&node, subject);
+        }
         if !is_watcher(&node) || node.leaving.get() {
             continue;
         }
@@ -339,8 +390,13 @@
                 (known.as_of, known.heard_at)
             };
             if clock::now().since_ms(heard_at) <= WAIT_MS + SILENCE_MAX_MS {
-                let changes =
-                    Changes { after: as_of, after_outage: false, as_of, events: Some(Vec::new()) };
+                let changes = Changes {
+                    after: as_of,
+                    after_outage: false,
+                    as_of,
+                    confirmed_ms_ago: age_ms(&node, subject),
+                    events: Some(Vec::new()),
+                };
                 pass_on(&node, subject, changes);
             }
         }
--- a/crates/serve/src/forward.rs
+++ b/crates/serve/src/forward.rs
@@ -2,6 +2,7 @@
 
 use crate::clock;
 use crate::crashes;
+use crate::feed::{self, Subject};
 use crate::metrics::count;
 use crate::node::Node;
 use crate::platform::{AnswerMarks, Platform, RequestMarks};
@@ -275,6 +276,7 @@
                 "verdict": failure.verdict, "ms": clock::now().since_ms(began_at),
                 "left_ms": outgoing.deadline_at.since_ms(clock::now()),
                 "fingerprint": outgoing.fingerprint_if(failure.verdict),
+                "targets_age_ms": feed::age_ms(node, Subject::Targets),
             }),
         );
     }
--- a/crates/serve/src/metrics.rs
+++ b/crates/serve/src/metrics.rs
@@ -26,6 +26,7 @@
     pub batches_open: Gauge,
     pub connections_opened: Counter,
     pub document_version: Gauge,
+    pub feed_age_ms: Family<Reason, Gauge>,
     pub item_runs: Family<Reason, Counter>,
     pub item_seconds: Histogram,
     pub orders: Family<Reason, Counter>,
@@ -46,6 +47,7 @@
             batches_open: Gauge::default(),
             connections_opened: Counter::default(),
             document_version: Gauge::default(),
+            feed_age_ms: Family::default(),
             item_runs: Family::default(),
             item_seconds: Histogram::new(LATENCY_BUCKETS_S),
             orders: Family::default(),
@@ -70,6 +72,11 @@
             "Version of the configuration in force here",
             m.document_version.clone(),
         );
+        registry.register(
+            "feed_age_ms",
+            "Milliseconds since what is known of the store was last known to be complete, by subject",
+            m.feed_age_ms.clone(),
+        );
         registry.register("item_runs", "Runs of batch items by outcome", m.item_runs.clone());
         registry.register(
             "item_seconds",
--- a/crates/serve/src/relay.rs
+++ b/crates/serve/src/relay.rs
@@ -3,6 +3,7 @@
 use crate::caller::{self, Answer};
 use crate::clock;
 use crate::crashes::StreamRun;
+use crate::feed::{self, Subject};
 use crate::forward::{self, AttemptFailure, Cause, Chosen, InFlight, Outgoing, WholeAnswer};
 use crate::metrics::count;
 use crate::node::Node;
@@ -128,6 +129,7 @@
             let why = json!({
                 "request": outgoing.request_id, "target": chosen.id, "why": failure.message,
                 "verdict": failure.verdict, "fingerprint": outgoing.fingerprint_if(failure.verdict),
+                "targets_age_ms": feed::age_ms(node, Subject::Targets),
             });
             node.note("attempt_failed", why);
             return Err(failure);
