Failing tests: a change comes into force late where the watchers have lost the store

Symptom: a configuration is in force 2.7 s after its acknowledgement at nodes whose way to the store is whole, and 11.5 s after where one node alone reaches it; a removed target stays in use for 3.6 s. The bound is 2 s. A node that has heard nothing for seconds answers 404 for a route that it cannot know, and no caller asks again after that.

The tests cut nodes off in silence, waits under way included, just after a version that all have; the stand-in of the store does not answer a wait on a path that was cut meanwhile.

--- a/crates/serve/src/feed/apply.rs
+++ b/crates/serve/src/feed/apply.rs
@@ -16,7 +16,7 @@
 pub(super) fn take_operator_item<P: Platform>(node: &Node<P>, item: &StoredItem, teller: Teller) {
     match P::operator_notice(&item.key, &item.value) {
         Ok(Some(OperatorNotice::Document(document))) => {
-            install(node, document, item.revision, teller)
+            install(node, document, item.revision, teller);
         }
         Ok(Some(OperatorNotice::Version { model, version })) => {
             let mut versions = node.versions.borrow_mut();
--- a/tests/all/site/configuration.rs
+++ b/tests/all/site/configuration.rs
@@ -1,7 +1,10 @@
 //! The operators' configuration: in force everywhere within seconds, never reverting.
 
-use super::harness::{Site, document, until};
+use super::harness::{CHANGE_BOUND_MS, Node, Site, document, until};
+use super::store::Door;
+use rustix::time::{ClockId, clock_gettime};
 use serde_json::json;
+use std::time::Duration;
 
 fn with_route(version: u64, prefix: &str) -> serde_json::Value {
     let mut document = document(version);
@@ -102,3 +105,119 @@
     assert_eq!(missing.status(), 404);
     assert!(site.runs.of("q1").is_empty());
 }
+
+/// Returns the steady clock of the trail, in milliseconds.
+fn trail_now_ms() -> u64 {
+    let time = clock_gettime(ClockId::Boottime);
+    time.tv_sec as u64 * 1_000 + time.tv_nsec as u64 / 1_000_000
+}
+
+/// Returns the indices of the nodes that watch the store, and of the others.
+async fn watchers_and_others(site: &Site) -> (Vec<usize>, Vec<usize>) {
+    // Longer than any wait for changes.
+    const LOOK: Duration = Duration::from_millis(2_200);
+    let watches = |index: usize| {
+        let calls = site.store.calls_at(site.nodes[index].door);
+        calls.iter().filter(|call| call.starts_with("kv-watch")).count()
+    };
+    until("two nodes that watch", || async {
+        let before: Vec<usize> = (0..site.nodes.len()).map(watches).collect();
+        tokio::time::sleep(LOOK).await;
+        let (watchers, others): (Vec<usize>, Vec<usize>) =
+            (0..site.nodes.len()).partition(|index| watches(*index) > before[*index]);
+        (watchers.len() == 2).then_some((watchers, others))
+    })
+    .await
+}
+
+/// Waits until a node has a version in force; returns how long after `since_ms` that was.
+async fn in_force_after_ms(node: &Node, version: u64, since_ms: u64) -> u64 {
+    let at_ms = until("the version is in force", || async {
+        let lines = node.lines("document_in_force");
+        let line = lines.iter().find(|line| line["version"] == version)?;
+        line["at_ms"].as_u64()
+    })
+    .await;
+    at_ms.saturating_sub(since_ms)
+}
+
+/// Brings a version into force, then cuts nodes off from the store just after all have heard of it.
+async fn cut_off_after_version(site: &Site, cut: &[usize], version: u64) {
+    site.store.put("op/config", &document(version));
+    for node in &site.nodes {
+        in_force_after_ms(node, version, 0).await;
+    }
+    // The watchers wait for changes again by then.
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    for index in cut {
+        site.store.set_door(site.nodes[*index].door, Door::Silent);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_change_is_in_force_in_time_where_both_watchers_have_lost_the_store() {
+    let site = Site::start(5, 0, 1).await;
+    let (watchers, others) = watchers_and_others(&site).await;
+    cut_off_after_version(&site, &watchers, 7).await;
+
+    let changed_ms = trail_now_ms();
+    site.store.put("op/config", &with_route(8, "/new/"));
+
+    for index in others {
+        let after_ms = in_force_after_ms(&site.nodes[index], 8, changed_ms).await;
+        assert!(after_ms <= CHANGE_BOUND_MS, "in force {after_ms} ms after the change");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_change_is_in_force_in_time_where_one_node_alone_reaches_the_store() {
+    let site = Site::start(6, 0, 1).await;
+    let (mut cut, mut others) = watchers_and_others(&site).await;
+    let reaches = others.pop().expect("a node that does not watch");
+    cut.extend(others);
+    cut_off_after_version(&site, &cut, 7).await;
+
+    let changed_ms = trail_now_ms();
+    site.store.put("op/config", &with_route(8, "/new/"));
+
+    let after_ms = in_force_after_ms(&site.nodes[reaches], 8, changed_ms).await;
+    assert!(after_ms <= CHANGE_BOUND_MS, "in force {after_ms} ms after the change");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_removed_target_is_out_of_use_in_time_where_both_watchers_have_lost_the_store() {
+    let site = Site::start(5, 0, 2).await;
+    let (watchers, others) = watchers_and_others(&site).await;
+    cut_off_after_version(&site, &watchers, 7).await;
+
+    let changed_ms = trail_now_ms();
+    site.store.remove("servers/plain-0");
+
+    for index in others {
+        let node = &site.nodes[index];
+        let at_ms = until("the target has left", || async {
+            node.lines("target_left").first()?["at_ms"].as_u64()
+        })
+        .await;
+        let after_ms = at_ms.saturating_sub(changed_ms);
+        assert!(after_ms <= CHANGE_BOUND_MS, "out of use {after_ms} ms after its removal");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_that_cannot_tell_how_old_its_configuration_is_denies_no_route() {
+    let site = Site::start(3, 0, 1).await;
+    let all: Vec<usize> = (0..site.nodes.len()).collect();
+    cut_off_after_version(&site, &all, 7).await;
+
+    site.store.put("op/config", &with_route(8, "/new/"));
+    tokio::time::sleep(Duration::from_millis(2 * CHANGE_BOUND_MS)).await;
+
+    for node in &site.nodes {
+        let answer = site.call(node, "/new/a", "q1").await.expect("an answer");
+        assert_eq!(answer.status(), 503);
+        assert!(answer.headers().contains_key("Retry-After"));
+        let known = site.call(node, "/lookup/a", "q2").await.expect("an answer");
+        assert_eq!(known.status(), 200, "what it knows is served");
+    }
+}
--- a/tests/all/site/harness.rs
+++ b/tests/all/site/harness.rs
@@ -19,6 +19,9 @@
 /// The host of all routes.
 pub(crate) const HOST: &str = "site.example";
 
+/// How soon a change that the store has acknowledged must be in force at all nodes that reach it.
+pub(crate) const CHANGE_BOUND_MS: u64 = 2_000;
+
 const FRONT_PORT: u16 = 8149;
 const READY_PORT: u16 = 8141;
 const DIRECTORY_PORT: u16 = 8143;
@@ -168,6 +171,8 @@
 cores = 1
 cpuShare = 0.25
 [bounds]
+configMs = {CHANGE_BOUND_MS}
+drainMs = {CHANGE_BOUND_MS}
 graceS = 8
 leaseMs = 3000
 ttl_max_s = 5
--- a/tests/all/site/store.rs
+++ b/tests/all/site/store.rs
@@ -230,7 +230,14 @@
         let body: Value = serde_json::from_slice(&body).unwrap_or(Value::Null);
         let id = head.uri.path().rsplit('/').next().and_then(|id| id.parse().ok()).unwrap_or(0);
         let (status, value) = match name.as_str() {
-            "kv-watch" => self.watch(&query).await?,
+            "kv-watch" => {
+                let told = self.watch(&query).await?;
+                // A wait that was under way as the path was cut is not answered either.
+                if self.state().doors[door] == Some(Door::Silent) {
+                    std::future::pending().await
+                }
+                told
+            }
             "kv-key" => self.key(&query),
             "kv-range" => self.range(&query),
             "kv-txn" => self.transaction(&body),
