A node whose view of the store gets old looks for itself

Cause: nodes that heard a watcher did not look themselves, and a watcher spoke for up to 3 s after it last heard anything, be it the other watcher. Two watchers cut off from the store kept each other, and through them all others, content; what ended it was a watcher's own call by way of a peer, 2.6 s and more after the change. The class: trust in what another node once saw, with no word of how old that is.

Ruled out: a lost datagram (all nodes have the version within 10 ms of the first), a lost history (no feed_restarted; the incident has none). Long timeouts alone: with one node that reaches the store, no timeout of the watchers ends it (11.5 s in a test).

Change: dispatch::Freshness. A view is made younger only by an answer of the store; the age goes with it; a node passes on only what its own calls confirmed, so that hearsay cannot go round. Past 5/8 of the bound nodes look in the order of their ranks, each group of ranks twice the one before; who was answered watches and tells all until one that comes before it is answered again. A wait for changes ends when the view is half the bound old. The bound is the platform's (configMs, drainMs). A node whose view is older answers 503 with Retry-After in place of 404: no caller asks again after a 404.

Virtual time: a change is known within 2 s in fleets of 8 to 1,000 with all but one cut off; ten seconds without watchers cost at most 16 calls of others at any size.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -7,7 +7,7 @@
 //! - [`TargetTable`]: which targets may receive work, from a registry that lags and has outages.
 //! - [`Load`]: what this process sees of each target by its own calls, and the choice among them.
 //! - [`Batch`]: a batch submission, its items, and the results in their fixed positions.
-//! - [`Freshness`]: how old a node's view of the store is.
+//! - [`Freshness`]: how old a node's view of the store is, and when it looks for itself.
 //! - [`Lengths`]: how long items run.
 //! - [`Lookahead`]: which weights a later batch of the same items will accept.
 //! - [`Rollout`]: which target is brought to which weight version, and when.
@@ -30,7 +30,7 @@
 pub use batch::{Batch, BatchTerms, Chunk, Merge, NextItem, group_of};
 pub use copies::{CopiedTexts, TextNews, Told};
 pub use document::{Document, EngineTerms, Limits, PlainTerms, Route, RouteKind, WeightedService};
-pub use freshness::Freshness;
+pub use freshness::{ChangeBound, Freshness, WATCHERS, Witness};
 pub use lengths::Lengths;
 pub use load::{Load, LoadSettings, Outcome, Pick};
 pub use lookahead::Lookahead;
--- a/crates/serve/src/caller.rs
+++ b/crates/serve/src/caller.rs
@@ -187,7 +187,13 @@
     let Some(route) = document.route(&host, head.uri.path()).cloned() else {
         let message =
             format!("no route for {host}{} in version {}", head.uri.path(), document.version);
-        return ended(node, id.as_deref(), None, &Ending::new(StatusCode::NOT_FOUND, message));
+        let ending = if feed::is_current(node, Subject::Operators) {
+            Ending::new(StatusCode::NOT_FOUND, message)
+        } else {
+            // A newer version may have the route, and no caller asks again after a 404.
+            Ending::not_run(message, COME_BACK_MS)
+        };
+        return ended(node, id.as_deref(), None, &ending);
     };
     let deadline_ms = terms.deadline_ms.unwrap_or(UNBOUNDED_MS);
     let timeout_ms = route.timeout_ms.unwrap_or(u64::MAX);
--- a/crates/serve/src/feed/known.rs
+++ b/crates/serve/src/feed/known.rs
@@ -43,8 +43,8 @@
     pub after_outage: bool,
     /// The revision up to which they are complete.
     pub as_of: u64,
-    /// How long before it sent them the teller's view was known to be complete; clocks of two
-    /// instances cannot be compared. None where it never was.
+    /// How long before it sent them the store confirmed the teller's view to the teller itself;
+    /// clocks of two instances cannot be compared. None where it did not of late.
     pub confirmed_ms_ago: Option<u64>,
     /// The changes; left out where they do not fit a datagram.
     pub events: Option<Vec<StoreEvent>>,
@@ -84,7 +84,6 @@
 pub(super) struct Known {
     pub(super) as_of: u64,
     pub(super) freshness: Freshness,
-    pub(super) heard_at: UnixMs,
     pub(super) items: IndexMap<String, (u64, Vec<u8>)>,
     pub(super) log: VecDeque<StoreEvent>,
     pub(super) log_from: u64,
--- a/crates/serve/src/feed/mod.rs
+++ b/crates/serve/src/feed/mod.rs
@@ -4,9 +4,15 @@
 //! Each call of the store is priced, and its rate does not grow with the fleet. So two nodes watch,
 //! and pass on what they see to all others by datagrams; two, so that the death of one is not even
 //! noticed. A datagram names the revisions that it covers: a node that misses some asks a peer for
-//! what came since. A node that hears from no watcher for [`SILENCE_MAX_MS`] watches for itself.
+//! what came since.
+//!
+//! *Watchers that have lost the store keep all others from looking.* It would be noticed as a change
+//! that is late at nodes which reach the store. So each datagram says how old the answer of the store
+//! is on which it rests, and a node whose view gets old looks for itself ([`Freshness`]).
 //!
 //! Reads that may be old are never used here: an old entry would bring back a target that has left.
+//!
+//! [`Freshness`]: catkinmast_dispatch::Freshness
 
 mod apply;
 mod known;
@@ -19,6 +25,7 @@
 use crate::platform::Platform;
 use crate::store::{StoreAnswer, StoreCall, StoreEvent, StoreRefusal, StoredItem};
 use apply::{take_operator_item, take_target_events};
+use catkinmast_dispatch::{WATCHERS, Witness};
 use catkinmast_model::UnixMs;
 use known::{Known, News, Teller, datagrams};
 use serde_json::json;
@@ -29,15 +36,10 @@
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
 
-/// Nodes that watch.
-const WATCHERS: usize = 2;
-/// How long one wait for changes lasts. A connection that has gone silent is noticed by then.
-const WAIT_MS: u64 = 2_000;
-/// How often a watcher says that it still watches.
+/// The duty of the nodes that watch.
+const DUTY: &str = "feeds";
+/// How often a watcher says that it still watches, for nodes that have lost a datagram.
 const ALIVE_EVERY: Duration = Duration::from_millis(400);
-/// After this silence a node watches for itself: two lost datagrams of both watchers, and half of
-/// the time within which a configuration must be in force.
-const SILENCE_MAX_MS: u64 = 1_000;
 /// Changes of targets that come within this time cost one call and one datagram instead of several.
 /// A leaving target must be out of use within two seconds.
 const GATHER_TARGETS: Duration = Duration::from_millis(300);
@@ -46,8 +48,6 @@
 /// First pause after a failure; doubled up to [`PAUSE_MAX_MS`], with jitter.
 const PAUSE_MS: u64 = 100;
 const PAUSE_MAX_MS: u64 = 800;
-/// Age from which a view of the store counts as old in the trail.
-const OLD_MS: u64 = 2_000;
 /// How long a peer may take to tell what came since.
 const CATCH_UP_MAX: Duration = Duration::from_millis(500);
 
@@ -81,46 +81,50 @@
 pub(crate) async fn follow<P: Platform>(node: Rc<Node<P>>, subject: Subject) {
     let mut pause_ms = PAUSE_MS;
     let mut after_outage = false;
-    let mut failed;
     loop {
-        let heard_at = node.feeds.of(subject).known.borrow().heard_at;
-        let started = node.feeds.of(subject).known.borrow().started;
-        let silent_ms = clock::now().since_ms(heard_at);
-        if started && !is_watcher(&node) && silent_ms < SILENCE_MAX_MS {
-            let settles_ms = peers::settles_in_ms(&node).filter(|left_ms| *left_ms > 0);
-            let wait_ms = SILENCE_MAX_MS - silent_ms;
-            listen(&node, subject, settles_ms.map_or(wait_ms, |left_ms| left_ms.min(wait_ms)))
-                .await;
+        let idle_ms = looks_in_ms(&node, subject);
+        if idle_ms > 0 {
+            listen(&node, subject, idle_ms.min(peers::settles_within_ms(&node))).await;
             continue;
         }
         let began_at = clock::now();
-        if let Ok((items, as_of)) = read_whole(&node, prefix::<P>(subject)).await {
-            pause_ms = PAUSE_MS;
-            let events = node.feeds.of(subject).known.borrow().difference(&items, as_of);
-            let after_outage = std::mem::take(&mut after_outage);
-            let confirmed_at = Some(began_at);
-            let teller = Teller::Store;
-            arrived(&node, subject, News { after_outage, as_of, confirmed_at, events, teller });
-            // One way to the store that fails is no outage: the whole is read by way of a peer.
-            failed = false;
-            if peers::settles_in_ms(&node).is_none_or(|left_ms| left_ms > 0) {
-                continue;
+        let failed = match read_whole(&node, prefix::<P>(subject)).await {
+            Err(_) => {
+                after_outage = true;
+                true
             }
-            if let Some(refusal) = watch(&node, subject).await {
-                failed = true;
-                let why = json!({ "subject": format!("{subject:?}"), "why": refusal.message });
-                node.note("feed_lost", why);
+            Ok((items, as_of)) => {
+                pause_ms = PAUSE_MS;
+                let events = node.feeds.of(subject).known.borrow().difference(&items, as_of);
+                let after_outage = std::mem::take(&mut after_outage);
+                let confirmed_at = Some(began_at);
+                let teller = Teller::Store;
+                arrived(&node, subject, News { after_outage, as_of, confirmed_at, events, teller });
+                // One way to the store that fails is no outage: the whole is read by way of a peer.
+                watch(&node, subject).await.is_some_and(|refusal| {
+                    let why = json!({ "subject": format!("{subject:?}"), "why": refusal.message });
+                    node.note("feed_lost", why);
+                    true
+                })
             }
-        } else {
-            after_outage = true;
-            failed = true;
-        }
+        };
         if failed {
             pause_ms = pause(&node, pause_ms).await;
         }
     }
 }
 
+/// Returns how long this node may go by what it is told before it looks for itself, in milliseconds.
+fn looks_in_ms<P: Platform>(node: &Node<P>, subject: Subject) -> u64 {
+    let known = node.feeds.of(subject).known.borrow();
+    if !known.started || is_watcher(node) {
+        return 0;
+    }
+    let rank = peers::rank_for(node, DUTY).unwrap_or(0);
+    let looks_at = known.freshness.looks_at(rank, node.settings().change_bound);
+    looks_at.since_ms(clock::now())
+}
+
 const fn prefix<P: Platform>(subject: Subject) -> &'static str {
     match subject {
         Subject::Operators => P::OPERATOR_PREFIX,
@@ -133,7 +137,22 @@
 /// store more (660 of 7,560 on a day with 330 starts).
 pub(crate) fn is_watcher<P: Platform>(node: &Node<P>) -> bool {
     peers::settles_in_ms(node) == Some(0)
-        && peers::rank_for(node, "feeds").is_some_and(|rank| rank < WATCHERS)
+        && peers::rank_for(node, DUTY).is_some_and(|rank| rank < WATCHERS)
+}
+
+/// Tells whether this node watches a subject, be it in place of the watchers.
+fn watches<P: Platform>(node: &Node<P>, subject: Subject) -> bool {
+    let Some(rank) = peers::rank_for(node, DUTY) else { return false };
+    let freshness = node.feeds.of(subject).known.borrow().freshness;
+    peers::settles_in_ms(node) == Some(0)
+        && freshness.watches(clock::now(), rank, node.settings().change_bound)
+}
+
+/// Returns how long ago the store confirmed a view to this node itself, as others may be told, in
+/// milliseconds.
+fn told_age_ms<P: Platform>(node: &Node<P>, subject: Subject) -> Option<u64> {
+    let freshness = node.feeds.of(subject).known.borrow().freshness;
+    freshness.told_age_ms(clock::now(), node.settings().change_bound)
 }
 
 /// Waits for news of the watchers; catches up when some were missed.
@@ -150,8 +169,7 @@
         Ok(PeerAnswer::Changes(changes)) => {
             take_changes(node, subject, heard(changes, peer, began_at));
         }
-        // Unheard, the next round watches for itself.
-        _ => feed.known.borrow_mut().heard_at = UnixMs(0),
+        _ => feed.known.borrow_mut().freshness.doubt(),
     }
 }
 
@@ -171,7 +189,7 @@
         // What was deleted since cannot be told any more; the whole list is read from the store.
         return None;
     };
-    let confirmed_ms_ago = known.freshness.age_ms(clock::now());
+    let confirmed_ms_ago = known.freshness.told_age_ms(clock::now(), node.settings().change_bound);
     let events = Some(events);
     Some(Changes { after, after_outage: false, as_of: known.as_of, confirmed_ms_ago, events })
 }
@@ -181,6 +199,11 @@
     node.feeds.of(subject).known.borrow().freshness.age_ms(clock::now())
 }
 
+/// Tells whether a view of the store is no older than the bound of a change.
+pub(crate) fn is_current<P: Platform>(node: &Node<P>, subject: Subject) -> bool {
+    age_ms(node, subject).is_some_and(|age_ms| age_ms <= node.settings().change_bound.as_ms())
+}
+
 /// Turns what a peer told, not before `told_at`, into what this node may believe.
 fn heard(changes: Changes, from: SocketAddr, told_at: UnixMs) -> News {
     News {
@@ -229,8 +252,8 @@
     let (after_outage, as_of) = (news.after_outage, news.as_of);
     let events = Some(news.events.clone());
     take_changes(node, subject, news);
-    if is_watcher(node) {
-        let confirmed_ms_ago = age_ms(node, subject);
+    if watches(node, subject) {
+        let confirmed_ms_ago = told_age_ms(node, subject);
         pass_on(node, subject, Changes { after, after_outage, as_of, confirmed_ms_ago, events });
     }
 }
@@ -247,11 +270,11 @@
 
 fn take_changes<P: Platform>(node: &Node<P>, subject: Subject, news: News) {
     let News { after_outage, as_of, confirmed_at, events, teller } = news;
+    let witness = witness(node, teller);
     let events = {
         let mut known = node.feeds.of(subject).known.borrow_mut();
-        known.heard_at = clock::now();
         if let Some(at) = confirmed_at {
-            known.freshness.confirm(at);
+            known.freshness.confirm(at, witness);
         }
         known.take(events, as_of)
     };
@@ -267,6 +290,14 @@
     }
 }
 
+fn witness<P: Platform>(node: &Node<P>, teller: Teller) -> Witness {
+    match teller {
+        Teller::Store => Witness::Own,
+        Teller::Peer(peer) if peers::comes_before(node, peer, DUTY) => Witness::Senior,
+        Teller::Peer(_) => Witness::Junior,
+    }
+}
+
 async fn pause<P: Platform>(node: &Node<P>, pause_ms: u64) -> u64 {
     let jittered_ms = pause_ms / 2 + node.draw() % pause_ms;
     sleep(Duration::from_millis(jittered_ms)).await;
@@ -321,15 +352,19 @@
         Subject::Operators => GATHER_OPERATORS,
         Subject::Targets => GATHER_TARGETS,
     };
-    loop {
-        let after = node.feeds.of(subject).known.borrow().as_of;
+    while watches(node, subject) {
+        let (after, freshness) = {
+            let known = node.feeds.of(subject).known.borrow();
+            (known.as_of, known.freshness)
+        };
         let prefix = prefix::<P>(subject).to_owned();
-        let call = StoreCall::Watch { after, prefix, wait_ms: WAIT_MS };
         let began_at = clock::now();
+        let wait_ms = freshness.next_wait_ms(began_at, node.settings().change_bound);
+        let call = StoreCall::Watch { after, prefix, wait_ms };
         match node.store(&call).await {
             Ok(StoreAnswer::Events { as_of, events }) => {
                 let any = !events.is_empty();
-                let confirmed_at = Some(answered_from(began_at, any));
+                let confirmed_at = Some(answered_from(began_at, wait_ms, any));
                 let teller = Teller::Store;
                 let news = News { after_outage: false, as_of, confirmed_at, events, teller };
                 arrived(node, subject, news);
@@ -344,16 +379,14 @@
             }
             Err(refusal) => return Some(refusal),
         }
-        if !is_watcher(node) {
-            return None;
-        }
     }
+    None
 }
 
 /// Returns the earliest moment at which the store can have answered a watch that was made at
 /// `began_at`: without a change it answers only when the wait is over.
-fn answered_from(began_at: UnixMs, with_changes: bool) -> UnixMs {
-    let waited_until = began_at.plus(WAIT_MS);
+fn answered_from(began_at: UnixMs, wait_ms: u64, with_changes: bool) -> UnixMs {
+    let waited_until = began_at.plus(wait_ms);
     if with_changes || clock::now() < waited_until { began_at } else { waited_until }
 }
 
@@ -361,7 +394,7 @@
 fn watch_age<P: Platform>(node: &Node<P>, subject: Subject) {
     let Some(age_ms) = age_ms(node, subject) else { return };
     node.metrics.feed_age_ms.get_or_create(&subject.reason()).set(age_ms as i64);
-    let is_old = age_ms > OLD_MS;
+    let is_old = age_ms > node.settings().change_bound.as_ms();
     if node.feeds.of(subject).is_old.replace(is_old) != is_old {
         let event = if is_old { "feed_old" } else { "feed_current" };
         let as_of = node.feeds.of(subject).known.borrow().as_of;
@@ -370,7 +403,7 @@
     }
 }
 
-/// Tells the others that this node still watches, as long as it hears the store.
+/// Tells the others that this node still watches, as long as it hears the store, and does what is due.
 pub(crate) async fn say_alive<P: Platform>(node: Rc<Node<P>>) {
     loop {
         sleep(ALIVE_EVERY).await;
@@ -380,25 +413,18 @@
         }
         for subject in [Subject::Operators, Subject::Targets] {
             watch_age(&node, subject);
-        }
-        if !is_watcher(&node) || node.leaving.get() {
-            continue;
-        }
-        for subject in [Subject::Operators, Subject::Targets] {
-            let (as_of, heard_at) = {
-                let known = node.feeds.of(subject).known.borrow();
-                (known.as_of, known.heard_at)
-            };
-            if clock::now().since_ms(heard_at) <= WAIT_MS + SILENCE_MAX_MS {
-                let changes = Changes {
-                    after: as_of,
-                    after_outage: false,
-                    as_of,
-                    confirmed_ms_ago: age_ms(&node, subject),
-                    events: Some(Vec::new()),
-                };
-                pass_on(&node, subject, changes);
+            if !node.leaving.get() && watches(&node, subject) {
+                say_alive_once(&node, subject);
             }
         }
     }
 }
+
+fn say_alive_once<P: Platform>(node: &Node<P>, subject: Subject) {
+    let Some(age_ms) = told_age_ms(node, subject) else { return };
+    let as_of = node.feeds.of(subject).known.borrow().as_of;
+    let confirmed_ms_ago = Some(age_ms);
+    let events = Some(Vec::new());
+    let changes = Changes { after: as_of, after_outage: false, as_of, confirmed_ms_ago, events };
+    pass_on(node, subject, changes);
+}
--- a/crates/serve/src/peers.rs
+++ b/crates/serve/src/peers.rs
@@ -163,6 +163,16 @@
     Some(joined_at.plus(SETTLE_MS).since_ms(clock::now()))
 }
 
+/// Returns after how long a node that does not know its duties yet has to look at them again; one that
+/// knows them hears of changes.
+pub(crate) fn settles_within_ms<P: Platform>(node: &Node<P>) -> u64 {
+    match settles_in_ms(node) {
+        None => SETTLE_MS,
+        Some(0) => u64::MAX,
+        Some(left_ms) => left_ms,
+    }
+}
+
 /// Receives datagrams and ticks membership until the process ends.
 pub(crate) async fn run_membership<P: Platform>(node: Rc<Node<P>>) {
     let mut ticks = interval(TICK);
@@ -363,6 +373,15 @@
     Some(live.filter(|peer| DutyRank::of(peer, duty) < mine).count())
 }
 
+/// Tells whether the node at an address comes before this one for a duty.
+pub(crate) fn comes_before<P: Platform>(node: &Node<P>, address: SocketAddr, duty: &str) -> bool {
+    let members = node.members.borrow();
+    let Some(members) = members.as_ref() else { return false };
+    let mine = DutyRank::of(members.me(), duty);
+    let peer = members.nodes().find(|peer| peer.control == address);
+    peer.is_some_and(|peer| DutyRank::of(peer, duty) < mine)
+}
+
 /// Tells whether this node comes first for a duty among those that live.
 pub(crate) fn is_first_for<P: Platform>(node: &Node<P>, duty: &str) -> bool {
     rank_for(node, duty) == Some(0)
--- a/crates/serve/src/settings.rs
+++ b/crates/serve/src/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of a process, checked at start.
 
+use catkinmast_dispatch::ChangeBound;
 use displaydoc::Display;
 use std::net::SocketAddr;
 
@@ -10,6 +11,8 @@
     pub capacity_millicores: u32,
     /// Where callers reach this process; none on a process without traffic.
     pub callers: Option<SocketAddr>,
+    /// How soon a change of configuration or targets must be in force.
+    pub change_bound: ChangeBound,
     /// The data centre that this process stands in.
     pub data_centre: String,
     /// Where callers ask for addresses.
--- /dev/null
+++ b/tests/all/dispatch/freshness.rs
@@ -0,0 +1,199 @@
+//! The age of a view of the store, and a fleet that keeps it young, in virtual time.
+
+use catkinmast_dispatch::{ChangeBound, Freshness, WATCHERS, Witness};
+use catkinmast_model::UnixMs;
+use yare::parameterized;
+
+const BOUND: ChangeBound = ChangeBound::from_ms(2_000);
+/// What a call of the store takes, and a datagram.
+const CALL_MS: u64 = 5;
+/// How often a node of the script acts.
+const TICK_MS: u64 = 1;
+
+/// A node of a scripted fleet. It knows one number that only ever rises in the store.
+#[derive(Clone, Copy, Default)]
+struct Node {
+    calls: usize,
+    /// When the answer to its call comes, and the number that it reads.
+    call: Option<(UnixMs, u64)>,
+    freshness: Freshness,
+    known: u64,
+    reaches_store: bool,
+    watches_again_at: UnixMs,
+}
+
+/// A fleet whose nodes are in the order of their ranks.
+struct Fleet {
+    nodes: Vec<Node>,
+    now: UnixMs,
+    stored: u64,
+}
+
+impl Fleet {
+    fn open(size: usize) -> Self {
+        let mut node = Node { reaches_store: true, ..Node::default() };
+        node.freshness.confirm(UnixMs(0), Witness::Junior);
+        Self { nodes: vec![node; size], now: UnixMs(0), stored: 0 }
+    }
+
+    fn run_until(&mut self, until: UnixMs) {
+        while self.now < until {
+            self.now = self.now.plus(TICK_MS);
+            for rank in 0..self.nodes.len() {
+                self.act(rank);
+            }
+        }
+    }
+
+    fn act(&mut self, rank: usize) {
+        let (now, stored) = (self.now, self.stored);
+        let node = &mut self.nodes[rank];
+        if let Some((at, read)) = node.call {
+            if at <= now {
+                node.call = None;
+                self.answered(rank, read);
+            }
+            return;
+        }
+        let looks = rank < WATCHERS && now >= node.watches_again_at;
+        if looks || node.freshness.looks_at(rank, BOUND) <= now {
+            node.calls += 1;
+            node.watches_again_at = now.plus(BOUND.wait_ms());
+            node.call = node.reaches_store.then_some((now.plus(CALL_MS), stored));
+        }
+    }
+
+    /// Takes an answer of the store, and tells all others.
+    fn answered(&mut self, rank: usize, read: u64) {
+        let now = self.now;
+        let began_at = UnixMs(now.since_ms(UnixMs(CALL_MS)));
+        let teller = &mut self.nodes[rank];
+        teller.known = teller.known.max(read);
+        teller.freshness.confirm(began_at, Witness::Own);
+        let Some(age_ms) = teller.freshness.told_age_ms(now, BOUND) else { return };
+        for (other, node) in self.nodes.iter_mut().enumerate().filter(|(other, _)| *other != rank) {
+            let witness = if rank < other { Witness::Senior } else { Witness::Junior };
+            node.freshness.confirm(UnixMs(now.since_ms(UnixMs(age_ms))), witness);
+            node.known = node.known.max(read);
+        }
+    }
+
+    fn calls(&self) -> usize {
+        self.nodes.iter().map(|node| node.calls).sum()
+    }
+}
+
+#[parameterized(
+    both_watchers_of_eight = { 8, 2 },
+    all_but_one_of_eight = { 8, 7 },
+    half_of_thirty = { 30, 15 },
+    all_but_one_of_three_hundred = { 320, 319 },
+    all_but_one_of_a_thousand = { 1_000, 999 },
+)]
+fn a_change_is_known_in_time_whoever_has_lost_the_store(size: usize, cut: usize) {
+    let mut fleet = Fleet::open(size);
+    // The cut comes at any moment between two answers.
+    for lost_after_ms in [0, 300, 700, 999] {
+        let lost_at = fleet.now.plus(10_000 + lost_after_ms);
+        fleet.run_until(lost_at);
+        for node in &mut fleet.nodes[..cut] {
+            node.reaches_store = false;
+            node.call = None;
+        }
+        fleet.stored += 1;
+
+        fleet.run_until(lost_at.plus(BOUND.as_ms()));
+
+        for (rank, node) in fleet.nodes.iter().enumerate() {
+            assert_eq!(node.known, fleet.stored, "rank {rank}, cut off after {lost_after_ms} ms");
+        }
+        for node in &mut fleet.nodes {
+            node.reaches_store = true;
+        }
+    }
+}
+
+#[parameterized(eight = { 8 }, three_hundred = { 320 }, a_thousand = { 1_000 })]
+fn nobody_but_the_watchers_looks_while_they_are_answered(size: usize) {
+    let mut fleet = Fleet::open(size);
+
+    fleet.run_until(UnixMs(10_000));
+
+    assert!(fleet.nodes[WATCHERS..].iter().all(|node| node.calls == 0));
+    // Two watchers, and a call for each wait.
+    assert!(fleet.calls() <= 2 * 10, "{} calls in ten seconds", fleet.calls());
+}
+
+#[parameterized(eight = { 8 }, three_hundred = { 320 }, a_thousand = { 1_000 })]
+fn few_look_in_place_of_watchers_that_have_lost_the_store(size: usize) {
+    let mut fleet = Fleet::open(size);
+    fleet.run_until(UnixMs(3_000));
+    for node in &mut fleet.nodes[..WATCHERS] {
+        node.reaches_store = false;
+        node.call = None;
+    }
+    let before: usize = fleet.nodes[WATCHERS..].iter().map(|node| node.calls).sum();
+
+    fleet.run_until(UnixMs(13_000));
+
+    let after: usize = fleet.nodes[WATCHERS..].iter().map(|node| node.calls).sum();
+    // One pair of nodes for each time after which a view is old.
+    assert!(after - before <= 2 * 8, "{} calls in ten seconds", after - before);
+}
+
+#[test]
+fn two_nodes_that_hear_each_other_do_not_keep_each_other_young() {
+    let mut views = [Freshness::default(); 2];
+    views[0].confirm(UnixMs(0), Witness::Own);
+    views[1].confirm(UnixMs(0), Witness::Own);
+
+    for now in (100..5_000).step_by(100).map(UnixMs) {
+        for (teller, hearer) in [(0, 1), (1, 0)] {
+            if let Some(age_ms) = views[teller].told_age_ms(now, BOUND) {
+                // A datagram takes a while, and seems to be of when it comes.
+                let at = UnixMs(now.plus(10).since_ms(UnixMs(age_ms)));
+                views[hearer].confirm(at, Witness::Senior);
+            }
+        }
+    }
+
+    for view in views {
+        assert!(view.looks_at(0, BOUND) < UnixMs(BOUND.as_ms()));
+        assert!(view.age_ms(UnixMs(5_000)).is_some_and(|age_ms| age_ms > 4_900));
+    }
+}
+
+#[test]
+fn a_node_in_a_watchers_place_goes_on_until_one_that_comes_before_it_is_answered() {
+    let mut view = Freshness::default();
+    view.confirm(UnixMs(1_000), Witness::Own);
+    view.confirm(UnixMs(1_000), Witness::Junior);
+    assert!(view.watches(UnixMs(1_100), 2, BOUND));
+
+    view.confirm(UnixMs(1_200), Witness::Senior);
+
+    assert!(!view.watches(UnixMs(1_300), 2, BOUND));
+    assert!(view.watches(UnixMs(1_200 + BOUND.stale_ms()), 2, BOUND));
+    assert!(view.watches(UnixMs(1_300), 1, BOUND), "a watcher watches whoever else does");
+}
+
+#[test]
+fn a_view_that_lacks_something_is_looked_after_at_once() {
+    let mut view = Freshness::default();
+    view.confirm(UnixMs(1_000), Witness::Senior);
+
+    view.doubt();
+
+    assert_eq!(view.age_ms(UnixMs(1_001)), None);
+    assert_eq!(view.looks_at(7, BOUND), UnixMs(0));
+}
+
+#[test]
+fn a_wait_ends_before_the_view_is_old() {
+    let mut view = Freshness::default();
+    view.confirm(UnixMs(1_000), Witness::Own);
+
+    assert_eq!(view.next_wait_ms(UnixMs(1_000), BOUND), BOUND.wait_ms());
+    assert_eq!(view.next_wait_ms(UnixMs(1_400), BOUND), BOUND.wait_ms() - 400);
+    assert!(view.next_wait_ms(UnixMs(9_000), BOUND) > 0, "a slow store is not asked in a loop");
+}
--- a/tests/all/dispatch/mod.rs
+++ b/tests/all/dispatch/mod.rs
@@ -2,6 +2,7 @@
 
 mod batch;
 mod copies;
+mod freshness;
 mod load;
 mod lookahead;
 mod rollout;
--- a/tests/all/site/bad_input.rs
+++ b/tests/all/site/bad_input.rs
@@ -1,6 +1,6 @@
 //! Bad input: a clear answer or a close, bounded memory, and the node serves on.
 
-use super::harness::{HOST, Site};
+use super::harness::{CHANGE_BOUND_MS, HOST, Site, settings};
 use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::time::Duration;
@@ -93,3 +93,22 @@
     assert!(error.contains("settings.toml"), "the file is named: {error}");
     assert!(error.contains("missing field"), "the problem is named: {error}");
 }
+
+#[test]
+fn a_bound_of_zero_is_named_with_its_field() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let path = folder.path().join("settings.toml");
+    let store = std::net::SocketAddr::from(([127, 0, 0, 1], 9));
+    let text = settings("n", std::net::Ipv4Addr::LOCALHOST, store);
+    let bound = format!("configMs = {CHANGE_BOUND_MS}");
+    std::fs::write(&path, text.replace(&bound, "configMs = 0")).expect("the file is written");
+
+    let output = std::process::Command::new(env!("CARGO_BIN_EXE_catkinmast-front"))
+        .env("CATKINMAST_BOOT", &path)
+        .output()
+        .expect("the binary runs");
+
+    assert!(!output.status.success());
+    let error = String::from_utf8_lossy(&output.stderr);
+    assert!(error.contains("bounds.configMs is 0"), "field and value are named: {error}");
+}
--- a/tests/all/site/configuration.rs
+++ b/tests/all/site/configuration.rs
@@ -123,9 +123,9 @@
     until("two nodes that watch", || async {
         let before: Vec<usize> = (0..site.nodes.len()).map(watches).collect();
         tokio::time::sleep(LOOK).await;
-        let (watchers, others): (Vec<usize>, Vec<usize>) =
+        let parts: (Vec<usize>, Vec<usize>) =
             (0..site.nodes.len()).partition(|index| watches(*index) > before[*index]);
-        (watchers.len() == 2).then_some((watchers, others))
+        (parts.0.len() == 2).then_some(parts)
     })
     .await
 }
--- a/tests/all/site/harness.rs
+++ b/tests/all/site/harness.rs
@@ -152,7 +152,8 @@
     std::net::Ipv4Addr::new(127, second, third, 1 + (number % 250) as u8)
 }
 
-fn settings(name: &str, ip: std::net::Ipv4Addr, store: SocketAddr) -> String {
+/// Returns the text of a node's settings file.
+pub(crate) fn settings(name: &str, ip: std::net::Ipv4Addr, store: SocketAddr) -> String {
     format!(
         r#"node = "{name}"
 role = "entry"
--- a/tests/all/site/store.rs
+++ b/tests/all/site/store.rs
@@ -234,7 +234,7 @@
                 let told = self.watch(&query).await?;
                 // A wait that was under way as the path was cut is not answered either.
                 if self.state().doors[door] == Some(Door::Silent) {
-                    std::future::pending().await
+                    std::future::pending::<()>().await;
                 }
                 told
             }
