The holder of the orders holds only a key on the lease that it renews

Cause, from the trail: at 22.07 s the holder gives its lease up by its own clock; its try to take the key anew has no answer and was not done; it reads the key, finds its own name under the old fence 11 and goes on (orders_lease_gained, fence 11). But the key hangs on its former lease, and it renews the one that it opened for the try. The renewals succeed, the key lapses 2.5 s later, and at 31.9 s another node takes it.

Ruled out: a pause of the holder (it orders every second), a renewal that came late (the store was answering it), the new holder's wait (it kept it).

Change: an item of the store tells the lease that it hangs on; a key on another lease than the one that is renewed counts as not held, and is taken anew.

--- a/crates/serve/src/orders.rs
+++ b/crates/serve/src/orders.rs
@@ -189,7 +189,7 @@
 ) {
     let report = match action {
         Action::Take => take(&node, &holder, &record).await,
-        Action::Read => read(&node).await,
+        Action::Read => read(&node, &holder).await,
         Action::Renew => renew(&node, &holder).await,
         Action::Release => {
             if let Some(lease) = holder.lease.take() {
@@ -255,8 +255,11 @@
     node.store(&call).await
 }
 
-async fn read<P: Platform>(node: &Node<P>) -> Report {
+async fn read<P: Platform>(node: &Node<P>, holder: &Holder) -> Report {
     match node.store(&StoreCall::Get { key: LEASE_KEY.to_owned(), may_be_old: false }).await {
+        // A key of ours from before hangs on a lease that nobody renews: it lapses, and another
+        // takes it, while renewals of the new lease succeed.
+        Ok(StoreAnswer::Item(Some(item))) if item.lease != holder.lease.get() => Report::Read(None),
         Ok(StoreAnswer::Item(Some(item))) => {
             let record = postcard::from_bytes(&item.value).ok();
             Report::Read(record.map(|record| (record, Fence(item.revision))))
--- a/crates/serve/src/store.rs
+++ b/crates/serve/src/store.rs
@@ -107,6 +107,8 @@
 pub struct StoredItem {
     /// The key.
     pub key: String,
+    /// The lease with which it lapses.
+    pub lease: Option<LeaseId>,
     /// The revision of its last change; 0 where it does not exist.
     pub revision: u64,
     /// The value.
--- a/tests/all/site/orders.rs
+++ b/tests/all/site/orders.rs
@@ -105,6 +105,34 @@
     assert_eq!(report.await["orders_at_once"], true);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_holder_whose_key_hangs_on_a_lease_that_it_does_not_renew_is_no_holder() {
+    let site = Site::start(1, 1, 0).await;
+    let node = &site.nodes[0];
+    until("the lease", || async { (!node.lines("orders_lease_gained").is_empty()).then_some(()) })
+        .await;
+    site.store.set_door(node.door, Door::Refuses);
+    until("the lapse", || async { (!node.lines("orders_lease_lost").is_empty()).then_some(()) })
+        .await;
+    let asks = || {
+        let calls = site.store.calls_at(node.door);
+        calls.iter().filter(|call| *call == "kv-key key=cm/orders").count()
+    };
+    let asked_before = asks();
+    site.store.hold_leases();
+    site.store.set_door(node.door, Door::DropsWrites);
+    until("the key is read", || async { (asks() > asked_before).then_some(()) }).await;
+
+    site.store.set_door(node.door, Door::Open);
+
+    until("the lease again", || async {
+        (node.lines("orders_lease_gained").len() > 1).then_some(())
+    })
+    .await;
+    let (held, renewed) = (site.store.lease_of("cm/orders"), site.store.newest_lease());
+    assert_eq!(held, renewed, "the key lapses under its holder");
+}
+
 // Symptom: an engine that started again under its id gets no weights and no items any more.
 // Sequence: it says that it leaves, ends, and is back under its id with counts that start anew.
 // Cause: what is known of its earlier life is held against it.
--- a/tests/all/site/store.rs
+++ b/tests/all/site/store.rs
@@ -17,6 +17,8 @@
 /// How a door answers.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Door {
+    /// Writes are neither done nor answered.
+    DropsWrites,
     /// Writes are done, and their answers are lost.
     LosesAnswers,
     /// As it should.
@@ -174,6 +176,16 @@
         self.state().items.get(key).map(|item| item.value.clone())
     }
 
+    /// Returns the lease on which a key hangs; 0 for none.
+    pub(crate) fn lease_of(&self, key: &str) -> u64 {
+        self.state().items.get(key).map_or(0, |item| item.lease)
+    }
+
+    /// Returns the lease that was opened last; 0 for none.
+    pub(crate) fn newest_lease(&self) -> u64 {
+        self.state().leases.keys().max().copied().unwrap_or(0)
+    }
+
     /// Returns the keys under a prefix.
     pub(crate) fn keys(&self, prefix: &str) -> Vec<String> {
         self.state().items.keys().filter(|key| key.starts_with(prefix)).cloned().collect()
@@ -224,7 +236,8 @@
         match mode {
             Door::Refuses => return Some(answer(503, "")),
             Door::Silent => std::future::pending().await,
-            Door::Open | Door::LosesAnswers => {}
+            Door::DropsWrites if name == "kv-txn" => return None,
+            Door::Open | Door::LosesAnswers | Door::DropsWrites => {}
         }
         let query = head.uri.query().unwrap_or_default().to_owned();
         let body: Value = serde_json::from_slice(&body).unwrap_or(Value::Null);
