A peer's word that the store is back is no answer of the store

While the store turns one node away, the others regain it and tell all; the one wrote store_regained, took the store to have answered it at that moment, and made its next call directly again, 1.2 s of silence before it asked a peer. The trail then says what no answer showed.

Change: the word wakes what waits, as before, and the node asks the store itself; its outage ends with an answer of its own (store_return_told, then store_regained).

Measured: site::standby::the_word_that_the_store_is_back_is_no_answer_of_it failed before, twice of twice, and passes; the module's other five pass.

--- a/crates/serve/src/outage.rs
+++ b/crates/serve/src/outage.rs
@@ -79,13 +79,16 @@
     }
 }
 
-/// Takes the word of a watching node that the store answers again.
-pub(crate) fn told_over<P: Platform>(node: &Node<P>) {
-    if node.outage.since.take().is_some() {
-        node.outage.answered_at.set(clock::now());
-        node.note("store_regained", json!({ "by": "a peer's word" }));
+/// Takes the word of a watching node that the store answers it again.
+///
+/// What waits is asked again, but the outage lasts here until the store answers this node: it may
+/// still turn this one away, and its calls would be made directly first, a second each.
+pub(crate) fn told_over<P: Platform>(node: &Rc<Node<P>>) {
+    if node.outage.lasts() {
+        node.note("store_return_told", json!({}));
         node.batches.store_returned();
         node.outage.over.notify_waiters();
+        tokio::task::spawn_local(ask(Rc::clone(node)));
     }
 }
 
--- a/tests/all/site/standby.rs
+++ b/tests/all/site/standby.rs
@@ -127,6 +127,29 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn the_word_that_the_store_is_back_is_no_answer_of_it() {
+    let site = Site::start(4, 0, 1).await;
+    set_doors(&site, Door::Silent);
+    until("the outage is noticed", || async {
+        site.nodes.iter().all(|node| !node.lines("store_lost").is_empty()).then_some(())
+    })
+    .await;
+
+    let (cut_off, others) = site.nodes.split_last().expect("nodes");
+    for node in others {
+        site.store.set_door(node.door, Door::Open);
+    }
+
+    until("the others regain the store", || async {
+        others.iter().all(|node| !node.lines("store_regained").is_empty()).then_some(())
+    })
+    .await;
+    // The trail is written a quarter of a second late.
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert_eq!(cut_off.lines("store_regained"), Vec::<serde_json::Value>::new());
+}
+
 // Symptom: a step ends up to a second after its owner's successor could own its batch.
 // Sequence: all items are run and scored while the store is away; it returns.
 // Cause: only the texts are kept, and each score is asked for again.
