A machine that is to be emptied a second time is reported again

The nodes kept the names of machines that were ever to be emptied, and the holder of the orders those that it ever reported: a later request for the same machine was never answered.

Change: both go by the revision that asks.

--- a/crates/serve/src/feed/apply.rs
+++ b/crates/serve/src/feed/apply.rs
@@ -34,8 +34,10 @@
             }
         }
         Ok(Some(OperatorNotice::Vacate { node: machine })) => {
-            if node.vacating.borrow_mut().insert(machine.clone()) {
-                node.note("vacate_asked", json!({ "machine": machine }));
+            let asked = node.vacating.borrow_mut().insert(machine.clone(), item.revision);
+            if asked != Some(item.revision) {
+                let why = json!({ "machine": machine, "revision": item.revision });
+                node.note("vacate_asked", why);
             }
         }
         Ok(None) => {}
--- a/crates/serve/src/node.rs
+++ b/crates/serve/src/node.rs
@@ -90,7 +90,8 @@
     pub trail: Trail,
     /// The requests of which the store does not have this node's evidence yet.
     pub unsaved_crashes: RefCell<IndexSet<Fingerprint>>,
-    pub vacating: RefCell<IndexSet<String>>,
+    /// The machines that are to be emptied, and the revision that asks for it.
+    pub vacating: RefCell<IndexMap<String, u64>>,
     pub versions: RefCell<IndexMap<String, u64>>,
     /// Wakes the scheduler of batch items.
     pub work: Notify,
@@ -131,7 +132,7 @@
             targets: RefCell::new(TargetTable::default()),
             trail,
             unsaved_crashes: RefCell::new(IndexSet::new()),
-            vacating: RefCell::new(IndexSet::new()),
+            vacating: RefCell::new(IndexMap::new()),
             versions: RefCell::new(IndexMap::new()),
             work: Notify::new(),
             platform: PhantomData,
--- a/crates/serve/src/orders.rs
+++ b/crates/serve/src/orders.rs
@@ -73,7 +73,9 @@
     /// How each service's targets were shared among models when it was last told.
     shared: RefCell<IndexMap<String, serde_json::Value>>,
     tenure: RefCell<Tenure>,
-    vacated: RefCell<Vec<String>>,
+    /// The machines that were reported empty, and the revision that asked for it: one may be asked for
+    /// again, and its report is gone by then.
+    vacated: RefCell<IndexMap<String, u64>>,
 }
 
 /// Orders that a target has accepted since it started.
@@ -122,7 +124,7 @@
         rollouts: RefCell::new(IndexMap::new()),
         shared: RefCell::new(IndexMap::new()),
         tenure: RefCell::new(tenure),
-        vacated: RefCell::new(Vec::new()),
+        vacated: RefCell::new(IndexMap::new()),
     });
     let held_before = held_before(&node, &record).await;
     let mut gained = false;
@@ -512,23 +514,25 @@
 
 /// Reports store machines as empty: nothing that lasts is kept on them.
 fn report_vacated<P: Platform>(node: &Rc<Node<P>>, holder: &Rc<Holder>) {
-    let asked: Vec<String> = node.vacating.borrow().iter().cloned().collect();
-    for machine in asked {
-        if holder.vacated.borrow().contains(&machine) {
+    let asked = node.vacating.borrow().clone();
+    for (machine, revision) in asked {
+        let reported = holder.vacated.borrow_mut().insert(machine.clone(), revision);
+        if reported == Some(revision) {
             continue;
         }
-        holder.vacated.borrow_mut().push(machine.clone());
         let (node, holder) = (Rc::clone(node), Rc::clone(holder));
         tokio::task::spawn_local(async move {
             let (key, value) = P::vacated(&machine);
             let puts = vec![Put { key, lease: None, value }];
             let call = StoreCall::Transaction { deletes: Vec::new(), expected: Vec::new(), puts };
             match node.store(&call).await {
-                Ok(_) => node.note("vacate_done", json!({ "machine": machine })),
+                Ok(_) => {
+                    node.note("vacate_done", json!({ "machine": machine, "revision": revision }));
+                }
                 Err(refusal) => {
                     let why = json!({ "machine": machine, "why": refusal.message });
                     node.note("vacate_unreported", why);
-                    holder.vacated.borrow_mut().retain(|held| *held != machine);
+                    holder.vacated.borrow_mut().swap_remove(&machine);
                 }
             }
         });
--- a/tests/all/site/orders.rs
+++ b/tests/all/site/orders.rs
@@ -79,6 +79,20 @@
     .await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_machine_that_is_to_be_emptied_a_second_time_is_reported_again() {
+    let site = Site::start(2, 0, 0).await;
+    let report = || async {
+        site.store.get("status/retire/store-1").map(|_| site.store.remove("status/retire/store-1"))
+    };
+    site.store.put("op/retire/store-1", &json!({ "durationS": 10 }));
+    until("the report", report).await;
+
+    site.store.put("op/retire/store-1", &json!({ "durationS": 20 }));
+
+    until("the second report", report).await;
+}
+
 // Symptom: no engine gets new weights for seconds after the store returns.
 // Sequence: the store is away for longer than the holder may act without a renewal, and shorter than
 // its lease; the holder finds its own key and waits for its lapse, then for another's orders.
