An acceptance goes on when nobody waits for it, and owners learn of their batches

Cause, from the trail: the owner of the model writes the batch, the write is done, its answer is lost. After a second the node that handed the batch on gives up; its connection closes, and the owner's acceptance is dropped with it, before it could read that its write was done. The other node finds a record that names the owner, takes the batch for kept and answers 202. The owner lives, so no search takes the batch; it does not know of it, so it does not run it. Once more a node trusts what was once written of another.

Ruled out: a slow owner (it runs other batches meanwhile), a search that failed (batches of owners that live are not searched for, by design).

Change: an acceptance is a task of its own, and goes on to its end; whoever finds a record of another owner tells that owner, which takes the batch if it does not run it.

Measured: site::batches::a_batch_that_its_owner_wrote_without_an_answer_is_run waited a minute in vain, two of two, and passes; the module's others pass, three of three.

--- a/crates/serve/src/batches/accept.rs
+++ b/crates/serve/src/batches/accept.rs
@@ -8,7 +8,7 @@
 use super::{Held, LEFTOVER_KEPT_MS};
 use crate::clock;
 use crate::node::Node;
-use crate::peers::{self, Datagram, PeerAnswer, PeerCall};
+use crate::peers::{self, Datagram, Owner, PeerAnswer, PeerCall};
 use crate::platform::Platform;
 use crate::store::{Expectation, Put, StoreAnswer, StoreCall, StoreRefusal, StoredItem};
 use catkinmast_dispatch::{Batch, BatchTerms, Chunk, ItemResult, Progress, Route, Submission};
@@ -101,12 +101,31 @@
 }
 
 /// Accepts a submission: writes it to the store, and owns it.
+///
+/// It goes on when nobody waits for it any more. Left halfway, the store would name this node as the
+/// owner of a batch that it does not run, and every later submission would be told that it is kept.
 pub(crate) async fn accept<P: Platform>(
     node: &Rc<Node<P>>,
     id: &str,
     host: &str,
     path: &str,
     submission: Submission,
+) -> Acceptance {
+    let (id, host, path) = (id.to_owned(), host.to_owned(), path.to_owned());
+    let node = Rc::clone(node);
+    let work = async move { create_and_own(&node, &id, &host, &path, submission).await };
+    tokio::task::spawn_local(work).await.unwrap_or_else(|error| {
+        let verdict = Verdict::MayHaveRun;
+        Acceptance::Unknown(StoreRefusal { message: error.to_string(), verdict })
+    })
+}
+
+async fn create_and_own<P: Platform>(
+    node: &Rc<Node<P>>,
+    id: &str,
+    host: &str,
+    path: &str,
+    submission: Submission,
 ) -> Acceptance {
     if node.batches.get(id).is_some() {
         return Acceptance::Kept;
@@ -203,12 +222,30 @@
             };
             own(node, id, source, accepted_at, 0, &[]);
         } else {
+            if !stored.ended {
+                tell_owner(node, id, &stored.owner);
+            }
             node.batches.note_owner(id, stored.owner);
         }
     }
     Acceptance::Kept
 }
 
+/// Tells the owner that the store names of its batch: it may not know that its own call was done.
+fn tell_owner<P: Platform>(node: &Rc<Node<P>>, id: &str, owner: &Owner) {
+    if peers::me(node).is_none_or(|me| me == *owner) {
+        return;
+    }
+    let call = PeerCall::Adopt { batch: id.to_owned(), texts: Vec::new() };
+    let (node, id, owner) = (Rc::clone(node), id.to_owned(), owner.clone());
+    tokio::task::spawn_local(async move {
+        if let Err(error) = node.ask_peer(owner.address, &call, SUBMIT_MAX).await {
+            let why = json!({ "request": id, "owner": owner.node, "why": error.message });
+            node.note("owner_unreachable", why);
+        }
+    });
+}
+
 /// What a batch is opened from.
 pub(super) struct Source {
     pub(super) record: Record,
--- a/tests/all/site/batches.rs
+++ b/tests/all/site/batches.rs
@@ -492,3 +492,18 @@
     let last = site.runs.of("xi5").pop().expect("runs of it");
     assert!(last.after > 0, "it goes on from the text of its second run");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_batch_that_its_owner_wrote_without_an_answer_is_run() {
+    let site = Site::start(6, 3, 1).await;
+    assert_eq!(site.submit(&site.nodes[0], "b1", &submission("b1", 2, 2, 1)).await, 202);
+    let owner = site.owner_of("b1").await;
+    let other = (owner + 1) % site.nodes.len();
+    site.store.set_door(site.nodes[owner].door, Door::MutesWrites);
+
+    let accepted = site.submit(&site.nodes[other], "b2", &submission("b2", 4, 2, 1)).await;
+    site.store.set_door(site.nodes[owner].door, Door::Open);
+
+    assert_eq!(accepted, 202);
+    assert_eq!(site.read_all(&site.nodes[other], "b2", 4).await.len(), 4);
+}
--- a/tests/all/site/store.rs
+++ b/tests/all/site/store.rs
@@ -21,6 +21,8 @@
     DropsWrites,
     /// Writes are done, and their answers are lost.
     LosesAnswers,
+    /// Writes are done, and their callers wait for an answer in vain.
+    MutesWrites,
     /// As it should.
     Open,
     /// Refuses with 503.
@@ -237,7 +239,7 @@
             Door::Refuses => return Some(answer(503, "")),
             Door::Silent => std::future::pending().await,
             Door::DropsWrites if name == "kv-txn" => return None,
-            Door::Open | Door::LosesAnswers | Door::DropsWrites => {}
+            Door::Open | Door::LosesAnswers | Door::DropsWrites | Door::MutesWrites => {}
         }
         let query = head.uri.query().unwrap_or_default().to_owned();
         let body: Value = serde_json::from_slice(&body).unwrap_or(Value::Null);
@@ -259,6 +261,9 @@
         if mode == Door::LosesAnswers && name == "kv-txn" {
             return None;
         }
+        if mode == Door::MutesWrites && name == "kv-txn" {
+            std::future::pending::<()>().await;
+        }
         Some(answer(status, value.to_string()))
     }
 
