--- a/crates/serve/src/feed/mod.rs
+++ b/crates/serve/src/feed/mod.rs
@@ -325,9 +325,8 @@
     read_pages(prefix, true, ask).await.map(|(items, _)| items)
 }
 
-/// Reads all keys under a prefix as they are, by the first way to the store that answers.
-///
-/// One way after the other took up to 5.6 s, during which a way that had come back was not tried.
+/// Reads all keys under a prefix as they are, by the first way to the store that answers: tried one
+/// after the other, a way that fails would keep one that has come back from being used.
 async fn look<P: Platform>(
     node: &Rc<Node<P>>,
     prefix: &'static str,
--- a/tests/all/site/bad_input.rs
+++ b/tests/all/site/bad_input.rs
@@ -77,19 +77,24 @@
     assert!(site.runs.all().is_empty());
 }
 
+/// Starts a node whose settings are wrong; returns what it writes as it ends.
+fn error_at_start(settings: &std::path::Path) -> String {
+    let output = std::process::Command::new(env!("CARGO_BIN_EXE_catkinmast-front"))
+        .env("CATKINMAST_BOOT", settings)
+        .output()
+        .expect("the binary runs");
+    assert!(!output.status.success());
+    String::from_utf8_lossy(&output.stderr).into_owned()
+}
+
 #[test]
 fn a_settings_file_that_is_wrong_is_named_with_its_value() {
     let folder = tempfile::tempdir().expect("a folder");
     let path = folder.path().join("settings.toml");
     std::fs::write(&path, "node = \"n\"\nportRange = [9, 3]\n").expect("the file is written");
 
-    let output = std::process::Command::new(env!("CARGO_BIN_EXE_catkinmast-front"))
-        .env("CATKINMAST_BOOT", &path)
-        .output()
-        .expect("the binary runs");
+    let error = error_at_start(&path);
 
-    assert!(!output.status.success());
-    let error = String::from_utf8_lossy(&output.stderr);
     assert!(error.contains("settings.toml"), "the file is named: {error}");
     assert!(error.contains("missing field"), "the problem is named: {error}");
 }
@@ -103,12 +108,7 @@
     let bound = format!("configMs = {CHANGE_BOUND_MS}");
     std::fs::write(&path, text.replace(&bound, "configMs = 0")).expect("the file is written");
 
-    let output = std::process::Command::new(env!("CARGO_BIN_EXE_catkinmast-front"))
-        .env("CATKINMAST_BOOT", &path)
-        .output()
-        .expect("the binary runs");
+    let error = error_at_start(&path);
 
-    assert!(!output.status.success());
-    let error = String::from_utf8_lossy(&output.stderr);
     assert!(error.contains("bounds.configMs is 0"), "field and value are named: {error}");
 }
--- a/tests/all/site/orders.rs
+++ b/tests/all/site/orders.rs
@@ -93,12 +93,8 @@
     until("the second report", report).await;
 }
 
-// Symptom: no engine gets new weights for seconds after the store returns.
-// Sequence: the store is away for longer than the holder may act without a renewal, and shorter than
-// its lease; the holder finds its own key and waits for its lapse, then for another's orders.
-// Cause: its own key of the same life is taken for another holder's.
-#[tokio::test(flavor = "multi_thread")]
-async fn the_holder_takes_its_own_key_back_after_the_store_was_away() {
+/// Starts a node that held the orders until the store refused it for too long.
+async fn site_whose_holder_lost_the_store() -> Site {
     let site = Site::start(1, 1, 0).await;
     let node = &site.nodes[0];
     until("the lease", || async { (!node.lines("orders_lease_gained").is_empty()).then_some(()) })
@@ -106,6 +102,17 @@
     site.store.set_door(node.door, Door::Refuses);
     until("the lapse", || async { (!node.lines("orders_lease_lost").is_empty()).then_some(()) })
         .await;
+    site
+}
+
+// Symptom: no engine gets new weights for seconds after the store returns.
+// Sequence: the store is away for longer than the holder may act without a renewal, and shorter than
+// its lease; the holder finds its own key and waits for its lapse, then for another's orders.
+// Cause: its own key of the same life is taken for another holder's.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_holder_takes_its_own_key_back_after_the_store_was_away() {
+    let site = site_whose_holder_lost_the_store().await;
+    let node = &site.nodes[0];
     site.store.hold_leases();
 
     site.store.set_door(node.door, Door::Open);
@@ -121,13 +128,8 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_holder_whose_key_hangs_on_a_lease_that_it_does_not_renew_is_no_holder() {
-    let site = Site::start(1, 1, 0).await;
+    let site = site_whose_holder_lost_the_store().await;
     let node = &site.nodes[0];
-    until("the lease", || async { (!node.lines("orders_lease_gained").is_empty()).then_some(()) })
-        .await;
-    site.store.set_door(node.door, Door::Refuses);
-    until("the lapse", || async { (!node.lines("orders_lease_lost").is_empty()).then_some(()) })
-        .await;
     let asks = || {
         let calls = site.store.calls_at(node.door);
         calls.iter().filter(|call| *call == "kv-key key=cm/orders").count()
