Workspaces: callers are known by their keys, and no key goes further than where it is read

Cause: the configuration names workspaces and keys, and the system knew neither: requests reached targets with the caller's key and no workspace, and with keys that were taken away or never there. Ways weighed: keys kept as they come and left out where they would leave the node (a missed place leaks; the whole configuration goes to peers, also by calls of the store made for another node); keys replaced by digests where the store's answer is read (kept: nothing behind the adapter holds a key). Refusing a configuration for a field of a workspace that is not known here: no, it would leave keys in force that the operator took away. Change: crate access (digests, credentials, workspaces, the decision), a workspace on requests, items, batches and calls between nodes; 401 by a view whose age is known, else 503 with Retry-After; another workspace's batches are answered for as if there were none; texts left by one workspace's items are not taken by another's. Ruled out: the view's age and its spread need nothing new; keys travel with routes. The decisions of usage (crate usage: true time, counts, ledger) come along with their tests; nothing carries them out yet. The test of a peer's memory fails with the sealing moved to where the document is decoded.

--- a/crates/dispatch/src/document.rs
+++ b/crates/dispatch/src/document.rs
@@ -1,5 +1,6 @@
 //! The operators' configuration as the request path reads it.
 
+use catkinmast_access::Workspaces;
 use indexmap::IndexMap;
 
 /// What may be repeated of a route's requests, and how they are run.
@@ -35,6 +36,8 @@
     pub host: String,
     /// What may be repeated.
     pub kind: RouteKind,
+    /// Whether its requests carry no key.
+    pub is_public: bool,
     /// Its name.
     pub name: String,
     /// The path prefix, beginning and ending with a slash.
@@ -120,6 +123,8 @@
     pub services: IndexMap<String, PlainTerms>,
     /// Its version; a higher one replaces it.
     pub version: u64,
+    /// The workspaces of callers; none where no keys are asked for.
+    pub workspaces: Option<Workspaces>,
 }
 
 impl Document {
@@ -133,6 +138,15 @@
             .max_by_key(|route| route.prefix.len())
     }
 
+    /// Tells whether calls about the batches of a host need no key: one of its batch routes is public.
+    pub fn has_public_batches(&self, host: &str) -> bool {
+        self.routes.iter().any(|route| {
+            route.is_public
+                && route.kind == RouteKind::Rollout
+                && route.host.eq_ignore_ascii_case(host)
+        })
+    }
+
     /// Tells whether a service's targets are model engines.
     pub fn engine(&self, service: &str) -> Option<&EngineTerms> {
         self.services.get(service).and_then(|terms| terms.engine.as_ref())
--- /dev/null
+++ b/crates/serve/src/access.rs
@@ -0,0 +1,65 @@
+//! Who a caller's request is from, by the configuration in force here.
+
+use crate::batches::Scope;
+use crate::feed::{self, Subject};
+use crate::node::Node;
+use crate::platform::Platform;
+use catkinmast_access::{Admission, ViewAge, admit, credential};
+use catkinmast_dispatch::Document;
+use http::HeaderMap;
+use http::header::{AUTHORIZATION, HeaderValue};
+
+/// Why a request is turned away; none of these texts holds any part of a key.
+#[derive(Clone, Debug)]
+pub(crate) enum Refusal {
+    /// For good: its key belongs to no workspace.
+    Denied(String),
+    /// For now: this node's configuration is too old to tell.
+    Unsure(String),
+}
+
+/// Returns the workspace of a request; none where no key is asked for.
+///
+/// # Errors
+/// When the key names no workspace, or may name one that this node does not know.
+pub(crate) fn workspace<P: Platform>(
+    node: &Node<P>,
+    document: &Document,
+    is_public: bool,
+    headers: &HeaderMap,
+) -> Result<Option<String>, Refusal> {
+    let settings = node.settings();
+    let view = ViewAge {
+        age_ms: feed::age_ms(node, Subject::Operators),
+        bound_ms: settings.change_bound.as_ms(),
+        closed_from_ms: settings.keys_closed_from_ms,
+    };
+    let values = headers.get_all(AUTHORIZATION).into_iter().map(HeaderValue::as_bytes);
+    match admit(document.workspaces.as_ref(), is_public, credential(values), view) {
+        Admission::Anyone => Ok(None),
+        Admission::Denied(why) => Err(Refusal::Denied(why)),
+        Admission::Unsure(why) => Err(Refusal::Unsure(why)),
+        Admission::Workspace(workspace) => Ok(Some(workspace.name.clone())),
+    }
+}
+
+/// Returns whose batches a call may see.
+///
+/// # Errors
+/// As [`workspace`].
+pub(crate) fn scope<P: Platform>(
+    node: &Node<P>,
+    document: &Document,
+    host: &str,
+    headers: &HeaderMap,
+) -> Result<Scope, Refusal> {
+    if document.workspaces.is_none() {
+        return Ok(Scope::All);
+    }
+    let carries_none = !headers.contains_key(AUTHORIZATION);
+    if carries_none && document.has_public_batches(host) {
+        return Ok(Scope::Public);
+    }
+    let workspace = workspace(node, document, false, headers)?;
+    Ok(workspace.map_or(Scope::Public, Scope::Workspace))
+}
--- a/crates/serve/src/batches/accept.rs
+++ b/crates/serve/src/batches/accept.rs
@@ -1,7 +1,7 @@
 //! Accepting a submission: once, and kept before anyone is told.
 
 use super::keys::{
-    Record, TRANSACTION_MAX_KEYS, encode, part_key, part_max_bytes, record_key, unexpected,
+    Origin, Record, TRANSACTION_MAX_KEYS, encode, part_key, part_max_bytes, record_key, unexpected,
 };
 use super::standby::send_copies;
 use super::write::{RETRY, save_texts, write_results};
@@ -33,6 +33,8 @@
 pub(crate) enum Acceptance {
     /// It is kept.
     Kept,
+    /// Its id is that of another workspace's batch.
+    Taken,
     /// The store could not be reached; the verdict says whether it may be kept.
     Unknown(StoreRefusal),
 }
@@ -76,28 +78,26 @@
 pub(crate) async fn submit<P: Platform>(
     node: &Rc<Node<P>>,
     id: &str,
-    host: &str,
-    path: &str,
+    origin: Origin,
     submission: Submission,
 ) -> Acceptance {
-    let duty = duty_of(submission.model.as_deref().unwrap_or(path));
+    let duty = duty_of(submission.model.as_deref().unwrap_or(&origin.path));
     let owner = peers::first_for(node, &duty);
     let Some(owner) = owner.filter(|_| node.batches.get(id).is_none()) else {
-        return accept(node, id, host, path, submission).await;
-    };
-    let call = PeerCall::Submit {
-        batch: id.to_owned(),
-        host: host.to_owned(),
-        path: path.to_owned(),
-        submission: Box::new(submission),
+        return accept(node, id, origin, submission).await;
     };
+    let call = PeerCall::Submit { batch: id.to_owned(), origin, submission: Box::new(submission) };
     let answer = node.ask_peer(owner, &call, SUBMIT_MAX).await;
-    if matches!(answer, Ok(PeerAnswer::Accepted)) {
-        return Acceptance::Kept;
+    match answer {
+        Ok(PeerAnswer::Accepted) => return Acceptance::Kept,
+        Ok(PeerAnswer::NoBatch) => return Acceptance::Taken,
+        _ => {}
     }
     // The batch is created once, whoever does it; so this node may try whatever became of the call.
-    let PeerCall::Submit { submission, .. } = call else { unreachable!("it was made above") };
-    accept(node, id, host, path, *submission).await
+    let PeerCall::Submit { origin, submission, .. } = call else {
+        unreachable!("it was made above")
+    };
+    accept(node, id, origin, *submission).await
 }
 
 /// Accepts a submission: writes it to the store, and owns it.
@@ -107,13 +107,11 @@
 pub(crate) async fn accept<P: Platform>(
     node: &Rc<Node<P>>,
     id: &str,
-    host: &str,
-    path: &str,
+    origin: Origin,
     submission: Submission,
 ) -> Acceptance {
-    let (id, host, path) = (id.to_owned(), host.to_owned(), path.to_owned());
-    let node = Rc::clone(node);
-    let work = async move { create_and_own(&node, &id, &host, &path, submission).await };
+    let (node, id) = (Rc::clone(node), id.to_owned());
+    let work = async move { create_and_own(&node, &id, origin, submission).await };
     tokio::task::spawn_local(work).await.unwrap_or_else(|error| {
         let verdict = Verdict::MayHaveRun;
         Acceptance::Unknown(StoreRefusal { message: error.to_string(), verdict })
@@ -123,12 +121,12 @@
 async fn create_and_own<P: Platform>(
     node: &Rc<Node<P>>,
     id: &str,
-    host: &str,
-    path: &str,
+    origin: Origin,
     submission: Submission,
 ) -> Acceptance {
-    if node.batches.get(id).is_some() {
-        return Acceptance::Kept;
+    if let Some(held) = node.batches.get(id) {
+        let same = held.borrow().record.origin.workspace == origin.workspace;
+        return if same { Acceptance::Kept } else { Acceptance::Taken };
     }
     let Some(owner) = peers::me(node) else {
         return Acceptance::Unknown(StoreRefusal {
@@ -139,9 +137,8 @@
     let record = Record {
         accepted_at_unix_ms: UnixMs::from_wall_clock().0,
         ended: false,
-        host: host.to_owned(),
+        origin,
         owner,
-        path: path.to_owned(),
         total: submission.items.len(),
     };
     let call = match creation(node, id, &record, &submission) {
@@ -212,6 +209,9 @@
     let found = items.iter().find(|item| item.key == key);
     let stored = found.and_then(|item| postcard::from_bytes::<Record>(&item.value).ok());
     if let (Some(stored), Some(item)) = (stored, found) {
+        if stored.origin.workspace != record.origin.workspace {
+            return Acceptance::Taken;
+        }
         if stored == *record && node.batches.get(id).is_none() {
             let source = Source {
                 record: stored,
@@ -270,10 +270,10 @@
         return;
     }
     let Source { record, record_revision, submission, .. } = &source;
-    let route =
-        node.document().and_then(|document| document.route(&record.host, &record.path).cloned());
+    let Origin { host, path, .. } = &record.origin;
+    let route = node.document().and_then(|document| document.route(host, path).cloned());
     let Some(route) = route else {
-        node.note("batch_without_route", json!({ "request": id, "host": record.host }));
+        node.note("batch_without_route", json!({ "request": id, "host": host }));
         return;
     };
     let terms = terms(&route, reward_attempts(node, submission), accepted_at, slack_ms);
@@ -317,7 +317,8 @@
     chunks: &[Chunk],
 ) -> (Held, usize) {
     let Source { record, record_revision, results, submission, texts } = source;
-    let (mut batch, resumed) = open_batch(node, submission, terms, chunks, texts);
+    let workspace = record.origin.workspace.as_deref();
+    let (mut batch, resumed) = open_batch(node, workspace, submission, terms, chunks, texts);
     for result in results {
         batch.finished(clock::now(), result);
     }
@@ -343,6 +344,7 @@
 /// items; returns how many of those fit.
 pub(super) fn open_batch<P: Platform>(
     node: &Node<P>,
+    workspace: Option<&str>,
     submission: Submission,
     terms: BatchTerms,
     chunks: &[Chunk],
@@ -350,7 +352,7 @@
 ) -> (Batch, usize) {
     let mut leftovers = node.batches.leftovers.borrow_mut();
     let now = clock::now();
-    leftovers.texts.retain(|_, (_, at)| now.since_ms(*at) < LEFTOVER_KEPT_MS);
+    leftovers.texts.retain(|_, left| now.since_ms(left.since) < LEFTOVER_KEPT_MS);
     leftovers.groups.retain(|_, at| now.since_ms(*at) < LEFTOVER_KEPT_MS);
     let ids: Vec<String> = submission.items.iter().map(|item| item.id.clone()).collect();
     let mut batch = Batch::open(submission, terms, |group| leftovers.groups.contains_key(group));
@@ -362,7 +364,7 @@
         resumed += usize::from(batch.resume_from(&id, progress));
     }
     for id in ids {
-        if let Some(progress) = node.batches.second_runs.take(&id) {
+        if let Some(progress) = node.batches.second_runs.take(&id, workspace) {
             let (last_event, versions) = (progress.last_event_id, progress.versions.clone());
             let fits = batch.resume_from(&id, progress);
             node.note(
@@ -370,11 +372,11 @@
                 json!({ "request": id, "last_event": last_event, "versions": versions, "fits": fits }),
             );
             if fits {
-                leftovers.texts.swap_remove(&id);
+                leftovers.take(&id, workspace);
                 resumed += 1;
             }
         }
-        if let Some((progress, _)) = leftovers.texts.swap_remove(&id)
+        if let Some(progress) = leftovers.take(&id, workspace)
             && batch.resume_from(&id, progress)
         {
             resumed += 1;
--- a/crates/serve/src/batches/end.rs
+++ b/crates/serve/src/batches/end.rs
@@ -3,7 +3,7 @@
 use super::Held;
 use super::accept::ACCEPT_TRIES;
 use super::keys::{
-    Record, RecordWrite, TRANSACTION_MAX_KEYS, chunk_key, encode, part_key, part_max_bytes,
+    Record, RecordWrite, Scope, TRANSACTION_MAX_KEYS, chunk_key, encode, part_key, part_max_bytes,
     record_key, texts_key, write_record,
 };
 use super::ownership::{stop, take_record};
@@ -29,8 +29,15 @@
 pub(super) const KEPT_MS: u64 = 180_000;
 
 /// Ends a batch that this node owns: at once here, then in the store, then confirmed.
-pub(crate) async fn end_owned<P: Platform>(node: &Rc<Node<P>>, batch: &str) -> PeerAnswer {
+pub(crate) async fn end_owned<P: Platform>(
+    node: &Rc<Node<P>>,
+    batch: &str,
+    scope: &Scope,
+) -> PeerAnswer {
     let Some(held) = node.batches.get(batch) else { return PeerAnswer::NotOwner };
+    if !scope.covers(held.borrow().origin()) {
+        return PeerAnswer::NoBatch;
+    }
     {
         let mut held = held.borrow_mut();
         if !held.batch.is_ended() {
@@ -84,18 +91,20 @@
 }
 
 /// Ends any batch.
-pub(crate) async fn end<P: Platform>(node: &Rc<Node<P>>, batch: &str) -> Lookup<()> {
-    match end_owned(node, batch).await {
+pub(crate) async fn end<P: Platform>(node: &Rc<Node<P>>, batch: &str, scope: &Scope) -> Lookup<()> {
+    match end_owned(node, batch, scope).await {
         PeerAnswer::Ended => return Lookup::Found(()),
+        PeerAnswer::NoBatch => return Lookup::Missing,
         PeerAnswer::Unavailable => return Lookup::Unsure("the store did not take it".to_owned()),
         _ => {}
     }
-    let call = PeerCall::End { batch: batch.to_owned() };
+    let call = PeerCall::End { batch: batch.to_owned(), scope: scope.clone() };
     let (record, revision) = match ask_owner(node, batch, &call, 0).await {
         Asked::Answer(PeerAnswer::Ended) => return Lookup::Found(()),
+        Asked::Answer(PeerAnswer::NoBatch) | Asked::Missing => return Lookup::Missing,
         Asked::Answer(_) => return Lookup::Unsure("the owner could not write it".to_owned()),
+        Asked::Record(record, _) if !scope.covers(&record.origin) => return Lookup::Missing,
         Asked::Record(record, revision) => (record, revision),
-        Asked::Missing => return Lookup::Missing,
         Asked::Unsure(why) => return Lookup::Unsure(why),
     };
     if record.ended {
--- a/crates/serve/src/batches/keys.rs
+++ b/crates/serve/src/batches/keys.rs
@@ -22,14 +22,46 @@
 /// Keys that one transaction may change.
 pub(super) const TRANSACTION_MAX_KEYS: usize = 30;
 
+/// By which request a batch was submitted, and for whom.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub(crate) struct Origin {
+    /// The host.
+    pub host: String,
+    /// The path.
+    pub path: String,
+    /// The workspace; none where the configuration asked for no key.
+    pub workspace: Option<String>,
+}
+
+/// Whose batches a call may see.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub(crate) enum Scope {
+    /// Everybody's: the configuration asks for no keys.
+    All,
+    /// Those that were submitted without a key.
+    Public,
+    /// The same, and those of a workspace.
+    Workspace(String),
+}
+
+impl Scope {
+    /// Tells whether it covers a batch. One that it does not cover is answered for as if there were none.
+    pub(super) fn covers(&self, origin: &Origin) -> bool {
+        match (self, &origin.workspace) {
+            (Self::All, _) | (_, None) => true,
+            (Self::Public, Some(_)) => false,
+            (Self::Workspace(mine), Some(theirs)) => mine == theirs,
+        }
+    }
+}
+
 /// What the store holds first of a batch.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub(crate) struct Record {
     pub(super) accepted_at_unix_ms: u64,
     pub(super) ended: bool,
-    pub(super) host: String,
+    pub(super) origin: Origin,
     pub(super) owner: Owner,
-    pub(super) path: String,
     pub(super) total: usize,
 }
 
--- a/crates/serve/src/batches/mod.rs
+++ b/crates/serve/src/batches/mod.rs
@@ -15,6 +15,7 @@
 
 pub(crate) use accept::{Acceptance, accept, submit};
 pub(crate) use end::{end, end_owned};
+pub(crate) use keys::{Origin, Scope};
 pub(crate) use ownership::{doubt_all, told_ended, told_owner};
 pub(crate) use read::{Lookup, item_body, item_body_owned, read, read_owned};
 pub(crate) use standby::{BatchCopy, keep_copy, keep_texts};
@@ -72,9 +73,9 @@
 }
 
 impl Held {
-    /// Borrows the host and the path by which it was submitted.
-    pub(crate) fn origin(&self) -> (&str, &str) {
-        (&self.record.host, &self.record.path)
+    /// Returns by which request it was submitted, and for whom.
+    pub(crate) const fn origin(&self) -> &Origin {
+        &self.record.origin
     }
 
     /// Tells whether this node owns it and has something of it to run.
@@ -133,7 +134,26 @@
 #[derive(Debug, Default)]
 struct Leftovers {
     groups: IndexMap<String, UnixMs>,
-    texts: IndexMap<String, (Progress, UnixMs)>,
+    texts: IndexMap<String, LeftText>,
+}
+
+/// What an ended batch left of an item's text.
+#[derive(Debug)]
+struct LeftText {
+    progress: Progress,
+    since: UnixMs,
+    workspace: Option<String>,
+}
+
+impl Leftovers {
+    /// Takes what is left of an item's text by a batch of the same workspace.
+    fn take(&mut self, item: &str, workspace: Option<&str>) -> Option<Progress> {
+        let left = self.texts.get(item)?;
+        if left.workspace.as_deref() != workspace {
+            return None;
+        }
+        self.texts.swap_remove(item).map(|left| left.progress)
+    }
 }
 
 /// The owner of a batch, as this node was told.
--- a/crates/serve/src/batches/ownership.rs
+++ b/crates/serve/src/batches/ownership.rs
@@ -1,8 +1,8 @@
 //! How an owner learns that it is one no more, or that its batch is ended.
 
-use super::Held;
 use super::keys::{Record, read_record};
 use super::write::RETRY;
+use super::{Held, LeftText};
 use crate::clock;
 use crate::node::Node;
 use crate::peers::{self, Owner};
@@ -27,7 +27,8 @@
         .second_runs
         .stop_where(|second| second.batch == held.id && !is_untaken(&second.item));
     for (id, progress) in held.batch.take_progress() {
-        leftovers.texts.insert(id, (progress, now));
+        let workspace = held.record.origin.workspace.clone();
+        leftovers.texts.insert(id, LeftText { progress, since: now, workspace });
     }
 }
 
--- a/crates/serve/src/batches/read.rs
+++ b/crates/serve/src/batches/read.rs
@@ -1,6 +1,6 @@
 //! Reading results and bodies of any batch at any node.
 
-use super::keys::{Record, chunk_prefix, chunks_of, read_record, read_submission};
+use super::keys::{Record, Scope, chunk_prefix, chunks_of, read_record, read_submission};
 use crate::clock;
 use crate::feed;
 use crate::node::Node;
@@ -24,10 +24,14 @@
 pub(crate) async fn read_owned<P: Platform>(
     node: &Rc<Node<P>>,
     batch: &str,
+    scope: &Scope,
     after: usize,
     wait_ms: u64,
-) -> Option<(usize, Vec<ItemResult>)> {
-    let held = node.batches.get(batch)?;
+) -> PeerAnswer {
+    let Some(held) = node.batches.get(batch) else { return PeerAnswer::NotOwner };
+    if !scope.covers(held.borrow().origin()) {
+        return PeerAnswer::NoBatch;
+    }
     let until = clock::now().plus(wait_ms);
     loop {
         let changed = Rc::clone(&held.borrow().changed);
@@ -35,14 +39,14 @@
         {
             let held = held.borrow();
             if !held.owned || held.doubted {
-                return None;
+                return PeerAnswer::NotOwner;
             }
             let page = held.batch.page(after, PAGE_MAX_BYTES);
             let total = held.batch.submission().items.len();
             let left_ms = until.since_ms(clock::now());
             let over = after >= total || held.batch.is_ended() || left_ms == 0;
             if !page.is_empty() || over {
-                return Some((total, page.to_vec()));
+                return PeerAnswer::Page { results: page.to_vec(), total };
             }
         }
         let left_ms = until.since_ms(clock::now());
@@ -66,21 +70,25 @@
 pub(crate) async fn read<P: Platform>(
     node: &Rc<Node<P>>,
     batch: &str,
+    scope: &Scope,
     after: usize,
     wait_ms: u64,
 ) -> Lookup<(usize, Vec<ItemResult>)> {
-    if let Some(page) = read_owned(node, batch, after, wait_ms).await {
-        return Lookup::Found(page);
+    match read_owned(node, batch, scope, after, wait_ms).await {
+        PeerAnswer::Page { results, total } => return Lookup::Found((total, results)),
+        PeerAnswer::NoBatch => return Lookup::Missing,
+        _ => {}
     }
-    let call = PeerCall::Read { after, batch: batch.to_owned(), wait_ms };
+    let call = PeerCall::Read { after, batch: batch.to_owned(), scope: scope.clone(), wait_ms };
     let asked = ask_owner(node, batch, &call, wait_ms).await;
     let record = match asked {
         Asked::Answer(PeerAnswer::Page { results, total }) => {
             return Lookup::Found((total, results));
         }
+        Asked::Answer(PeerAnswer::NoBatch) | Asked::Missing => return Lookup::Missing,
         Asked::Answer(_) => return Lookup::Unsure("the owner cannot tell".to_owned()),
+        Asked::Record(record, _) if !scope.covers(&record.origin) => return Lookup::Missing,
         Asked::Record(record, _) => record,
-        Asked::Missing => return Lookup::Missing,
         Asked::Unsure(why) => return Lookup::Unsure(why),
     };
     match feed::read_whole(node, &chunk_prefix(batch)).await {
@@ -172,9 +180,17 @@
 }
 
 /// Reads the body of an item of a batch that this node owns.
-pub(crate) fn item_body_owned<P: Platform>(node: &Node<P>, batch: &str, item: &str) -> PeerAnswer {
+pub(crate) fn item_body_owned<P: Platform>(
+    node: &Node<P>,
+    batch: &str,
+    scope: &Scope,
+    item: &str,
+) -> PeerAnswer {
     let Some(held) = node.batches.get(batch) else { return PeerAnswer::NotOwner };
     let held = held.borrow();
+    if !scope.covers(held.origin()) {
+        return PeerAnswer::NoBatch;
+    }
     match held.batch.item(item) {
         Some(item) => PeerAnswer::Body(item.body.clone()),
         None => PeerAnswer::NoItem,
@@ -185,19 +201,22 @@
 pub(crate) async fn item_body<P: Platform>(
     node: &Rc<Node<P>>,
     batch: &str,
+    scope: &Scope,
     item: &str,
 ) -> Lookup<Vec<u8>> {
-    match item_body_owned(node, batch, item) {
+    match item_body_owned(node, batch, scope, item) {
         PeerAnswer::Body(body) => return Lookup::Found(body),
-        PeerAnswer::NoItem => return Lookup::Missing,
+        PeerAnswer::NoBatch | PeerAnswer::NoItem => return Lookup::Missing,
         _ => {}
     }
-    let call = PeerCall::ItemBody { batch: batch.to_owned(), item: item.to_owned() };
+    let (id, item_id) = (batch.to_owned(), item.to_owned());
+    let call = PeerCall::ItemBody { batch: id, item: item_id, scope: scope.clone() };
     match ask_owner(node, batch, &call, 0).await {
         Asked::Answer(PeerAnswer::Body(body)) => Lookup::Found(body),
-        Asked::Answer(PeerAnswer::NoItem) | Asked::Missing => Lookup::Missing,
+        Asked::Answer(PeerAnswer::NoBatch | PeerAnswer::NoItem) | Asked::Missing => Lookup::Missing,
         Asked::Answer(_) => Lookup::Unsure("the owner cannot tell".to_owned()),
         Asked::Unsure(why) => Lookup::Unsure(why),
+        Asked::Record(record, _) if !scope.covers(&record.origin) => Lookup::Missing,
         Asked::Record(..) => match read_submission(node, batch).await {
             Ok(kept) => kept
                 .submission
--- a/crates/serve/src/batches/standby.rs
+++ b/crates/serve/src/batches/standby.rs
@@ -188,7 +188,9 @@
     let copy = node.batches.standby.copies.borrow_mut().swap_remove(batch);
     let Some(HeldCopy { copy: BatchCopy { record, submission }, texts, .. }) = copy else { return };
     let document = node.document();
-    let route = document.as_ref().and_then(|document| document.route(&record.host, &record.path));
+    let route = document
+        .as_ref()
+        .and_then(|document| document.route(&record.origin.host, &record.origin.path));
     let Some(route) = route else { return };
     let age_ms = UnixMs::from_wall_clock().since_ms(UnixMs(record.accepted_at_unix_ms));
     let accepted_at = UnixMs(clock::now().0.saturating_sub(age_ms));
--- a/crates/serve/src/batches/succession.rs
+++ b/crates/serve/src/batches/succession.rs
@@ -313,7 +313,7 @@
         let model = held.batch.submission().model.clone();
         (held.id.clone(), model, held.record.clone(), held.record_revision)
     };
-    let duty = duty_of(model.as_deref().unwrap_or(&record.path));
+    let duty = duty_of(model.as_deref().unwrap_or(&record.origin.path));
     let Some(successor) = peers::successor_for(node, &duty) else { return };
     let record = Record { owner: successor.clone(), ..record };
     match write_record(node, &id, &record, revision).await {
--- a/crates/serve/src/caller.rs
+++ b/crates/serve/src/caller.rs
@@ -1,6 +1,7 @@
 //! Requests of callers: which route they take, how often they are tried, and what is answered.
 
-use crate::batches::{self, Acceptance, Lookup};
+use crate::access::{self, Refusal};
+use crate::batches::{self, Acceptance, Lookup, Origin};
 use crate::clock;
 use crate::crashes;
 use crate::feed::{self, Subject};
@@ -9,11 +10,13 @@
 use crate::node::Node;
 use crate::platform::{BatchCall, Platform};
 use bytes::Bytes;
-use catkinmast_dispatch::{Route, RouteKind};
+use catkinmast_dispatch::{Document, Route, RouteKind};
 use catkinmast_model::{UnixMs, Verdict};
-use http::header::{CONNECTION, CONTENT_TYPE, HOST, HeaderValue, RETRY_AFTER};
+use http::header::{
+    AUTHORIZATION, CONNECTION, CONTENT_TYPE, HOST, HeaderValue, RETRY_AFTER, WWW_AUTHENTICATE,
+};
 use http::request::Parts;
-use http::{Request, Response, StatusCode};
+use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Either, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use serde_json::json;
@@ -80,9 +83,20 @@
         Self { come_back_ms, message: message.into(), status: StatusCode::SERVICE_UNAVAILABLE }
     }
 
+    fn of(refusal: Refusal) -> Self {
+        match refusal {
+            Refusal::Denied(why) => Self::new(StatusCode::UNAUTHORIZED, why),
+            Refusal::Unsure(why) => Self::not_run(why, COME_BACK_MS),
+        }
+    }
+
     fn answer<P: Platform>(&self) -> Answer<P> {
         let body = json!({ "error": self.message }).to_string();
         let mut answer = plain(self.status, Bytes::from(body));
+        if self.status == StatusCode::UNAUTHORIZED {
+            let scheme = HeaderValue::from_static("Bearer");
+            answer.headers_mut().insert(WWW_AUTHENTICATE, scheme);
+        }
         if let Some(ms) = self.come_back_ms
             && let Ok(value) = HeaderValue::from_str(&format!("{:.2}", ms as f64 / 1_000.0))
         {
@@ -109,7 +123,7 @@
     let began_at = clock::now();
     let (head, body) = request.into_parts();
     let mut answer = match P::batch_call(&head) {
-        Some(call) => batch_call(&node, call).await,
+        Some(call) => batch_call(&node, &head.headers, call).await,
         None => route_request(&node, head, body, began_at).await,
     };
     node.metrics.request_seconds.observe(clock::now().since_ms(began_at) as f64 / 1_000.0);
@@ -120,21 +134,36 @@
     Ok(answer)
 }
 
-async fn batch_call<P: Platform>(node: &Rc<Node<P>>, call: BatchCall) -> Answer<P> {
+async fn batch_call<P: Platform>(
+    node: &Rc<Node<P>>,
+    headers: &HeaderMap,
+    call: BatchCall,
+) -> Answer<P> {
     let began_at = clock::now();
+    let scope = match node.document() {
+        Some(document) => access::scope(node, &document, host(headers), headers),
+        None => Err(Refusal::Unsure("no configuration yet".to_owned())),
+    };
+    let scope = match scope {
+        Ok(scope) => scope,
+        Err(refusal) => {
+            let id = P::caller_terms(headers).request_id;
+            return ended(node, id.as_deref(), None, &Ending::of(refusal));
+        }
+    };
     let (batch, what, result) = match call {
         BatchCall::Read { after, batch, wait_ms } => {
-            let found = batches::read(node, &batch, after, wait_ms).await;
+            let found = batches::read(node, &batch, &scope, after, wait_ms).await;
             let page =
                 map(found, |(total, results)| P::page(total, after + results.len(), &results));
             (batch, "read", page)
         }
         BatchCall::ItemBody { batch, item } => {
-            let found = batches::item_body(node, &batch, &item).await;
+            let found = batches::item_body(node, &batch, &scope, &item).await;
             (batch, "item_body", map(found, Bytes::from))
         }
         BatchCall::End { batch } => {
-            let found = batches::end(node, &batch).await;
+            let found = batches::end(node, &batch, &scope).await;
             (batch, "end", map(found, |()| Bytes::from_static(b"{}")))
         }
     };
@@ -182,19 +211,15 @@
             &Ending::not_run("no configuration yet", COME_BACK_MS),
         );
     };
-    let host = head.headers.get(HOST).and_then(|host| host.to_str().ok()).unwrap_or_default();
-    let host = host.split(':').next().unwrap_or_default().to_owned();
+    let host = host(&head.headers).to_owned();
     let Some(route) = document.route(&host, head.uri.path()).cloned() else {
-        let message =
-            format!("no route for {host}{} in version {}", head.uri.path(), document.version);
-        let ending = if feed::is_current(node, Subject::Operators) {
-            Ending::new(StatusCode::NOT_FOUND, message)
-        } else {
-            // A newer version may have the route, and no caller asks again after a 404.
-            Ending::not_run(message, COME_BACK_MS)
-        };
+        let ending = no_route(node, &document, &host, head.uri.path());
         return ended(node, id.as_deref(), None, &ending);
     };
+    let workspace = match access::workspace(node, &document, route.is_public, &head.headers) {
+        Ok(workspace) => workspace,
+        Err(refusal) => return ended(node, id.as_deref(), Some(&route), &Ending::of(refusal)),
+    };
     let deadline_ms = terms.deadline_ms.unwrap_or(UNBOUNDED_MS);
     let timeout_ms = route.timeout_ms.unwrap_or(u64::MAX);
     let deadline_at = began_at.plus(deadline_ms.min(timeout_ms));
@@ -203,12 +228,16 @@
         Err(ending) => return ended(node, id.as_deref(), Some(&route), &ending),
     };
     if route.kind == RouteKind::Rollout {
-        return submit(node, &host, &head, body, id, &route).await;
+        let origin = Origin { host, path: head.uri.path().to_owned(), workspace };
+        return submit(node, origin, body, id, &route).await;
     }
     let mut headers = head.headers;
     forward::strip_hop_by_hop(&mut headers);
     headers.remove(http::header::EXPECT);
     headers.remove(http::header::CONTENT_LENGTH);
+    if document.workspaces.is_some() {
+        headers.remove(AUTHORIZATION);
+    }
     let path = head.uri.path_and_query().map_or("/", http::uri::PathAndQuery::as_str).to_owned();
     let outgoing = Outgoing {
         body,
@@ -218,6 +247,7 @@
         method: head.method,
         path,
         request_id: id,
+        workspace,
     };
     if route.kind == RouteKind::Stream {
         return crate::relay::stream(node, &route, outgoing).await;
@@ -228,6 +258,22 @@
     }
 }
 
+/// Reads the host that a request is for, without its port.
+fn host(headers: &HeaderMap) -> &str {
+    let host = headers.get(HOST).and_then(|host| host.to_str().ok()).unwrap_or_default();
+    host.split(':').next().unwrap_or_default()
+}
+
+fn no_route<P: Platform>(node: &Node<P>, document: &Document, host: &str, path: &str) -> Ending {
+    let message = format!("no route for {host}{path} in version {}", document.version);
+    if feed::is_current(node, Subject::Operators) {
+        Ending::new(StatusCode::NOT_FOUND, message)
+    } else {
+        // A newer version may have the route, and no caller asks again after a 404.
+        Ending::not_run(message, COME_BACK_MS)
+    }
+}
+
 async fn read_body(body: Incoming, max_bytes: u64, until: UnixMs) -> Result<Bytes, Ending> {
     let left_ms = until.since_ms(clock::now());
     let read = Limited::new(body, max_bytes as usize).collect();
@@ -285,6 +331,7 @@
     );
     let reason = match ending.status.as_u16() {
         503 => "refused",
+        401 => "no_workspace",
         404 => "no_route",
         504 => "out_of_time",
         400..500 => "bad_request",
@@ -304,8 +351,7 @@
 
 async fn submit<P: Platform>(
     node: &Rc<Node<P>>,
-    host: &str,
-    head: &Parts,
+    origin: Origin,
     body: Bytes,
     id: Option<String>,
     route: &Route,
@@ -328,13 +374,18 @@
         }
     };
     drop(body);
-    match batches::submit(node, &id, host, head.uri.path(), submission).await {
+    match batches::submit(node, &id, origin, submission).await {
         Acceptance::Kept => {
             let ms = clock::now().since_ms(began_at);
             node.note("batch_accepted", json!({ "request": id, "route": route.name, "ms": ms }));
             count(&node.metrics.answers, "batch_accepted");
             plain(StatusCode::ACCEPTED, Bytes::from_static(b"{}"))
         }
+        Acceptance::Taken => {
+            let message = format!("the id {id} is taken");
+            let ending = Ending::new(StatusCode::CONFLICT, message);
+            ended(node, Some(&id), Some(route), &ending)
+        }
         Acceptance::Unknown(refusal) => {
             let ending = if refusal.verdict == Verdict::NotRun {
                 Ending::not_run(refusal.message, COME_BACK_MS)
--- a/crates/serve/src/forward.rs
+++ b/crates/serve/src/forward.rs
@@ -60,6 +60,8 @@
     pub method: Method,
     pub path: String,
     pub request_id: Option<String>,
+    /// The workspace that it is from; none where no key was asked for.
+    pub workspace: Option<String>,
 }
 
 impl Outgoing {
@@ -228,6 +230,7 @@
         expected_target: Some(&chosen.id),
         last_event_id: outgoing.last_event_id,
         request_id: outgoing.request_id.as_deref(),
+        workspace: outgoing.workspace.as_deref(),
     };
     P::mark_request(request.headers_mut(), &marks);
     Ok(request)
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -7,6 +7,7 @@
 //! A request's way: `listener` → `caller` → `forward` → target → answer. A sample's: `caller` →
 //! `batches` (made durable) → `runs` (scheduled, run, scored) → `batches` (listed) → reader.
 
+mod access;
 mod batches;
 mod caller;
 mod clock;
@@ -29,11 +30,11 @@
 mod trail;
 
 pub use platform::{
-    AnswerMarks, BatchCall, CallerTerms, DecodeError, EngineReport, OperatorNotice, OrderCall,
-    Platform, RequestMarks, StoreRequest,
+    AnswerMarks, BatchCall, CallerTerms, DecodeError, DutyCall, DutyRequest, EngineReport,
+    OperatorNotice, OrderCall, Platform, RequestMarks, StoreRequest,
 };
 pub use process::{run_front, run_standby};
-pub use settings::{Settings, SettingsError};
+pub use settings::{DutySettings, Settings, SettingsError};
 pub use store::{
     Expectation, LeaseId, Put, StoreAnswer, StoreCall, StoreEvent, StoreRefusal, StoredItem,
 };
--- a/crates/serve/src/peers.rs
+++ b/crates/serve/src/peers.rs
@@ -1,6 +1,6 @@
 //! The other nodes: who lives, and calls between nodes.
 
-use crate::batches::{self, BatchCopy};
+use crate::batches::{self, Acceptance, BatchCopy, Origin, Scope};
 use crate::clock;
 use crate::crashes;
 use crate::feed::{self, Changes, Subject};
@@ -53,19 +53,19 @@
     /// Asks for the changes of a feed that came after a revision.
     Changes { after: u64, subject: Subject },
     /// Ends a batch that the receiver owns.
-    End { batch: String },
+    End { batch: String, scope: Scope },
     /// Keeps a copy of a batch for its owner, whom the receiver would follow.
     KeepCopy { batch: String, copy: Box<BatchCopy> },
     /// Keeps what is new of the texts of a batch of which the receiver has a copy.
     KeepTexts { batch: String, texts: Vec<TextNews> },
     /// Reads the body of an item of a batch that the receiver owns.
-    ItemBody { batch: String, item: String },
+    ItemBody { batch: String, item: String, scope: Scope },
     /// Reads results of a batch that the receiver owns.
-    Read { after: usize, batch: String, wait_ms: u64 },
+    Read { after: usize, batch: String, scope: Scope, wait_ms: u64 },
     /// Makes a call of the store for a node that the store turns away.
     Store(StoreCall),
     /// Hands a submission to the owner of its model's batches.
-    Submit { batch: String, host: String, path: String, submission: Box<Submission> },
+    Submit { batch: String, origin: Origin, submission: Box<Submission> },
 }
 
 /// The answer to a [`PeerCall`].
@@ -81,6 +81,8 @@
     Changes(Changes),
     /// The batch is ended, and that is durable.
     Ended,
+    /// No batch that the caller may see.
+    NoBatch,
     /// No such item.
     NoItem,
     /// The receiver does not own the batch.
@@ -439,19 +441,16 @@
     };
     let answer = match call {
         PeerCall::Store(call) => PeerAnswer::Store(node.store_here(&call).await),
-        PeerCall::Submit { batch, host, path, submission } => {
-            let accepted = batches::accept(&node, &batch, &host, &path, *submission).await;
-            if matches!(accepted, batches::Acceptance::Kept) {
-                PeerAnswer::Accepted
-            } else {
-                PeerAnswer::Unavailable
+        PeerCall::Submit { batch, origin, submission } => {
+            match batches::accept(&node, &batch, origin, *submission).await {
+                Acceptance::Kept => PeerAnswer::Accepted,
+                Acceptance::Taken => PeerAnswer::NoBatch,
+                Acceptance::Unknown(_) => PeerAnswer::Unavailable,
             }
         }
-        PeerCall::Read { after, batch, wait_ms } => batches::read_owned(
-            &node, &batch, after, wait_ms,
-        )
-        .await
-        .map_or(PeerAnswer::NotOwner, |(total, results)| PeerAnswer::Page { results, total }),
+        PeerCall::Read { after, batch, scope, wait_ms } => {
+            batches::read_owned(&node, &batch, &scope, after, wait_ms).await
+        }
         PeerCall::Adopt { batch, texts } => {
             batches::adopt(&node, batch, texts);
             PeerAnswer::Adopting
@@ -469,8 +468,10 @@
         }
         PeerCall::Changes { after, subject } => feed::changes_since(&node, subject, after)
             .map_or(PeerAnswer::Unavailable, PeerAnswer::Changes),
-        PeerCall::End { batch } => batches::end_owned(&node, &batch).await,
-        PeerCall::ItemBody { batch, item } => batches::item_body_owned(&node, &batch, &item),
+        PeerCall::End { batch, scope } => batches::end_owned(&node, &batch, &scope).await,
+        PeerCall::ItemBody { batch, item, scope } => {
+            batches::item_body_owned(&node, &batch, &scope, &item)
+        }
     };
     match postcard::to_stdvec(&answer) {
         Ok(body) => *response.body_mut() = Full::new(Bytes::from(body)),
--- a/crates/serve/src/platform.rs
+++ b/crates/serve/src/platform.rs
@@ -9,6 +9,7 @@
 use displaydoc::Display;
 use http::request::Parts;
 use http::{HeaderMap, Method};
+use std::collections::BTreeMap;
 use std::fmt::Debug;
 use std::net::SocketAddr;
 
@@ -99,6 +100,8 @@
     pub last_event_id: Option<u64>,
     /// The request's id.
     pub request_id: Option<&'a str>,
+    /// The workspace that it is from; whatever the caller says of it is replaced.
+    pub workspace: Option<&'a str>,
 }
 
 /// What a target says of its answer.
@@ -144,6 +147,40 @@
     pub version: u64,
 }
 
+/// What one node at a time tells the platform.
+#[derive(Clone, Debug)]
+pub enum DutyCall<'a> {
+    /// How many targets of a service a data centre is to have.
+    Targets {
+        /// The number.
+        count: u32,
+        /// The data centre.
+        data_centre: &'a str,
+        /// Whether it is about targets that the platform may take back.
+        reclaimable: bool,
+        /// The service.
+        service: &'a str,
+    },
+    /// The requests of each workspace that began to run in a window.
+    Usage {
+        /// The requests by workspace.
+        counts: &'a BTreeMap<String, u64>,
+        /// The window's number.
+        window: u64,
+    },
+}
+
+/// A duty's call as it goes over the wire, by POST.
+#[derive(Clone, Debug)]
+pub struct DutyRequest {
+    /// The body.
+    pub body: Bytes,
+    /// The headers that name the holder.
+    pub headers: HeaderMap,
+    /// The path.
+    pub path: &'static str,
+}
+
 /// The names, formats and calls of a platform.
 pub trait Platform: Copy + Debug + 'static {
     /// Prefix of the keys that the operators write.
@@ -224,6 +261,9 @@
     /// Writes an order: path and body.
     fn order(call: &OrderCall<'_>) -> (&'static str, Bytes);
 
+    /// Writes a duty's call of the holder with a fencing number.
+    fn duty_request(call: &DutyCall<'_>, holder: &str, fence: u64) -> DutyRequest;
+
     /// The path of an engine's report.
     fn report_path() -> &'static str;
 
--- a/crates/serve/src/runs/place.rs
+++ b/crates/serve/src/runs/place.rs
@@ -162,7 +162,7 @@
     let submission = held.batch.submission();
     let item = &submission.items[index];
     let document = node.document()?;
-    let (host, _) = held.origin();
+    let host = held.origin().host.as_str();
     let route = document.route(host, &item.path)?;
     let service = route.service(xxhash_rust::xxh3::xxh3_64(item.id.as_bytes()))?;
     let preferred = item.group.as_ref().and_then(|group| held.group_targets.get(group));
--- a/crates/serve/src/runs/score.rs
+++ b/crates/serve/src/runs/score.rs
@@ -138,5 +138,6 @@
         method: Method::POST,
         path: reward.path.clone(),
         request_id: Some(reward.id.clone()),
+        workspace: None,
     }
 }
--- a/crates/serve/src/runs/second.rs
+++ b/crates/serve/src/runs/second.rs
@@ -42,6 +42,7 @@
     /// Where it runs.
     pub target: String,
     task: AbortHandle,
+    workspace: Option<String>,
 }
 
 /// All second runs of this node, by item.
@@ -60,9 +61,14 @@
         });
     }
 
-    /// Stops an item's second run and returns its text.
-    pub(crate) fn take(&self, item: &str) -> Option<Progress> {
-        let second = self.0.borrow_mut().swap_remove(item)?;
+    /// Stops an item's second run for a workspace and returns its text.
+    pub(crate) fn take(&self, item: &str, workspace: Option<&str>) -> Option<Progress> {
+        let is_theirs = |second: &SecondRun| second.workspace.as_deref() == workspace;
+        let mut held = self.0.borrow_mut();
+        if !held.get(item).is_some_and(is_theirs) {
+            return None;
+        }
+        let second = held.swap_remove(item)?;
         second.task.abort();
         let progress = second.progress.borrow().clone();
         progress.is_begun().then_some(progress)
@@ -185,6 +191,7 @@
         stop_by,
         target,
         task: task.abort_handle(),
+        workspace: held.borrow().origin().workspace.clone(),
     };
     node.batches.second_runs.0.borrow_mut().insert(id, second);
 }
--- a/crates/serve/src/runs/stream.rs
+++ b/crates/serve/src/runs/stream.rs
@@ -43,6 +43,8 @@
     pub model: Option<String>,
     /// The oldest version that may produce its events.
     pub oldest_version: u64,
+    /// The workspace whose item it is.
+    pub workspace: Option<String>,
 }
 
 impl RunTerms {
@@ -51,9 +53,10 @@
         let submission = held.batch.submission();
         Self {
             give_up_at: held.batch.terms().give_up_at,
-            host: held.origin().0.to_owned(),
+            host: held.origin().host.clone(),
             model: submission.model.clone(),
             oldest_version: submission.oldest_version,
+            workspace: held.origin().workspace.clone(),
         }
     }
 }
@@ -153,7 +156,7 @@
     Fingerprint::of(Method::POST.as_str(), host, &item.path, &item.body)
 }
 
-fn outgoing(item: &Item, host: &str, give_up_at: UnixMs, after: Option<u64>) -> Outgoing {
+fn outgoing(item: &Item, terms: &RunTerms, after: Option<u64>) -> Outgoing {
     let mut headers = HeaderMap::new();
     for (name, value) in &item.headers {
         let name = HeaderName::from_bytes(name.as_bytes());
@@ -162,19 +165,23 @@
             headers.append(name, value);
         }
     }
-    if let Ok(host) = HeaderValue::from_str(host) {
+    if let Ok(host) = HeaderValue::from_str(&terms.host) {
         headers.insert(HOST, host);
     }
     forward::strip_hop_by_hop(&mut headers);
     headers.remove(http::header::CONTENT_LENGTH);
+    if terms.workspace.is_some() {
+        headers.remove(http::header::AUTHORIZATION);
+    }
     Outgoing {
         body: item.body.clone().into(),
-        deadline_at: give_up_at.min(clock::now().plus(RUN_MAX_MS)),
+        deadline_at: terms.give_up_at.min(clock::now().plus(RUN_MAX_MS)),
         headers,
         last_event_id: after,
         method: Method::POST,
         path: item.path.clone(),
         request_id: Some(item.id.clone()),
+        workspace: terms.workspace.clone(),
     }
 }
 
@@ -187,7 +194,7 @@
     longest_gap_ms: &Cell<u64>,
 ) -> RunEnd {
     let after = progress.borrow().last_event_id;
-    let request = outgoing(item, &terms.host, terms.give_up_at, after);
+    let request = outgoing(item, terms, after);
     let sent = StreamRun::begin(chosen.clone(), request.clone());
     let broken = |why: &str, outcome| RunEnd::Broken { outcome, why: why.to_owned() };
     let opened = match timeout(FIRST_EVENT_MAX, forward::open(node, chosen, &request)).await {
--- a/crates/serve/src/settings.rs
+++ b/crates/serve/src/settings.rs
@@ -19,8 +19,13 @@
     pub directory: Option<SocketAddr>,
     /// The longest time for which an answer with addresses counts.
     pub directory_ttl_max_ms: u64,
+    /// The duties that one node at a time has towards the platform; none where there are none.
+    pub duties: Option<DutySettings>,
     /// How long a planned stop may take.
     pub grace_ms: u64,
+    /// The age of the configuration from which no key is served, in milliseconds; none where keys that
+    /// are known are served however old it is.
+    pub keys_closed_from_ms: Option<u64>,
     /// The shortest lease that the store grants.
     pub lease_min_ms: u64,
     /// Name of this node; its instance's.
@@ -37,6 +42,21 @@
     pub value_max_bytes: usize,
 }
 
+/// The duties that one node at a time has towards the platform.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct DutySettings {
+    /// Where its calls go.
+    pub address: SocketAddr,
+    /// Whether the numbers of targets are ordered.
+    pub orders_targets: bool,
+    /// Whether the use of each workspace is reported.
+    pub reports_usage: bool,
+    /// How long after its end a window's usage is due.
+    pub usage_late_ms: u64,
+    /// The length of a window of usage.
+    pub window_ms: u64,
+}
+
 /// setting {field} is {value}: {problem}
 #[derive(Clone, Debug, Display, Eq, PartialEq)]
 pub struct SettingsError {
--- /dev/null
+++ b/crates/usage/src/lib.rs
@@ -0,0 +1,18 @@
+//! How much of the service each workspace uses, by windows of true time.
+//!
+//! - [`TrueTime`]: the time of day as most clocks of the fleet have it.
+//! - [`Windows`]: the windows into which it is divided.
+//! - [`Counts`]: what this node's own requests add to the windows.
+//! - [`Ledger`]: what all nodes have told of theirs, and when a window can be closed.
+//!
+//! Nothing here owns a socket or a clock.
+
+mod counts;
+mod ledger;
+mod time;
+mod window;
+
+pub use counts::{Counts, Ticket};
+pub use ledger::{Ledger, Table, Teller};
+pub use time::TrueTime;
+pub use window::{Window, Windows};
--- a/tests/all/dispatch/routes.rs
+++ b/tests/all/dispatch/routes.rs
@@ -8,6 +8,7 @@
         attempts: 2,
         give_up_ms: None,
         host: host.to_owned(),
+        is_public: false,
         kind: RouteKind::Idempotent,
         name: name.to_owned(),
         prefix: prefix.to_owned(),
@@ -30,7 +31,7 @@
 fn document(routes: Vec<Route>) -> Document {
     let limits =
         Limits { body_max_bytes: 1, header_max_bytes: 1, header_timeout_ms: 1, idle_timeout_ms: 1 };
-    Document { limits, routes, services: IndexMap::new(), version: 1 }
+    Document { limits, routes, services: IndexMap::new(), version: 1, workspaces: None }
 }
 
 #[yare::parameterized(
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -6,6 +6,7 @@
 
 mod support;
 
+mod access;
 mod bad_input;
 mod capacity;
 mod dispatch;
@@ -20,3 +21,4 @@
 mod scenarios;
 mod site;
 mod trail;
+mod usage;
--- a/tests/all/site/mod.rs
+++ b/tests/all/site/mod.rs
@@ -19,3 +19,4 @@
 mod standby;
 mod starts;
 mod stops;
+mod workspaces;
--- a/tests/all/site/worker.rs
+++ b/tests/all/site/worker.rs
@@ -48,8 +48,12 @@
 pub(crate) struct Run {
     pub(crate) after: u64,
     pub(crate) at: Instant,
+    /// Whether the request carried a caller's key.
+    pub(crate) has_key: bool,
     pub(crate) request: String,
     pub(crate) worker: String,
+    /// The workspaces that it was said to be from, one a header.
+    pub(crate) workspaces: Vec<String>,
 }
 
 /// What all workers of a test have run.
@@ -237,7 +241,6 @@
         self.lock().abandoned
     }
 
-    /// Returns how often a request has ended the worker.
     /// Returns how often a request has ended the worker.
     pub(crate) fn crashes(&self) -> u64 {
         self.lock().crashes
@@ -340,6 +343,11 @@
     Some(head.headers.get(name)?.to_str().ok()?.to_owned())
 }
 
+fn texts(head: &http::request::Parts, name: &str) -> Vec<String> {
+    let values = head.headers.get_all(name).into_iter();
+    values.map(|value| String::from_utf8_lossy(value.as_bytes()).into_owned()).collect()
+}
+
 async fn serve(
     state: &Arc<Mutex<State>>,
     home: &Home,
@@ -369,7 +377,14 @@
         return Some(refusal);
     }
     let after = text(&head, "last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
-    let run = Run { after, at: Instant::now(), request: request.clone(), worker: id.to_owned() };
+    let run = Run {
+        after,
+        at: Instant::now(),
+        has_key: head.headers.contains_key("authorization"),
+        request: request.clone(),
+        worker: id.to_owned(),
+        workspaces: texts(&head, "x-catkinmast-tenant"),
+    };
     home.runs.push(run);
     if body.starts_with(CRASHING_BODY.as_bytes()) {
         tokio::time::sleep(Duration::from_millis(work_ms)).await;
