--- /dev/null
+++ b/crates/serve/src/duties.rs
@@ -0,0 +1,263 @@
+//! Duties towards the platform that one node has at a time: reports of usage.
+//!
+//! *Two reports of one window differ.* It would be noticed as a window that is billed twice. The holder
+//! dies, or is cut off, between the writing of a report and its sending, and its successor has heard of
+//! other requests. So what will be sent is first created in the store, under the holder's fencing number;
+//! whoever holds the duty sends exactly that.
+
+use crate::clock;
+use crate::metrics::count;
+use crate::node::Node;
+use crate::peers;
+use crate::platform::{DutyCall, Platform};
+use crate::pool::{CallError, read_whole};
+use crate::settings::DutySettings;
+use crate::store::{Expectation, Put, StoreAnswer, StoreCall, StoredItem};
+use crate::tenancy::Tenancy;
+use crate::usage;
+use catkinmast_model::{Fence, UnixMs};
+use catkinmast_usage::{Teller, Window, Windows};
+use http::{Request, StatusCode};
+use http_body_util::Full;
+use serde_json::json;
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::{sleep, timeout};
+
+/// The duty's name among nodes.
+pub(crate) const DUTY: &str = "platform";
+/// The key of its lease.
+const LEASE_KEY: &str = "cm/duties";
+/// Keys of the reports, by window.
+const REPORTS: &str = "cm/u/";
+/// Reports are kept for so many windows.
+const REPORTS_KEPT: u64 = 60;
+/// Reports that are deleted with each new one: those of windows before that were not followed by one.
+const REPORTS_DELETED: u64 = 4;
+/// How often what is due is done.
+const TICK: Duration = Duration::from_millis(200);
+/// How long after its end a window is closed at the earliest: what nodes tell is on its way.
+const CLOSE_AFTER_MS: u64 = 700;
+/// The part of the time in which a report is due, in percent, for which nodes are waited for that have
+/// not told all of a window. The rest is for a slow store, a slow platform and a successor.
+const WAIT_PERCENT: u64 = 45;
+/// How long the platform may take to answer.
+const CALL_MAX: Duration = Duration::from_millis(1_500);
+/// How long the platform does not answer this node before another takes the duty.
+const RESIGN_AFTER_MS: u64 = 2_500;
+/// The largest answer of the platform.
+const ANSWER_MAX_BYTES: usize = 1 << 16;
+
+/// What the holder of the duty knows.
+#[derive(Debug, Default)]
+struct Reporter {
+    /// Since when the platform has not answered; none while it does.
+    mute_since: Option<UnixMs>,
+    /// Reports that the platform has taken.
+    sent: BTreeSet<Window>,
+    /// Reports that are in the store.
+    written: BTreeMap<Window, BTreeMap<String, u64>>,
+}
+
+/// Takes part in the duty until the process ends.
+pub(crate) async fn serve<P: Platform>(node: Rc<Node<P>>) {
+    if node.settings().duties.is_none() {
+        return;
+    }
+    let Some(tenancy) = Tenancy::open(&node, DUTY, LEASE_KEY).await else { return };
+    tokio::task::spawn_local(usage::tell(Rc::clone(&node)));
+    tokio::task::spawn_local(report(Rc::clone(&node), Rc::clone(&tenancy)));
+    loop {
+        sleep(TICK).await;
+        tenancy.tick(&node);
+    }
+}
+
+async fn report<P: Platform>(node: Rc<Node<P>>, tenancy: Rc<Tenancy>) {
+    let mut reporter = Reporter::default();
+    loop {
+        sleep(TICK).await;
+        let Some(windows) = usage::windows(&node) else { continue };
+        let Some(duties) = node.settings().duties else { continue };
+        let now = node.usage.now();
+        let oldest = windows.at(UnixMs(now.since_ms(UnixMs(duties.usage_late_ms))));
+        node.usage.ledger.borrow_mut().forget_before(oldest);
+        reporter.forget_before(oldest);
+        if tenancy.order_fence(clock::now()).is_none() {
+            reporter.mute_since = None;
+            continue;
+        }
+        for number in oldest.0..windows.at(now).0 {
+            reporter.report(&node, &tenancy, &duties, windows, Window(number)).await;
+        }
+    }
+}
+
+impl Reporter {
+    fn forget_before(&mut self, oldest: Window) {
+        self.sent.retain(|window| *window >= oldest);
+        self.written.retain(|window, _| *window >= oldest);
+    }
+
+    async fn report<P: Platform>(
+        &mut self,
+        node: &Rc<Node<P>>,
+        tenancy: &Tenancy,
+        duties: &DutySettings,
+        windows: Windows,
+        window: Window,
+    ) {
+        let over_ms = node.usage.now().since_ms(windows.end(window));
+        let is_due = over_ms <= duties.usage_late_ms;
+        if self.sent.contains(&window) || !is_due || over_ms < CLOSE_AFTER_MS {
+            return;
+        }
+        let may_wait = over_ms * 100 < duties.usage_late_ms * WAIT_PERCENT;
+        let written = self.written.remove(&window);
+        let counts = match written {
+            Some(counts) => counts,
+            None => match close(node, tenancy, window, may_wait).await {
+                Some(counts) => counts,
+                None => return,
+            },
+        };
+        let counts = &*self.written.entry(window).or_insert(counts);
+        let call = DutyCall::Usage { counts, window: window.0 };
+        let status = act(node, tenancy, duties, &call).await;
+        let Some(status) = status else { return };
+        let (total, workspaces) = (counts.values().sum::<u64>(), counts.len());
+        node.note(
+            "usage_sent",
+            json!({
+                "window": window.0, "total": total, "workspaces": workspaces,
+                "status": status.as_ref().ok().map(StatusCode::as_u16),
+                "why": status.as_ref().err().map(|error| error.message.clone()),
+                "over_ms": over_ms,
+            }),
+        );
+        count(&node.metrics.usage_reports, label(&status));
+        if matches!(status, Ok(StatusCode::OK)) {
+            self.sent.insert(window);
+        }
+        self.heard(node, tenancy, status.is_ok());
+    }
+
+    /// Gives the duty up where the platform does not answer this node.
+    fn heard<P: Platform>(&mut self, node: &Rc<Node<P>>, tenancy: &Tenancy, answered: bool) {
+        if answered {
+            self.mute_since = None;
+            return;
+        }
+        let now = clock::now();
+        let since = *self.mute_since.get_or_insert(now);
+        if now.since_ms(since) >= RESIGN_AFTER_MS {
+            self.mute_since = None;
+            tenancy.resign(node, "the platform does not answer this node");
+        }
+    }
+}
+
+fn label(status: &Result<StatusCode, CallError>) -> &'static str {
+    match status {
+        Ok(StatusCode::OK) => "taken",
+        Ok(_) => "refused",
+        Err(_) => "unanswered",
+    }
+}
+
+/// Closes a window: creates its report in the store, or finds the one that is there.
+async fn close<P: Platform>(
+    node: &Rc<Node<P>>,
+    tenancy: &Tenancy,
+    window: Window,
+    may_wait: bool,
+) -> Option<BTreeMap<String, u64>> {
+    let alive = peers::tellers(node);
+    let (counts, missing, tellers) = {
+        let ledger = node.usage.ledger.borrow();
+        let missing = ledger.missing(window, &alive);
+        let missing: Vec<Teller> = missing.into_iter().cloned().collect();
+        (ledger.totals(window), missing, ledger.tellers(window))
+    };
+    if may_wait && !missing.is_empty() {
+        return None;
+    }
+    let fence = tenancy.order_fence(clock::now())?;
+    let call = creation(tenancy, fence, window, &counts)?;
+    let (outcome, found) = match node.store(&call).await {
+        Ok(StoreAnswer::Committed { .. }) => ("created", Some(counts)),
+        Ok(StoreAnswer::Conflict { items }) => ("found", stored(&items, window)),
+        Ok(_) => ("refused", None),
+        // It may be done; the next try finds it.
+        Err(_) => ("unanswered", None),
+    };
+    let missing: Vec<&str> = missing.iter().map(|teller| teller.node.as_str()).collect();
+    node.note(
+        "usage_closed",
+        json!({
+            "window": window.0, "outcome": outcome, "fence": fence.0, "tellers": tellers,
+            "alive": alive.len(), "missing": missing, "clocks": node.usage.witnesses(),
+            "total": found.as_ref().map(|counts| counts.values().sum::<u64>()),
+        }),
+    );
+    found
+}
+
+fn creation(
+    tenancy: &Tenancy,
+    fence: Fence,
+    window: Window,
+    counts: &BTreeMap<String, u64>,
+) -> Option<StoreCall> {
+    let value = postcard::to_stdvec(counts).ok()?;
+    let oldest = window.0.saturating_sub(REPORTS_KEPT);
+    let old = oldest.saturating_sub(REPORTS_DELETED)..oldest;
+    let key = report_key(window);
+    Some(StoreCall::Transaction {
+        deletes: old.map(|number| report_key(Window(number))).collect(),
+        expected: vec![
+            Expectation { key: key.clone(), revision: 0 },
+            Expectation { key: tenancy.key().to_owned(), revision: fence.0 },
+        ],
+        puts: vec![Put { key, lease: None, value }],
+    })
+}
+
+fn report_key(window: Window) -> String {
+    format!("{REPORTS}{:012}", window.0)
+}
+
+/// Reads the report that is in the store already; none where another node holds the duty.
+fn stored(items: &[StoredItem], window: Window) -> Option<BTreeMap<String, u64>> {
+    let key = report_key(window);
+    let item = items.iter().find(|item| item.key == key && item.revision > 0)?;
+    postcard::from_bytes(&item.value).ok()
+}
+
+/// Makes a call of the duty, if this node holds it; returns what came back.
+async fn act<P: Platform>(
+    node: &Rc<Node<P>>,
+    tenancy: &Tenancy,
+    duties: &DutySettings,
+    call: &DutyCall<'_>,
+) -> Option<Result<StatusCode, CallError>> {
+    // Asked right before the call: a pause must not let it out under a lapsed lease.
+    let fence = tenancy.order_fence(clock::now())?;
+    let written = P::duty_request(call, &node.settings().node, fence.0);
+    let mut request = Request::post(written.path)
+        .header(http::header::HOST, duties.address.to_string())
+        .header(http::header::CONTENT_TYPE, "application/json")
+        .body(Full::new(written.body))
+        .ok()?;
+    request.headers_mut().extend(written.headers);
+    let exchange = async {
+        let (response, connection) = node.pool.send(duties.address, request).await?;
+        let (head, body) = response.into_parts();
+        read_whole(body, ANSWER_MAX_BYTES).await?;
+        node.pool.keep(connection, &head.headers);
+        Ok(head.status)
+    };
+    let answer = timeout(CALL_MAX, exchange).await;
+    Some(answer.unwrap_or_else(|_| Err(CallError::may_have_run("no answer in time"))))
+}
--- a/crates/serve/src/forward.rs
+++ b/crates/serve/src/forward.rs
@@ -7,6 +7,7 @@
 use crate::node::Node;
 use crate::platform::{AnswerMarks, Platform, RequestMarks};
 use crate::pool::{CallError, Connection, read_whole};
+use crate::usage::Counted;
 use bytes::Bytes;
 use catkinmast_dispatch::Outcome;
 use catkinmast_model::{UnixMs, Verdict};
@@ -251,6 +252,7 @@
     outgoing: &Outgoing,
 ) -> Result<WholeAnswer, AttemptFailure> {
     let in_flight = InFlight::begin(node, &chosen.id);
+    let counted = Counted::sent(node, outgoing.workspace.as_deref());
     let began_at = clock::now();
     let left_ms = outgoing.deadline_at.since_ms(began_at);
     let exchange = exchange(node, chosen, outgoing);
@@ -263,6 +265,11 @@
         Err(failure) => failure.outcome(),
     };
     in_flight.end(outcome);
+    if let (Some(counted), Err(failure)) = (counted, &result)
+        && failure.verdict == Verdict::NotRun
+    {
+        counted.not_run();
+    }
     let label = match &result {
         Ok(_) => "answered",
         Err(failure) if failure.is_barred() => "barred",
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -12,6 +12,7 @@
 mod caller;
 mod clock;
 mod crashes;
+mod duties;
 mod feed;
 mod forward;
 mod listener;
@@ -27,7 +28,9 @@
 mod runs;
 mod settings;
 mod store;
+mod tenancy;
 mod trail;
+mod usage;
 
 pub use platform::{
     AnswerMarks, BatchCall, CallerTerms, DecodeError, DutyCall, DutyRequest, EngineReport,
--- a/crates/serve/src/metrics.rs
+++ b/crates/serve/src/metrics.rs
@@ -35,6 +35,7 @@
     pub store_calls: Family<Reason, Counter>,
     pub store_failures: Family<Reason, Counter>,
     pub targets_ended: Family<Reason, Counter>,
+    pub usage_reports: Family<Reason, Counter>,
     registry: Registry,
 }
 
@@ -56,6 +57,7 @@
             store_calls: Family::default(),
             store_failures: Family::default(),
             targets_ended: Family::default(),
+            usage_reports: Family::default(),
             registry: Registry::default(),
         };
         let m = &metrics;
@@ -94,6 +96,11 @@
             "Requests that are sent to no target because targets ended under them",
             m.requests_barred.clone(),
         );
+        registry.register(
+            "usage_reports",
+            "Reports of usage by what the platform answered",
+            m.usage_reports.clone(),
+        );
         registry.register("store_calls", "Calls of the store by duty", m.store_calls.clone());
         registry.register(
             "store_failures",
--- a/crates/serve/src/node.rs
+++ b/crates/serve/src/node.rs
@@ -12,6 +12,7 @@
 use crate::settings::Settings;
 use crate::store::{StoreAnswer, StoreCall, StoreRefusal};
 use crate::trail::Trail;
+use crate::usage::Usage;
 use bytes::Bytes;
 use catkinmast_dispatch::{
     Demand, Document, Item, Lengths, Load, LoadSettings, Pick, TargetChange, TargetTable,
@@ -90,6 +91,8 @@
     pub trail: Trail,
     /// The requests of which the store does not have this node's evidence yet.
     pub unsaved_crashes: RefCell<IndexSet<Fingerprint>>,
+    /// The requests of workspaces, here and as other nodes told.
+    pub usage: Usage,
     /// The machines that are to be emptied, and the revision that asks for it.
     pub vacating: RefCell<IndexMap<String, u64>>,
     pub versions: RefCell<IndexMap<String, u64>>,
@@ -132,6 +135,7 @@
             targets: RefCell::new(TargetTable::default()),
             trail,
             unsaved_crashes: RefCell::new(IndexSet::new()),
+            usage: Usage::default(),
             vacating: RefCell::new(IndexMap::new()),
             versions: RefCell::new(IndexMap::new()),
             work: Notify::new(),
--- a/crates/serve/src/orders.rs
+++ b/crates/serve/src/orders.rs
@@ -13,19 +13,18 @@
 use crate::peers;
 use crate::platform::{EngineReport, OrderCall, Platform};
 use crate::pool::{CallError, read_whole};
-use crate::store::{Expectation, LeaseId, Put, StoreAnswer, StoreCall, StoreRefusal};
+use crate::store::{Put, StoreCall};
+use crate::tenancy::Tenancy;
 use bytes::Bytes;
 use catkinmast_dispatch::{
     LoadOrder, OrderOutcome, Rollout, RolloutSettings, RolloutTarget, TargetEntry,
 };
-use catkinmast_lease::{Action, Change, HolderRecord, Report, Tenure, TenureSettings};
-use catkinmast_member::OwnerFact;
-use catkinmast_model::{Fence, Name, Verdict};
+use catkinmast_model::Verdict;
 use http::{Request, StatusCode};
 use http_body_util::Full;
 use indexmap::IndexMap;
 use serde_json::json;
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{sleep, timeout};
@@ -36,17 +35,6 @@
 const DUTY: &str = "orders";
 /// How often what is due is done.
 const TICK: Duration = Duration::from_millis(100);
-/// The lease lasts this long without renewal: long enough for a slow store's half second, short
-/// enough that a dead holder's successor begins before the next step of a trainer.
-const LEASE_TTL_MS: u64 = 2_500;
-/// The holder stops this long before the lapse. A successor need not wait again for what the
-/// holder has waited, so a large margin brings the orders back sooner; what is left of the lease
-/// covers one renewal that is lost and one that a slow store answers after half a second.
-const LEASE_MARGIN_MS: u64 = 1_200;
-const LEASE_RENEW_MS: u64 = 500;
-const LEASE_RETRY_MS: u64 = 300;
-/// Added to the time that a new holder waits, for orders on their way.
-const ORDER_FLIGHT_MS: u64 = 200;
 /// How long an engine may take to answer a report or an order.
 const ENGINE_MAX: Duration = Duration::from_secs(1);
 /// How long after an order the first look at the engine's report is worth it, and the next ones.
@@ -66,13 +54,12 @@
 /// What the holder of the orders knows.
 #[derive(Debug)]
 struct Holder {
-    lease: Cell<Option<LeaseId>>,
     /// Orders that each target has accepted in which life, as far as known.
     accepted: RefCell<IndexMap<String, Accepted>>,
     rollouts: RefCell<IndexMap<String, Rollout>>,
     /// How each service's targets were shared among models when it was last told.
     shared: RefCell<IndexMap<String, serde_json::Value>>,
-    tenure: RefCell<Tenure>,
+    tenancy: Rc<Tenancy>,
     /// The machines that were reported empty, and the revision that asked for it: one may be asked for
     /// again, and its report is gone by then.
     vacated: RefCell<IndexMap<String, u64>>,
@@ -98,188 +85,29 @@
     }
 }
 
-fn duty() -> Name {
-    peers::name_of(DUTY)
-}
-
 /// Takes part in the duty until the process ends.
 pub(crate) async fn give_orders<P: Platform>(node: Rc<Node<P>>) {
-    let Some(me) = peers::me(&node) else { return };
-    let record = HolderRecord { incarnation: me.incarnation, node: me.node.clone() };
-    let settings = node.settings();
-    let tenure = Tenure::open_with(
-        record.clone(),
-        TenureSettings {
-            margin_ms: LEASE_MARGIN_MS,
-            order_flight_ms: (settings.order_lease_ms + ORDER_FLIGHT_MS)
-                .saturating_sub(LEASE_MARGIN_MS),
-            renew_every_ms: LEASE_RENEW_MS,
-            retry_every_ms: LEASE_RETRY_MS,
-            ttl_ms: LEASE_TTL_MS.max(settings.lease_min_ms),
-        },
-    );
+    let Some(tenancy) = Tenancy::open(&node, DUTY, LEASE_KEY).await else { return };
     let holder = Rc::new(Holder {
         accepted: RefCell::new(IndexMap::new()),
-        lease: Cell::new(None),
         rollouts: RefCell::new(IndexMap::new()),
         shared: RefCell::new(IndexMap::new()),
-        tenure: RefCell::new(tenure),
+        tenancy,
         vacated: RefCell::new(IndexMap::new()),
     });
-    let held_before = held_before(&node, &record).await;
-    let mut gained = false;
     loop {
         sleep(TICK).await;
+        holder.tenancy.tick(&node);
         let now = clock::now();
-        gained |= holder.tenure.borrow().fence(now).is_some();
-        let wanted = !node.leaving.get() && (is_wanted(&node) || (held_before && !gained));
-        let (action, change) = holder.tenure.borrow_mut().tick(now, wanted);
-        note_change(&node, &record, change);
-        if let Some(action) = action {
-            let call = keep_lease(Rc::clone(&node), Rc::clone(&holder), record.clone(), action);
-            tokio::task::spawn_local(call);
-        }
-        if holder.tenure.borrow().order_fence(now).is_some() {
+        if holder.tenancy.order_fence(now).is_some() {
             plan(&node, &holder);
         }
-        if holder.tenure.borrow().fence(now).is_some() {
+        if holder.tenancy.fence(now).is_some() {
             report_vacated(&node, &holder);
         }
     }
 }
 
-/// Tells whether an earlier life of this node held the lease when it ended. It takes up the orders
-/// at once; another would have to wait for the lapse, and then for orders on their way.
-async fn held_before<P: Platform>(node: &Node<P>, record: &HolderRecord) -> bool {
-    // Taking the lease reads the key again, so an old answer does no harm.
-    let call = StoreCall::Get { key: LEASE_KEY.to_owned(), may_be_old: true };
-    let found = node.store(&call).await;
-    let Ok(StoreAnswer::Item(Some(item))) = found else { return false };
-    postcard::from_bytes::<HolderRecord>(&item.value).is_ok_and(|held| held.node == record.node)
-}
-
-/// The holder stays while it lives; if none is known to, the first in rank follows.
-fn is_wanted<P: Platform>(node: &Node<P>) -> bool {
-    match peers::holder_of(node, &duty()) {
-        Some(holder) => peers::me(node).is_some_and(|me| me.node == holder),
-        None => peers::is_first_for(node, DUTY),
-    }
-}
-
-fn note_change<P: Platform>(node: &Node<P>, me: &HolderRecord, change: Option<Change>) {
-    match change {
-        None => {}
-        Some(Change::Lapsed) => node.note("orders_lease_lost", json!({})),
-        Some(Change::Gained(fence)) => {
-            node.note("orders_lease_gained", json!({ "fence": fence.0 }));
-            let fact = OwnerFact {
-                fence,
-                incarnation: me.incarnation,
-                node: me.node.clone(),
-                trainer: duty(),
-            };
-            peers::tell_holder(node, fact);
-        }
-    }
-}
-
-async fn keep_lease<P: Platform>(
-    node: Rc<Node<P>>,
-    holder: Rc<Holder>,
-    record: HolderRecord,
-    action: Action,
-) {
-    let report = match action {
-        Action::Take => take(&node, &holder, &record).await,
-        Action::Read => read(&node, &holder).await,
-        Action::Renew => renew(&node, &holder).await,
-        Action::Release => {
-            if let Some(lease) = holder.lease.take() {
-                // A release that is lost costs the successor the lease's time, no more.
-                drop(node.store(&StoreCall::LeaseEnd { lease }).await);
-            }
-            return;
-        }
-    };
-    let now = clock::now();
-    let change = holder.tenure.borrow_mut().report(now, &report);
-    note_change(&node, &record, change);
-    if change.is_some() {
-        let at_once = holder.tenure.borrow().order_fence(now).is_some();
-        node.note("orders_lease_report", json!({ "orders_at_once": at_once }));
-    }
-}
-
-async fn take<P: Platform>(node: &Node<P>, holder: &Holder, record: &HolderRecord) -> Report {
-    let ttl_ms = LEASE_TTL_MS.max(node.settings().lease_min_ms);
-    let opened = node.store(&StoreCall::LeaseOpen { ttl_ms }).await;
-    let Ok(StoreAnswer::Lease { lease: Some(lease), .. }) = opened else {
-        return Report::Refused;
-    };
-    holder.lease.set(Some(lease));
-    let Ok(value) = postcard::to_stdvec(record) else { return Report::Refused };
-    match create(node, lease, 0, &value).await {
-        Ok(StoreAnswer::Committed { revision }) => Report::Taken(Fence(revision)),
-        Ok(StoreAnswer::Conflict { items }) => {
-            let Some(item) = items.first() else { return Report::Refused };
-            let held = postcard::from_bytes::<HolderRecord>(&item.value);
-            // Of an earlier life, or of this one: its lease was not renewed in time, by our clock,
-            // while the store was away and let no lease lapse.
-            let mine_before = held.is_ok_and(|held| {
-                held.node == record.node && held.incarnation <= record.incarnation
-            });
-            if !mine_before {
-                return Report::Refused;
-            }
-            match create(node, lease, item.revision, &value).await {
-                Ok(StoreAnswer::Committed { revision }) => Report::TakenFromSelf(Fence(revision)),
-                Ok(_) => Report::Refused,
-                Err(_) => Report::Unknown,
-            }
-        }
-        Ok(_) => Report::Refused,
-        Err(refusal) if refusal.verdict == Verdict::NotRun => Report::Refused,
-        Err(_) => Report::Unknown,
-    }
-}
-
-async fn create<P: Platform>(
-    node: &Node<P>,
-    lease: LeaseId,
-    revision: u64,
-    value: &[u8],
-) -> Result<StoreAnswer, StoreRefusal> {
-    let call = StoreCall::Transaction {
-        deletes: Vec::new(),
-        expected: vec![Expectation { key: LEASE_KEY.to_owned(), revision }],
-        puts: vec![Put { key: LEASE_KEY.to_owned(), lease: Some(lease), value: value.to_vec() }],
-    };
-    node.store(&call).await
-}
-
-async fn read<P: Platform>(node: &Node<P>, holder: &Holder) -> Report {
-    match node.store(&StoreCall::Get { key: LEASE_KEY.to_owned(), may_be_old: false }).await {
-        // A key of ours from before hangs on a lease that nobody renews: it lapses, and another
-        // takes it, while renewals of the new lease succeed.
-        Ok(StoreAnswer::Item(Some(item))) if item.lease != holder.lease.get() => Report::Read(None),
-        Ok(StoreAnswer::Item(Some(item))) => {
-            let record = postcard::from_bytes(&item.value).ok();
-            Report::Read(record.map(|record| (record, Fence(item.revision))))
-        }
-        Ok(_) => Report::Read(None),
-        Err(_) => Report::Unknown,
-    }
-}
-
-async fn renew<P: Platform>(node: &Node<P>, holder: &Holder) -> Report {
-    let Some(lease) = holder.lease.get() else { return Report::Refused };
-    match node.store(&StoreCall::LeaseRenew { lease }).await {
-        Ok(StoreAnswer::Lease { .. }) => Report::Renewed,
-        Ok(_) => Report::Refused,
-        Err(_) => Report::Unknown,
-    }
-}
-
 /// Orders the loads that are due.
 fn plan<P: Platform>(node: &Rc<Node<P>>, holder: &Rc<Holder>) {
     let Some(document) = node.document() else { return };
@@ -366,7 +194,7 @@
         },
     };
     // Asked right before the order: a pause since the plan must not let it out under a lapsed lease.
-    let fence = holder.tenure.borrow().order_fence(clock::now());
+    let fence = holder.tenancy.order_fence(clock::now());
     let Some(fence) = fence else { return OrderOutcome::Failed };
     let settings = node.settings();
     let call = OrderCall {
--- a/crates/serve/src/peers.rs
+++ b/crates/serve/src/peers.rs
@@ -10,12 +10,14 @@
 use crate::pool::CallError;
 use crate::settings::Settings;
 use crate::store::{StoreAnswer, StoreCall, StoreRefusal};
+use crate::usage;
 use bytes::Bytes;
 use catkinmast_dispatch::{ItemResult, Progress, Submission, TextNews};
 use catkinmast_member::{
     DutyRank, Fact, Membership, MembershipSettings, Message, NodeFact, NodeState, Output, OwnerFact,
 };
 use catkinmast_model::{Incarnation, Name, UnixMs, Verdict};
+use catkinmast_usage::{Table, Teller};
 use catkinmast_wire as wire;
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
@@ -62,6 +64,8 @@
     ItemBody { batch: String, item: String, scope: Scope },
     /// Reads results of a batch that the receiver owns.
     Read { after: usize, batch: String, scope: Scope, wait_ms: u64 },
+    /// Tells what the sender has counted of the requests of workspaces.
+    Usage { tables: Vec<Table>, teller: Teller },
     /// Makes a call of the store for a node that the store turns away.
     Store(StoreCall),
     /// Hands a submission to the owner of its model's batches.
@@ -106,8 +110,8 @@
     BatchOwned { batch: String, model: Option<String>, owner: Owner, work_tokens: u64 },
     /// Changes of a feed.
     Changes { changes: Changes, subject: Subject },
-    /// Membership.
-    Member(Message),
+    /// Membership, and what the sender's clock shows.
+    Member { message: Message, wall: UnixMs },
     /// The store answers again after an outage.
     StoreReturned,
     /// A target, in the life that began then, loads weights from now on, for about so long.
@@ -115,7 +119,7 @@
 }
 
 /// A life of a node.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub(crate) struct Owner {
     /// Where it is reached.
     pub address: SocketAddr,
@@ -186,6 +190,7 @@
         tokio::select! {
             _ = ticks.tick() => {
                 with_members(&node, Membership::tick);
+                node.usage.clock_shows(node.settings().peer, UnixMs::from_wall_clock());
                 if doubts.arise(&node) {
                     batches::doubt_all(&node);
                 }
@@ -218,7 +223,8 @@
 
 fn receive<P: Platform>(node: &Rc<Node<P>>, frame: &[u8], from: SocketAddr) {
     match wire::open::<Datagram>(&node.key, frame, wire::DATAGRAM_MAX_BYTES) {
-        Ok(Datagram::Member(message)) => {
+        Ok(Datagram::Member { message, wall }) => {
+            node.usage.clock_shows(from, wall);
             with_members(node, |members, now| members.receive(now, from, message));
         }
         Ok(Datagram::Changes { changes, subject }) => feed::told(node, subject, changes, from),
@@ -254,7 +260,10 @@
     };
     for output in outputs {
         match output {
-            Output::Send { message, to } => send(node, &Datagram::Member(message), to),
+            Output::Send { message, to } => {
+                let wall = UnixMs::from_wall_clock();
+                send(node, &Datagram::Member { message, wall }, to);
+            }
             Output::Changed(fact) => fact_changed(node, &fact),
         }
     }
@@ -334,8 +343,7 @@
 /// Returns this life of this node, once it has joined.
 pub(crate) fn me<P: Platform>(node: &Node<P>) -> Option<Owner> {
     let members = node.members.borrow();
-    let me = members.as_ref()?.me();
-    Some(Owner { address: me.control, incarnation: me.incarnation, node: me.name.clone() })
+    members.as_ref().map(|members| owner_of(members.me()))
 }
 
 /// What is known of a node's life.
@@ -403,8 +411,34 @@
     let members = members.as_ref()?;
     let live = members.peers().filter(|peer| peer.state == NodeState::Live);
     let first = live.min_by_key(|peer| DutyRank::of(peer, duty))?;
-    let node = first.name.clone();
-    Some(Owner { address: first.control, incarnation: first.incarnation, node })
+    Some(owner_of(first))
+}
+
+/// Returns the holder of a duty, and the nodes that come first in rank for it, this one among them.
+pub(crate) fn followers<P: Platform>(node: &Node<P>, duty: &str, count: usize) -> Vec<Owner> {
+    let holder = holder_of(node, &name_of(duty));
+    let members = node.members.borrow();
+    let Some(members) = members.as_ref() else { return Vec::new() };
+    let mut live: Vec<&NodeFact> =
+        members.nodes().filter(|peer| peer.state == NodeState::Live).collect();
+    live.sort_by_key(|peer| DutyRank::of(peer, duty));
+    let is_wanted = |(rank, peer): &(usize, &NodeFact)| {
+        *rank < count || holder.as_ref().is_some_and(|holder| *holder == peer.name)
+    };
+    let wanted = live.into_iter().enumerate().filter(is_wanted);
+    wanted.map(|(_, peer)| owner_of(peer)).collect()
+}
+
+fn owner_of(peer: &NodeFact) -> Owner {
+    Owner { address: peer.control, incarnation: peer.incarnation, node: peer.name.clone() }
+}
+
+/// Returns the lives that may serve callers now.
+pub(crate) fn tellers<P: Platform>(node: &Node<P>) -> Vec<Teller> {
+    let members = node.members.borrow();
+    let Some(members) = members.as_ref() else { return Vec::new() };
+    let serving = members.nodes().filter(|peer| peer.state != NodeState::Gone);
+    serving.map(|peer| Teller { incarnation: peer.incarnation, node: peer.name.clone() }).collect()
 }
 
 /// Returns the holder of a duty that all are told of, if it lives.
@@ -468,6 +502,10 @@
         }
         PeerCall::Changes { after, subject } => feed::changes_since(&node, subject, after)
             .map_or(PeerAnswer::Unavailable, PeerAnswer::Changes),
+        PeerCall::Usage { tables, teller } => {
+            usage::told(&node, &teller, tables);
+            PeerAnswer::Accepted
+        }
         PeerCall::End { batch, scope } => batches::end_owned(&node, &batch, &scope).await,
         PeerCall::ItemBody { batch, item, scope } => {
             batches::item_body_owned(&node, &batch, &scope, &item)
--- a/crates/serve/src/process.rs
+++ b/crates/serve/src/process.rs
@@ -3,6 +3,7 @@
 use crate::batches;
 use crate::clock;
 use crate::crashes;
+use crate::duties;
 use crate::feed::{self, Subject};
 use crate::listener::{self, ADDRESSES_TTL_MS};
 use crate::node::Node;
@@ -165,6 +166,7 @@
     spawn_local(batches::adopt_orphans(Rc::clone(&node)));
     spawn_local(runs::schedule(Rc::clone(&node)));
     spawn_local(orders::give_orders(Rc::clone(&node)));
+    spawn_local(duties::serve(Rc::clone(&node)));
 }
 
 /// Writes where this node is reached; the store's revision of that write is its incarnation, so
--- a/crates/serve/src/relay.rs
+++ b/crates/serve/src/relay.rs
@@ -9,6 +9,7 @@
 use crate::node::Node;
 use crate::platform::Platform;
 use crate::pool::{Connection, read_whole};
+use crate::usage::Counted;
 use bytes::Bytes;
 use catkinmast_dispatch::{Outcome, Route};
 use catkinmast_model::Verdict;
@@ -28,6 +29,8 @@
 pub(crate) struct Relay<P: Platform> {
     body: Incoming,
     connection: Option<Connection>,
+    /// Its use, until its first event: only then has it begun.
+    counted: Option<Counted<P>>,
     head: HeaderMap,
     in_flight: Option<InFlight<P>>,
     latency_ms: u64,
@@ -47,7 +50,12 @@
         match &polled {
             Poll::Ready(None) => self.finish(true),
             Poll::Ready(Some(Err(_))) => self.finish(false),
-            Poll::Ready(Some(Ok(_))) => self.run.heard(),
+            Poll::Ready(Some(Ok(_))) => {
+                self.run.heard();
+                if let Some(counted) = self.counted.take() {
+                    counted.began_now();
+                }
+            }
             Poll::Pending => {}
         }
         polled
@@ -61,6 +69,9 @@
 impl<P: Platform> Relay<P> {
     fn finish(&mut self, whole: bool) {
         let latency_ms = self.latency_ms;
+        if let Some(counted) = self.counted.take() {
+            counted.not_run();
+        }
         if let Some(in_flight) = self.in_flight.take() {
             let answered = Outcome::Answered { latency_ms };
             in_flight.end(if whole { answered } else { Outcome::Failed });
@@ -151,6 +162,7 @@
         let relay = Relay {
             body,
             connection: Some(connection),
+            counted: Counted::sent(node, outgoing.workspace.as_deref()),
             head: kept,
             in_flight: Some(in_flight),
             latency_ms,
--- /dev/null
+++ b/crates/serve/src/tenancy.rs
@@ -0,0 +1,269 @@
+//! Holds a duty of one node at a time, under a lease with a fencing number.
+//!
+//! What the holder acts on need not check the number. So the holder stops before its lease can lapse,
+//! by a clock that counts pauses, and a new holder waits until no act of the former one can arrive near
+//! its own. The holder stays while it lives; if none is known to, the first in rank follows. One that
+//! cannot do the duty's work names the node that is to follow it.
+
+use crate::clock;
+use crate::node::Node;
+use crate::peers::{self, Owner};
+use crate::platform::Platform;
+use crate::store::{Expectation, LeaseId, Put, StoreAnswer, StoreCall, StoreRefusal};
+use catkinmast_lease::{Action, Change, HolderRecord, Report, Tenure, TenureSettings};
+use catkinmast_member::OwnerFact;
+use catkinmast_model::{Fence, Name, UnixMs, Verdict};
+use serde_json::json;
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+/// The lease lasts this long without renewal: long enough for a slow store's half second, short
+/// enough that a dead holder's successor begins before the next step of a trainer.
+const LEASE_TTL_MS: u64 = 2_500;
+/// The holder stops this long before the lapse. A successor need not wait again for what the
+/// holder has waited, so a large margin brings the duty back sooner; what is left of the lease
+/// covers one renewal that is lost and one that a slow store answers after half a second.
+const LEASE_MARGIN_MS: u64 = 1_200;
+const LEASE_RENEW_MS: u64 = 500;
+const LEASE_RETRY_MS: u64 = 300;
+/// Added to the time that a new holder waits, for acts on their way.
+const ORDER_FLIGHT_MS: u64 = 200;
+/// How long a node that has named another holder does not take the duty itself.
+const RESIGNED_MS: u64 = 10_000;
+
+/// This node's part in one duty.
+#[derive(Debug)]
+pub(crate) struct Tenancy {
+    duty: &'static str,
+    /// Whether this life has held it.
+    gained: Cell<bool>,
+    /// Whether an earlier life of this node held it when it ended.
+    held_before: bool,
+    key: &'static str,
+    lease: Cell<Option<LeaseId>>,
+    record: HolderRecord,
+    resigned_until: Cell<UnixMs>,
+    tenure: RefCell<Tenure>,
+}
+
+impl Tenancy {
+    /// Opens a part in a duty that this node does not hold; none before it has joined the others.
+    pub(crate) async fn open<P: Platform>(
+        node: &Rc<Node<P>>,
+        duty: &'static str,
+        key: &'static str,
+    ) -> Option<Rc<Self>> {
+        let me = peers::me(node)?;
+        let record = HolderRecord { incarnation: me.incarnation, node: me.node };
+        let settings = node.settings();
+        let tenure = Tenure::open_with(
+            record.clone(),
+            TenureSettings {
+                margin_ms: LEASE_MARGIN_MS,
+                order_flight_ms: (settings.order_lease_ms + ORDER_FLIGHT_MS)
+                    .saturating_sub(LEASE_MARGIN_MS),
+                renew_every_ms: LEASE_RENEW_MS,
+                retry_every_ms: LEASE_RETRY_MS,
+                ttl_ms: LEASE_TTL_MS.max(settings.lease_min_ms),
+            },
+        );
+        let held_before = held_before(node, key, &record).await;
+        Some(Rc::new(Self {
+            duty,
+            gained: Cell::new(false),
+            held_before,
+            key,
+            lease: Cell::new(None),
+            record,
+            resigned_until: Cell::new(UnixMs(0)),
+            tenure: RefCell::new(tenure),
+        }))
+    }
+
+    /// Returns the fencing number while the duty is held.
+    pub(crate) fn fence(&self, now: UnixMs) -> Option<Fence> {
+        self.tenure.borrow().fence(now)
+    }
+
+    /// Returns the fencing number while the duty is held and may be acted on towards others.
+    pub(crate) fn order_fence(&self, now: UnixMs) -> Option<Fence> {
+        self.tenure.borrow().order_fence(now)
+    }
+
+    /// Borrows the key whose revision is the fencing number.
+    pub(crate) const fn key(&self) -> &'static str {
+        self.key
+    }
+
+    /// Does what has become due.
+    pub(crate) fn tick<P: Platform>(self: &Rc<Self>, node: &Rc<Node<P>>) {
+        let now = clock::now();
+        if self.fence(now).is_some() {
+            self.gained.set(true);
+        }
+        let wanted = self.is_wanted(node, now);
+        let (action, change) = self.tenure.borrow_mut().tick(now, wanted);
+        self.note_change(node, change);
+        if let Some(action) = action {
+            let (tenancy, node) = (Rc::clone(self), Rc::clone(node));
+            tokio::task::spawn_local(async move { tenancy.carry_out(&node, action).await });
+        }
+    }
+
+    fn is_wanted<P: Platform>(&self, node: &Node<P>, now: UnixMs) -> bool {
+        if node.leaving.get() || now < self.resigned_until.get() {
+            return false;
+        }
+        if self.held_before && !self.gained.get() {
+            return true;
+        }
+        match peers::holder_of(node, &self.name()) {
+            Some(holder) => self.record.node == holder,
+            None => peers::is_first_for(node, self.duty),
+        }
+    }
+
+    /// Gives the duty up to another node, because this one cannot do its work.
+    pub(crate) fn resign<P: Platform>(&self, node: &Node<P>, why: &str) {
+        let now = clock::now();
+        let Some(fence) = self.fence(now) else { return };
+        let Some(successor) = peers::successor_for(node, self.duty) else { return };
+        self.resigned_until.set(now.plus(RESIGNED_MS));
+        let line = json!({ "duty": self.duty, "successor": successor.node, "why": why });
+        node.note("duty_resigned", line);
+        let Owner { incarnation, node: name, .. } = successor;
+        let fence = Fence(fence.0 + 1);
+        let fact = OwnerFact { fence, incarnation, node: name, trainer: self.name() };
+        peers::tell_holder(node, fact);
+    }
+
+    fn name(&self) -> Name {
+        peers::name_of(self.duty)
+    }
+
+    fn note_change<P: Platform>(&self, node: &Node<P>, change: Option<Change>) {
+        match change {
+            None => {}
+            Some(Change::Lapsed) => node.note("duty_lost", json!({ "duty": self.duty })),
+            Some(Change::Gained(fence)) => {
+                node.note("duty_gained", json!({ "duty": self.duty, "fence": fence.0 }));
+                let HolderRecord { incarnation, node: name } = self.record.clone();
+                let fact = OwnerFact { fence, incarnation, node: name, trainer: self.name() };
+                peers::tell_holder(node, fact);
+            }
+        }
+    }
+
+    async fn carry_out<P: Platform>(&self, node: &Rc<Node<P>>, action: Action) {
+        let report = match action {
+            Action::Take => self.take(node).await,
+            Action::Read => self.read(node).await,
+            Action::Renew => self.renew(node).await,
+            Action::Release => {
+                if let Some(lease) = self.lease.take() {
+                    // A release that is lost costs the successor the lease's time, no more.
+                    drop(node.store(&StoreCall::LeaseEnd { lease }).await);
+                }
+                return;
+            }
+        };
+        let now = clock::now();
+        let change = self.tenure.borrow_mut().report(now, &report);
+        self.note_change(node, change);
+        if change.is_some() {
+            let at_once = self.order_fence(now).is_some();
+            node.note("duty_report", json!({ "duty": self.duty, "acts_at_once": at_once }));
+        }
+    }
+
+    async fn take<P: Platform>(&self, node: &Node<P>) -> Report {
+        let ttl_ms = LEASE_TTL_MS.max(node.settings().lease_min_ms);
+        let opened = node.store(&StoreCall::LeaseOpen { ttl_ms }).await;
+        let Ok(StoreAnswer::Lease { lease: Some(lease), .. }) = opened else {
+            return Report::Refused;
+        };
+        self.lease.set(Some(lease));
+        let Ok(value) = postcard::to_stdvec(&self.record) else { return Report::Refused };
+        match self.create(node, lease, 0, &value).await {
+            Ok(StoreAnswer::Committed { revision }) => Report::Taken(Fence(revision)),
+            Ok(StoreAnswer::Conflict { items }) => {
+                let Some(item) = items.first() else { return Report::Refused };
+                let held = postcard::from_bytes::<HolderRecord>(&item.value);
+                // Of an earlier life, or of this one: its lease was not renewed in time, by our clock,
+                // while the store was away and let no lease lapse.
+                let mine_before = held.is_ok_and(|held| {
+                    held.node == self.record.node && held.incarnation <= self.record.incarnation
+                });
+                if !mine_before {
+                    return Report::Refused;
+                }
+                match self.create(node, lease, item.revision, &value).await {
+                    Ok(StoreAnswer::Committed { revision }) => {
+                        Report::TakenFromSelf(Fence(revision))
+                    }
+                    Ok(_) => Report::Refused,
+                    Err(_) => Report::Unknown,
+                }
+            }
+            Ok(_) => Report::Refused,
+            Err(refusal) if refusal.verdict == Verdict::NotRun => Report::Refused,
+            Err(_) => Report::Unknown,
+        }
+    }
+
+    async fn create<P: Platform>(
+        &self,
+        node: &Node<P>,
+        lease: LeaseId,
+        revision: u64,
+        value: &[u8],
+    ) -> Result<StoreAnswer, StoreRefusal> {
+        let key = self.key.to_owned();
+        let call = StoreCall::Transaction {
+            deletes: Vec::new(),
+            expected: vec![Expectation { key: key.clone(), revision }],
+            puts: vec![Put { key, lease: Some(lease), value: value.to_vec() }],
+        };
+        node.store(&call).await
+    }
+
+    async fn read<P: Platform>(&self, node: &Node<P>) -> Report {
+        let call = StoreCall::Get { key: self.key.to_owned(), may_be_old: false };
+        match node.store(&call).await {
+            // A key of ours from before hangs on a lease that nobody renews: it lapses, and another
+            // takes it, while renewals of the new lease succeed.
+            Ok(StoreAnswer::Item(Some(item))) if item.lease != self.lease.get() => {
+                Report::Read(None)
+            }
+            Ok(StoreAnswer::Item(Some(item))) => {
+                let record = postcard::from_bytes(&item.value).ok();
+                Report::Read(record.map(|record| (record, Fence(item.revision))))
+            }
+            Ok(_) => Report::Read(None),
+            Err(_) => Report::Unknown,
+        }
+    }
+
+    async fn renew<P: Platform>(&self, node: &Node<P>) -> Report {
+        let Some(lease) = self.lease.get() else { return Report::Refused };
+        match node.store(&StoreCall::LeaseRenew { lease }).await {
+            Ok(StoreAnswer::Lease { .. }) => Report::Renewed,
+            Ok(_) => Report::Refused,
+            Err(_) => Report::Unknown,
+        }
+    }
+}
+
+/// Tells whether an earlier life of this node held the lease when it ended. It takes up the duty
+/// at once; another would have to wait for the lapse, and then for acts on their way.
+async fn held_before<P: Platform>(
+    node: &Node<P>,
+    key: &'static str,
+    record: &HolderRecord,
+) -> bool {
+    // Taking the lease reads the key again, so an old answer does no harm.
+    let call = StoreCall::Get { key: key.to_owned(), may_be_old: true };
+    let found = node.store(&call).await;
+    let Ok(StoreAnswer::Item(Some(item))) = found else { return false };
+    postcard::from_bytes::<HolderRecord>(&item.value).is_ok_and(|held| held.node == record.node)
+}
--- /dev/null
+++ b/tests/all/site/duties.rs
@@ -0,0 +1,170 @@
+//! Duties towards the provider: usage reported once a window, whoever dies or is cut off.
+
+use super::harness::{HOST, Site, document, until};
+use super::provider::ProviderDoor;
+use serde_json::{Value, json};
+use std::time::Duration;
+
+const KEY_A: &str = "alphakey0123456789";
+const KEY_B: &str = "betakey0123456789";
+
+fn with_keys(version: u64) -> Value {
+    let mut document = document(version);
+    document["tenants"] =
+        json!([{ "name": "a", "apiKeys": [KEY_A] }, { "name": "b", "apiKeys": [KEY_B] }]);
+    document
+}
+
+/// A site of nodes that report usage, in windows of a second.
+async fn site(nodes: usize) -> Site {
+    let site = Site::start_with_duties(nodes, 2).await;
+    site.store.put("op/config", &with_keys(5));
+    for node in &site.nodes {
+        until("the configuration is in force", || async {
+            let lines = node.lines("document_in_force");
+            lines.iter().any(|line| line["version"] == 5).then_some(())
+        })
+        .await;
+    }
+    site
+}
+
+async fn call(site: &Site, node: usize, key: &str, id: &str) -> u16 {
+    let request = site
+        .client
+        .post(format!("http://{}/lookup/a", site.nodes[node].callers))
+        .header("Host", HOST)
+        .header("Authorization", format!("Bearer {key}"))
+        .header("X-Catkinmast-Request-Id", id)
+        .header("X-Catkinmast-Deadline-Ms", "3000")
+        .body("question");
+    request.send().await.map_or(0, |answer| answer.status().as_u16())
+}
+
+/// Waits until some node holds the duty and has reported; returns its index.
+async fn holder(site: &Site) -> usize {
+    let holds = |node: &super::harness::Node| {
+        let mine = |event: &str| node.duty_lines(event, "platform").len();
+        mine("duty_gained") > mine("duty_lost") && !node.lines("usage_sent").is_empty()
+    };
+    until("a holder", || async { site.nodes.iter().position(holds) }).await
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_requests_that_targets_began_are_reported_once_for_each_workspace() {
+    let site = site(3).await;
+
+    for number in 0..30 {
+        let (key, node) = (if number % 3 == 0 { KEY_B } else { KEY_A }, number % 3);
+        assert_eq!(call(&site, node, key, &format!("q{number}")).await, 200);
+        tokio::time::sleep(Duration::from_millis(40)).await;
+    }
+
+    until("all are reported", || async {
+        (site.provider.reported("a") == 20 && site.provider.reported("b") == 10).then_some(())
+    })
+    .await;
+    site.provider.check();
+}
+
+// Symptom: requests that no target ran are billed.
+// Sequence: all targets refuse for load, or the key is unknown.
+#[tokio::test(flavor = "multi_thread")]
+async fn what_no_target_began_is_not_reported() {
+    let site = site(1).await;
+    assert_eq!(call(&site, 0, "unknown", "q1").await, 401);
+    for worker in &site.plain {
+        worker.set_conduct(super::worker::Conduct::Full);
+    }
+    assert_eq!(call(&site, 0, KEY_A, "q2").await, 503);
+    for worker in &site.plain {
+        worker.set_conduct(super::worker::Conduct::Sound);
+    }
+    assert_eq!(call(&site, 0, KEY_B, "q3").await, 200);
+
+    until("the last is reported", || async { (site.provider.reported("b") == 1).then_some(()) })
+        .await;
+
+    assert_eq!(site.provider.reported("a"), 0);
+}
+
+// Symptom: requests are missing in a report.
+// Sequence: a node serves callers, tells of it, and is killed before the window ends.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_that_dies_leaves_what_it_has_counted() {
+    let site = site(4).await;
+    let holder = holder(&site).await;
+    let node = (holder + 1) % 4;
+    for number in 0..5 {
+        assert_eq!(call(&site, node, KEY_A, &format!("q{number}")).await, 200);
+    }
+    tokio::time::sleep(Duration::from_millis(400)).await;
+
+    site.nodes[node].signal("KILL");
+
+    until("all are reported", || async { (site.provider.reported("a") == 5).then_some(()) }).await;
+    site.provider.check();
+}
+
+// Symptom: one window is reported in two ways.
+// Sequence: the holder writes a report, the provider takes it without an answer, and the holder dies; its
+// successor has heard of other requests.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_holder_that_dies_between_writing_and_sending_leaves_its_very_report() {
+    let site = site(3).await;
+    let holder = holder(&site).await;
+    site.provider.set_door(holder, ProviderDoor::Mute);
+    assert_eq!(call(&site, (holder + 1) % 3, KEY_A, "q1").await, 200);
+    until("a report without an answer", || async {
+        (site.provider.reported("a") == 1).then_some(())
+    })
+    .await;
+
+    site.nodes[holder].signal("KILL");
+    let reports = site.provider.taken("/usage").len();
+
+    until("its successor reports", || async {
+        let taken = site.provider.taken("/usage");
+        taken[reports..].iter().any(|taken| taken.holder != format!("node-{holder}")).then_some(())
+    })
+    .await;
+    site.provider.check();
+}
+
+// Symptom: no usage is reported while the provider is well.
+// Sequence: the provider cannot be reached from the holder alone, whose way to the store is open.
+// Cause: the holder keeps its lease.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_holder_that_the_provider_does_not_answer_gives_the_duty_up() {
+    let site = site(3).await;
+    let first = holder(&site).await;
+
+    site.provider.set_door(first, ProviderDoor::Down);
+    let before = site.provider.taken("/usage").len();
+
+    until("another holder reports", || async {
+        let taken = site.provider.taken("/usage");
+        taken[before..].iter().any(|taken| taken.holder != format!("node-{first}")).then_some(())
+    })
+    .await;
+    assert!(!site.nodes[first].lines("duty_resigned").is_empty());
+    site.provider.check();
+}
+
+// Symptom: the platform's limit is exceeded over and over, or a report is lost.
+// Sequence: the provider refuses for load for a while.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_report_that_is_refused_for_load_is_made_again_by_the_same_holder() {
+    let site = site(2).await;
+    let holder = holder(&site).await;
+    site.provider.set_door(holder, ProviderDoor::Busy);
+    assert_eq!(call(&site, holder, KEY_A, "q1").await, 200);
+    let before = site.provider.tried(holder);
+    until("refusals", || async { (site.provider.tried(holder) > before + 1).then_some(()) }).await;
+
+    site.provider.set_door(holder, ProviderDoor::Open);
+
+    until("it is reported", || async { (site.provider.reported("a") == 1).then_some(()) }).await;
+    assert!(site.nodes[holder].lines("duty_resigned").is_empty());
+    site.provider.check();
+}
--- a/tests/all/site/harness.rs
+++ b/tests/all/site/harness.rs
@@ -1,5 +1,6 @@
 //! A site: the store, workers and entry nodes, and the calls of their callers.
 
+use super::provider::Provider;
 use super::proxy::Proxy;
 use super::store::Store;
 use super::web::Server;
@@ -35,6 +36,7 @@
     _door_server: Server,
     folder: Arc<tempfile::TempDir>,
     log: Arc<Mutex<Vec<Value>>>,
+    _provider_door: Server,
     pub(crate) ready: SocketAddr,
     /// The way to the store; open unless a test changes it.
     pub(crate) store_link: Proxy,
@@ -73,6 +75,7 @@
     pub(crate) engines: Vec<Worker>,
     pub(crate) nodes: Vec<Node>,
     pub(crate) plain: Vec<Worker>,
+    pub(crate) provider: Provider,
     pub(crate) runs: Runs,
     pub(crate) store: Store,
 }
@@ -176,7 +179,9 @@
 drainMs = {CHANGE_BOUND_MS}
 graceS = 8
 leaseMs = 3000
+reportWindowS = 1
 ttl_max_s = 5
+usageLateS = 10
 [platform]
 address = "{store}"
 valueBytes = 1048576
@@ -185,14 +190,37 @@
     )
 }
 
+/// How a site is set up.
+#[derive(Clone, Copy, Debug, Default)]
+struct SiteOptions {
+    behind_proxies: bool,
+    duties: bool,
+}
+
+/// Returns the part of the settings that gives nodes duties; windows of usage last a second.
+fn duty_settings(provider: SocketAddr) -> String {
+    format!(
+        r#"[cloud]
+address = "{provider}"
+duties = ["usage", "autoscale"]
+dutyPerS = 50.0
+"#
+    )
+}
+
 impl Node {
-    async fn start(store: &Store, name: &str, behind_proxy: bool) -> Self {
+    async fn start(store: &Store, provider: &Provider, name: &str, options: SiteOptions) -> Self {
         let (door, door_server) = store.door().await;
         let store_link = Proxy::start(door_server.address).await;
-        let store_at = if behind_proxy { store_link.address } else { door_server.address };
+        let store_at =
+            if options.behind_proxies { store_link.address } else { door_server.address };
         let ip = own_address();
         let folder = Arc::new(tempfile::tempdir().expect("a folder for the settings"));
-        let text = settings(name, ip, store_at);
+        let (_, provider_door) = provider.door().await;
+        let mut text = settings(name, ip, store_at);
+        if options.duties {
+            text.push_str(&duty_settings(provider_door.address));
+        }
         std::fs::write(folder.path().join("settings.toml"), text)
             .expect("the settings are written");
         let log = Arc::new(Mutex::new(Vec::new()));
@@ -206,6 +234,7 @@
             _door_server: door_server,
             folder,
             log,
+            _provider_door: provider_door,
             ready: at(READY_PORT),
             store_link,
         }
@@ -281,6 +310,11 @@
         log.iter().map(Value::to_string).collect::<Vec<_>>().join("\n")
     }
 
+    /// Returns the lines of the audit trail with this event of a duty.
+    pub(crate) fn duty_lines(&self, event: &str, duty: &str) -> Vec<Value> {
+        self.lines(event).into_iter().filter(|line| line["duty"] == duty).collect()
+    }
+
     /// Returns the lines of the audit trail with this event.
     pub(crate) fn lines(&self, event: &str) -> Vec<Value> {
         let log = self.log.lock().expect("no test panics while it holds the log");
@@ -308,15 +342,22 @@
 impl Site {
     /// Starts a site and waits until all nodes are ready and know each other.
     pub(crate) async fn start(nodes: usize, engines: usize, plain: usize) -> Self {
-        Self::start_with(nodes, engines, plain, false).await
+        Self::start_with(nodes, engines, plain, SiteOptions::default()).await
     }
 
     /// The same, with a proxy between each node and the store.
     pub(crate) async fn start_behind_proxies(nodes: usize, engines: usize, plain: usize) -> Self {
-        Self::start_with(nodes, engines, plain, true).await
+        let options = SiteOptions { behind_proxies: true, ..SiteOptions::default() };
+        Self::start_with(nodes, engines, plain, options).await
+    }
+
+    /// Starts a site of plain targets whose nodes have duties towards the provider.
+    pub(crate) async fn start_with_duties(nodes: usize, plain: usize) -> Self {
+        let options = SiteOptions { duties: true, ..SiteOptions::default() };
+        Self::start_with(nodes, 0, plain, options).await
     }
 
-    async fn start_with(nodes: usize, engines: usize, plain: usize, behind_proxy: bool) -> Self {
+    async fn start_with(nodes: usize, engines: usize, plain: usize, options: SiteOptions) -> Self {
         let store = Store::open();
         let runs = Runs::default();
         let client = reqwest::Client::builder()
@@ -325,8 +366,15 @@
             .timeout(HUNG_AFTER)
             .build()
             .expect("a client");
-        let mut site =
-            Self { client, engines: Vec::new(), nodes: Vec::new(), plain: Vec::new(), runs, store };
+        let mut site = Self {
+            client,
+            engines: Vec::new(),
+            nodes: Vec::new(),
+            plain: Vec::new(),
+            provider: Provider::default(),
+            runs,
+            store,
+        };
         site.store.put("op/config", &document(3));
         for number in 0..engines {
             site.add_engine(&format!("engine-{number}")).await;
@@ -337,8 +385,8 @@
             site.plain.push(worker);
         }
         for number in 0..nodes {
-            site.nodes
-                .push(Node::start(&site.store, &format!("node-{number}"), behind_proxy).await);
+            let name = format!("node-{number}");
+            site.nodes.push(Node::start(&site.store, &site.provider, &name, options).await);
         }
         site.wait_until_whole(nodes).await;
         site
--- a/tests/all/site/mod.rs
+++ b/tests/all/site/mod.rs
@@ -4,6 +4,7 @@
 //! [`worker`] describe. Waits poll until a condition holds; their limit only guards against a hang.
 
 pub(crate) mod harness;
+pub(crate) mod provider;
 pub(crate) mod proxy;
 pub(crate) mod store;
 pub(crate) mod web;
@@ -13,6 +14,7 @@
 mod batches;
 mod configuration;
 mod crashes;
+mod duties;
 mod orders;
 mod requests;
 mod soak;
--- a/tests/all/site/orders.rs
+++ b/tests/all/site/orders.rs
@@ -97,11 +97,15 @@
 async fn site_whose_holder_lost_the_store() -> Site {
     let site = Site::start(1, 1, 0).await;
     let node = &site.nodes[0];
-    until("the lease", || async { (!node.lines("orders_lease_gained").is_empty()).then_some(()) })
-        .await;
+    until("the lease", || async {
+        (!node.duty_lines("duty_gained", "orders").is_empty()).then_some(())
+    })
+    .await;
     site.store.set_door(node.door, Door::Refuses);
-    until("the lapse", || async { (!node.lines("orders_lease_lost").is_empty()).then_some(()) })
-        .await;
+    until("the lapse", || async {
+        (!node.duty_lines("duty_lost", "orders").is_empty()).then_some(())
+    })
+    .await;
     site
 }
 
@@ -118,12 +122,12 @@
     site.store.set_door(node.door, Door::Open);
 
     until("the lease again", || async {
-        (node.lines("orders_lease_gained").len() == 2).then_some(())
+        (node.duty_lines("duty_gained", "orders").len() == 2).then_some(())
     })
     .await;
     let report =
-        until("the report", || async { node.lines("orders_lease_report").get(1).cloned() });
-    assert_eq!(report.await["orders_at_once"], true);
+        until("the report", || async { node.duty_lines("duty_report", "orders").get(1).cloned() });
+    assert_eq!(report.await["acts_at_once"], true);
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -142,7 +146,7 @@
     site.store.set_door(node.door, Door::Open);
 
     until("the lease again", || async {
-        (node.lines("orders_lease_gained").len() > 1).then_some(())
+        (node.duty_lines("duty_gained", "orders").len() > 1).then_some(())
     })
     .await;
     let (held, renewed) = (site.store.lease_of("cm/orders"), site.store.newest_lease());
