Targets that go away are ordered again, by the holder of the duties

Cause: a service that loses targets without another in their place stays short; the operators let us order the number in each data centre, and nobody did. Change: crate scaling (pure), the number a service began with is kept in the store under the holder's fencing number; other data centres stand in where none are to be had.

--- a/crates/dispatch/src/document.rs
+++ b/crates/dispatch/src/document.rs
@@ -1,6 +1,7 @@
 //! The operators' configuration as the request path reads it.
 
 use catkinmast_access::Workspaces;
+use catkinmast_scaling::ScalingTerms;
 use indexmap::IndexMap;
 
 /// What may be repeated of a route's requests, and how they are run.
@@ -97,6 +98,8 @@
     pub connections_max: Option<u32>,
     /// Set where its targets are model engines.
     pub engine: Option<EngineTerms>,
+    /// Set where the number of its targets is ordered.
+    pub scaling: Option<ScalingTerms>,
 }
 
 /// Bounds on what a caller may send.
--- a/crates/dispatch/src/targets.rs
+++ b/crates/dispatch/src/targets.rs
@@ -43,6 +43,8 @@
     pub id: String,
     /// The weight versions that it holds, by model.
     pub models: Vec<(String, u64)>,
+    /// Whether the provider may take it back at short notice.
+    pub reclaimable: bool,
     /// Number of its heartbeat.
     pub sequence: u64,
     /// Its service.
--- a/crates/serve/src/duties.rs
+++ b/crates/serve/src/duties.rs
@@ -11,6 +11,7 @@
 use crate::peers;
 use crate::platform::{DutyCall, Platform};
 use crate::pool::{CallError, read_whole};
+use crate::scaling;
 use crate::settings::DutySettings;
 use crate::store::{Expectation, Put, StoreAnswer, StoreCall, StoredItem};
 use crate::tenancy::Tenancy;
@@ -68,6 +69,7 @@
     let Some(tenancy) = Tenancy::open(&node, DUTY, LEASE_KEY).await else { return };
     tokio::task::spawn_local(usage::tell(Rc::clone(&node)));
     tokio::task::spawn_local(report(Rc::clone(&node), Rc::clone(&tenancy)));
+    tokio::task::spawn_local(scaling::order(Rc::clone(&node), Rc::clone(&tenancy)));
     loop {
         sleep(TICK).await;
         tenancy.tick(&node);
@@ -236,7 +238,7 @@
 }
 
 /// Makes a call of the duty, if this node holds it; returns what came back.
-async fn act<P: Platform>(
+pub(crate) async fn act<P: Platform>(
     node: &Rc<Node<P>>,
     tenancy: &Tenancy,
     duties: &DutySettings,
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -26,6 +26,7 @@
 mod process;
 mod relay;
 mod runs;
+mod scaling;
 mod settings;
 mod store;
 mod tenancy;
--- a/crates/serve/src/metrics.rs
+++ b/crates/serve/src/metrics.rs
@@ -34,6 +34,7 @@
     pub requests_barred: Gauge,
     pub store_calls: Family<Reason, Counter>,
     pub store_failures: Family<Reason, Counter>,
+    pub target_orders: Family<Reason, Counter>,
     pub targets_ended: Family<Reason, Counter>,
     pub usage_reports: Family<Reason, Counter>,
     registry: Registry,
@@ -56,6 +57,7 @@
             requests_barred: Gauge::default(),
             store_calls: Family::default(),
             store_failures: Family::default(),
+            target_orders: Family::default(),
             targets_ended: Family::default(),
             usage_reports: Family::default(),
             registry: Registry::default(),
@@ -96,6 +98,11 @@
             "Requests that are sent to no target because targets ended under them",
             m.requests_barred.clone(),
         );
+        registry.register(
+            "target_orders",
+            "Orders of numbers of targets by outcome",
+            m.target_orders.clone(),
+        );
         registry.register(
             "usage_reports",
             "Reports of usage by what the platform answered",
--- /dev/null
+++ b/crates/serve/src/scaling.rs
@@ -0,0 +1,179 @@
+//! Orders the numbers of targets, by the node that holds the duties towards the provider.
+
+use crate::clock;
+use crate::duties::act;
+use crate::metrics::count;
+use crate::node::Node;
+use crate::platform::{DutyCall, Platform};
+use crate::pool::CallError;
+use crate::settings::DutySettings;
+use crate::store::{Expectation, Put, StoreAnswer, StoreCall};
+use crate::tenancy::Tenancy;
+use catkinmast_scaling::{OrderOutcome, Pool, Scaling, ScalingTerms, TargetOrder, Wanted};
+use http::StatusCode;
+use indexmap::IndexMap;
+use serde_json::json;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// Keys of what each service is to have, by service. Without it a new holder would take what is left
+/// after a loss for what the service began with.
+const WANTED: &str = "cm/w/";
+/// How often what is due is done.
+const TICK: Duration = Duration::from_millis(250);
+
+/// One service's targets, as the holder of the duty sees them.
+#[derive(Debug)]
+struct Service {
+    scaling: Scaling,
+    /// Whether what it is to have is in the store.
+    written: bool,
+}
+
+/// Orders targets while this node holds the duty, until the process ends.
+pub(crate) async fn order<P: Platform>(node: Rc<Node<P>>, tenancy: Rc<Tenancy>) {
+    let mut services: IndexMap<String, Service> = IndexMap::new();
+    loop {
+        sleep(TICK).await;
+        let Some(duties) = node.settings().duties.filter(|duties| duties.orders_targets) else {
+            continue;
+        };
+        if tenancy.order_fence(clock::now()).is_none() {
+            services.clear();
+            continue;
+        }
+        for (name, terms) in scaled(&node) {
+            if !services.contains_key(&name) {
+                let Some(service) = open(&node, &name, terms).await else { continue };
+                services.insert(name.clone(), service);
+            }
+            let Some(service) = services.get_mut(&name) else { continue };
+            service.plan(&node, &tenancy, &duties, &name).await;
+        }
+    }
+}
+
+/// Returns the services whose targets are ordered.
+fn scaled<P: Platform>(node: &Node<P>) -> Vec<(String, ScalingTerms)> {
+    let Some(document) = node.document() else { return Vec::new() };
+    let scaled = document.services.iter().filter_map(|(name, terms)| {
+        let scaling = terms.scaling?;
+        Some((name.clone(), scaling))
+    });
+    scaled.collect()
+}
+
+/// Opens a service with what it is to have, as an earlier holder found it; none while the store does not
+/// tell.
+async fn open<P: Platform>(
+    node: &Rc<Node<P>>,
+    service: &str,
+    terms: ScalingTerms,
+) -> Option<Service> {
+    let call = StoreCall::Get { key: wanted_key(service), may_be_old: false };
+    let Ok(StoreAnswer::Item(found)) = node.store(&call).await else { return None };
+    let wanted = found.and_then(|item| {
+        let wanted = postcard::from_bytes::<Vec<(Pool, u32)>>(&item.value);
+        wanted.ok().map(|pools| pools.into_iter().collect::<Wanted>())
+    });
+    let written = wanted.is_some();
+    Some(Service { scaling: Scaling::open(terms, wanted), written })
+}
+
+fn wanted_key(service: &str) -> String {
+    format!("{WANTED}{service}")
+}
+
+/// Returns how many targets of each pool serve.
+fn serving<P: Platform>(node: &Node<P>, service: &str) -> Wanted {
+    let mut serving = Wanted::new();
+    for entry in node.targets.borrow().usable(service) {
+        let data_centre = entry.data_centre.clone();
+        let pool = Pool { data_centre, reclaimable: entry.reclaimable };
+        *serving.entry(pool).or_default() += 1;
+    }
+    serving.sort_unstable_keys();
+    serving
+}
+
+impl Service {
+    async fn plan<P: Platform>(
+        &mut self,
+        node: &Rc<Node<P>>,
+        tenancy: &Tenancy,
+        duties: &DutySettings,
+        name: &str,
+    ) {
+        let serving = serving(node, name);
+        let orders = self.scaling.plan(clock::now(), &serving);
+        if !self.written
+            && let Some(wanted) = self.scaling.wanted()
+        {
+            self.written = write(node, tenancy, name, wanted).await;
+        }
+        for order in orders {
+            let call = DutyCall::Targets {
+                count: order.count,
+                data_centre: &order.pool.data_centre,
+                reclaimable: order.pool.reclaimable,
+                service: name,
+            };
+            let Some(answer) = act(node, tenancy, duties, &call).await else { return };
+            note(node, name, &order, &serving, &answer);
+            let outcome = outcome(&answer);
+            let count = serving.get(&order.pool).copied().unwrap_or(0);
+            self.scaling.outcome(clock::now(), &order, count, outcome);
+        }
+    }
+}
+
+fn outcome(answer: &Result<StatusCode, CallError>) -> OrderOutcome {
+    match answer {
+        Ok(StatusCode::OK) => OrderOutcome::Taken,
+        Ok(StatusCode::CONFLICT) => OrderOutcome::NoneLeft,
+        Ok(_) | Err(_) => OrderOutcome::Unknown,
+    }
+}
+
+fn note<P: Platform>(
+    node: &Node<P>,
+    service: &str,
+    order: &TargetOrder,
+    serving: &Wanted,
+    answer: &Result<StatusCode, CallError>,
+) {
+    let label = match outcome(answer) {
+        OrderOutcome::Taken => "taken",
+        OrderOutcome::NoneLeft => "none_left",
+        OrderOutcome::Unknown => "unanswered",
+    };
+    count(&node.metrics.target_orders, label);
+    node.note(
+        "targets_ordered",
+        json!({
+            "service": service, "data_centre": order.pool.data_centre, "count": order.count,
+            "reclaimable": order.pool.reclaimable, "serving": serving.get(&order.pool),
+            "status": answer.as_ref().ok().map(StatusCode::as_u16),
+            "why": answer.as_ref().err().map(|error| error.message.clone()),
+        }),
+    );
+}
+
+/// Keeps what a service is to have for later holders; returns whether it is kept.
+async fn write<P: Platform>(
+    node: &Rc<Node<P>>,
+    tenancy: &Tenancy,
+    service: &str,
+    wanted: &Wanted,
+) -> bool {
+    let Some(fence) = tenancy.order_fence(clock::now()) else { return false };
+    let pools: Vec<(&Pool, u32)> = wanted.iter().map(|(pool, count)| (pool, *count)).collect();
+    let Ok(value) = postcard::to_stdvec(&pools) else { return false };
+    let call = StoreCall::Transaction {
+        deletes: Vec::new(),
+        expected: vec![Expectation { key: tenancy.key().to_owned(), revision: fence.0 }],
+        puts: vec![Put { key: wanted_key(service), lease: None, value }],
+    };
+    matches!(node.store(&call).await, Ok(StoreAnswer::Committed { .. }))
+}
--- a/tests/all/dispatch/shares.rs
+++ b/tests/all/dispatch/shares.rs
@@ -39,6 +39,7 @@
             draining: false,
             id: target.id.clone(),
             models: target.models.clone(),
+            reclaimable: false,
             sequence: 1,
             service: "s".to_owned(),
             slots: 8,
--- a/tests/all/dispatch/targets.rs
+++ b/tests/all/dispatch/targets.rs
@@ -12,6 +12,7 @@
         draining,
         id: id.to_owned(),
         models: vec![("x".to_owned(), 1), ("y".to_owned(), 1)],
+        reclaimable: false,
         sequence,
         service: "s".to_owned(),
         slots: 4,
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -18,6 +18,7 @@
 mod quarantine;
 mod rollout_faults;
 mod routing;
+mod scaling;
 mod scenarios;
 mod site;
 mod trail;
--- a/tests/all/site/duties.rs
+++ b/tests/all/site/duties.rs
@@ -168,3 +168,35 @@
     assert!(site.nodes[holder].lines("duty_resigned").is_empty());
     site.provider.check();
 }
+
+// Symptom: a service has fewer targets for good.
+// Sequence: a target goes away, and none comes in its place; the holder of the duty is killed meanwhile.
+#[tokio::test(flavor = "multi_thread")]
+async fn targets_that_went_away_are_ordered_again_also_by_the_next_holder() {
+    let mut site = Site::start_with_duties(3, 1).await;
+    for number in 0..3 {
+        site.add_engine(&format!("engine-{number}")).await;
+    }
+    let mut document = with_keys(5);
+    document["services"][1]["scaling"] = json!({ "min": 1, "max": 9, "bootS": 1.0,
+        "spotPrice": 0.15, "zonePrices": { "zone-a": 1.0 } });
+    site.store.put("op/config", &document);
+    until("it is known what the service began with", || async {
+        (!site.store.keys("cm/w/").is_empty()).then_some(())
+    })
+    .await;
+    let first = holder(&site).await;
+
+    site.engines[0].deregister();
+    let orders = || site.provider.taken("/scale");
+    until("an order", || async { (!orders().is_empty()).then_some(()) }).await;
+    site.nodes[first].signal("KILL");
+    until("an order of the next holder", || async {
+        orders().iter().any(|order| order.holder != format!("node-{first}")).then_some(())
+    })
+    .await;
+
+    let expected = json!({ "service": "llm", "zone": "zone-a", "targetGroups": 3 });
+    assert!(orders().iter().all(|order| order.body == expected), "{:?}", orders());
+    site.provider.check();
+}
