Requests that wait for full targets are tried in turn, by what their workspaces have had

Cause: while all targets of a service refuse for load, each request was tried again every 20 ms, in no order: a workspace that sends ten times as much is served ten times as much, and a workspace's priority counted nowhere. Change: dispatch::Turns (pure), serve::turn; a workspace's priority goes before its route's.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`Document`]: the operators' routes and services, and which route a request takes.
 //! - [`TargetTable`]: which targets may receive work, from a registry that lags and has outages.
 //! - [`Load`]: what this process sees of each target by its own calls, and the choice among them.
+//! - [`Turns`]: whose request is tried next while all targets refuse for load.
 //! - [`Batch`]: a batch submission, its items, and the results in their fixed positions.
 //! - [`Freshness`]: how old a node's view of the store is, and when it looks for itself.
 //! - [`Lengths`]: how long items run.
@@ -26,6 +27,7 @@
 mod stream;
 mod submission;
 mod targets;
+mod turns;
 
 pub use batch::{Batch, BatchTerms, Chunk, Merge, NextItem, group_of};
 pub use copies::{CopiedTexts, TextNews, Told};
@@ -39,3 +41,4 @@
 pub use stream::{EventReader, StreamEvent};
 pub use submission::{Item, ItemResult, ItemState, Progress, Reward, Submission};
 pub use targets::{TargetChange, TargetEntry, TargetTable};
+pub use turns::{TurnId, Turns};
--- a/crates/serve/src/access.rs
+++ b/crates/serve/src/access.rs
@@ -4,7 +4,7 @@
 use crate::feed::{self, Subject};
 use crate::node::Node;
 use crate::platform::Platform;
-use catkinmast_access::{Admission, ViewAge, admit, credential};
+use catkinmast_access::{Admission, ViewAge, Workspace, admit, credential};
 use catkinmast_dispatch::Document;
 use http::HeaderMap;
 use http::header::{AUTHORIZATION, HeaderValue};
@@ -27,7 +27,7 @@
     document: &Document,
     is_public: bool,
     headers: &HeaderMap,
-) -> Result<Option<String>, Refusal> {
+) -> Result<Option<Workspace>, Refusal> {
     let settings = node.settings();
     let view = ViewAge {
         age_ms: feed::age_ms(node, Subject::Operators),
@@ -39,7 +39,7 @@
         Admission::Anyone => Ok(None),
         Admission::Denied(why) => Err(Refusal::Denied(why)),
         Admission::Unsure(why) => Err(Refusal::Unsure(why)),
-        Admission::Workspace(workspace) => Ok(Some(workspace.name.clone())),
+        Admission::Workspace(workspace) => Ok(Some(workspace.clone())),
     }
 }
 
@@ -61,5 +61,5 @@
         return Ok(Scope::Public);
     }
     let workspace = workspace(node, document, false, headers)?;
-    Ok(workspace.map_or(Scope::Public, Scope::Workspace))
+    Ok(workspace.map_or(Scope::Public, |workspace| Scope::Workspace(workspace.name)))
 }
--- a/crates/serve/src/caller.rs
+++ b/crates/serve/src/caller.rs
@@ -9,6 +9,7 @@
 use crate::metrics::count;
 use crate::node::Node;
 use crate::platform::{BatchCall, Platform};
+use crate::turn::{self, Turn};
 use bytes::Bytes;
 use catkinmast_dispatch::{Document, Route, RouteKind};
 use catkinmast_model::{UnixMs, Verdict};
@@ -41,8 +42,7 @@
 const TRIED_PAUSE: Duration = Duration::from_millis(20);
 /// How long a request without a deadline is served.
 const UNBOUNDED_MS: u64 = 60_000;
-/// A refusal for load is answered when less than this part of the caller's time is left; a later
-/// one would leave the caller no time to go elsewhere.
+/// A refusal for load is answered when less than this part of the caller's time is left.
 const REFUSE_WITH_LEFT_PERCENT: u64 = 70;
 /// Answers a request that has run out of time this much before the caller gives up, so that it
 /// learns the outcome.
@@ -220,6 +220,9 @@
         Ok(workspace) => workspace,
         Err(refusal) => return ended(node, id.as_deref(), Some(&route), &Ending::of(refusal)),
     };
+    let own_rank = workspace.as_ref().and_then(|workspace| workspace.priority);
+    let priority = own_rank.unwrap_or(route.priority);
+    let workspace = workspace.map(|workspace| workspace.name);
     let deadline_ms = terms.deadline_ms.unwrap_or(UNBOUNDED_MS);
     let timeout_ms = route.timeout_ms.unwrap_or(u64::MAX);
     let deadline_at = began_at.plus(deadline_ms.min(timeout_ms));
@@ -246,6 +249,7 @@
         last_event_id: None,
         method: head.method,
         path,
+        priority,
         request_id: id,
         workspace,
     };
@@ -421,7 +425,10 @@
             Some(chosen) => {
                 tried.push(chosen.id.clone());
                 match forward::attempt(node, &chosen, outgoing).await {
-                    Ok(answer) => return Ok(answer),
+                    Ok(answer) => {
+                        turn::served(node, service, outgoing.workspace.as_deref());
+                        return Ok(answer);
+                    }
                     Err(failure) => failure,
                 }
             }
@@ -436,24 +443,35 @@
             ran += 1;
             ran_somewhere = true;
         }
-        let left_ms = outgoing.deadline_at.since_ms(clock::now());
         let repeatable = route.repeatable() || !ran_somewhere;
         if ran >= route.attempts.max(1) || !repeatable {
             return Err(ending_of(&failure));
         }
-        if failure.cause == Cause::Full {
-            let too_late = left_ms * 100 < budget_ms * REFUSE_WITH_LEFT_PERCENT;
-            if too_late && !ran_somewhere {
-                return Err(ending_of(&failure));
-            }
+        let refuse_at = refuse_at(outgoing.deadline_at, budget_ms);
+        let is_full = failure.cause == Cause::Full && !ran_somewhere;
+        if is_full && clock::now() > refuse_at {
+            return Err(ending_of(&failure));
         }
         if failure.verdict == Verdict::NotRun && all_tried(node, service, &tried) {
             tried.clear();
             sleep(TRIED_PAUSE).await;
+            if is_full {
+                let workspace = outgoing.workspace.as_deref();
+                let turn = Turn::wait(node, service, began_at, workspace, outgoing.priority);
+                while !turn.is_due() && clock::now() <= refuse_at {
+                    sleep(TRIED_PAUSE).await;
+                }
+            }
         }
     }
 }
 
+/// Returns when a request that all targets refuse for load is refused: a later answer would leave its
+/// caller no time to go elsewhere.
+const fn refuse_at(deadline_at: UnixMs, budget_ms: u64) -> UnixMs {
+    UnixMs(deadline_at.0.saturating_sub(budget_ms * REFUSE_WITH_LEFT_PERCENT / 100))
+}
+
 /// How a request ends that is sent to no more targets: a target of this very call may have run it.
 fn barred(failure: &AttemptFailure, ran_somewhere: bool) -> Ending {
     if ran_somewhere {
--- a/crates/serve/src/forward.rs
+++ b/crates/serve/src/forward.rs
@@ -60,6 +60,8 @@
     pub last_event_id: Option<u64>,
     pub method: Method,
     pub path: String,
+    /// Its rank among the requests that wait; 0 is the most urgent.
+    pub priority: u32,
     pub request_id: Option<String>,
     /// The workspace that it is from; none where no key was asked for.
     pub workspace: Option<String>,
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -31,6 +31,7 @@
 mod store;
 mod tenancy;
 mod trail;
+mod turn;
 mod usage;
 
 pub use platform::{
--- a/crates/serve/src/node.rs
+++ b/crates/serve/src/node.rs
@@ -15,7 +15,7 @@
 use crate::usage::Usage;
 use bytes::Bytes;
 use catkinmast_dispatch::{
-    Demand, Document, Item, Lengths, Load, LoadSettings, Pick, TargetChange, TargetTable,
+    Demand, Document, Item, Lengths, Load, LoadSettings, Pick, TargetChange, TargetTable, Turns,
 };
 use catkinmast_member::{Membership, NodeState};
 use catkinmast_model::{Incarnation, Name, UnixMs, Verdict};
@@ -89,6 +89,8 @@
     pub store_rests_until: Cell<UnixMs>,
     pub targets: RefCell<TargetTable>,
     pub trail: Trail,
+    /// The requests that wait because all targets of their service refuse for load, by service.
+    pub turns: RefCell<IndexMap<String, Turns>>,
     /// The requests of which the store does not have this node's evidence yet.
     pub unsaved_crashes: RefCell<IndexSet<Fingerprint>>,
     /// The requests of workspaces, here and as other nodes told.
@@ -134,6 +136,7 @@
             store_rests_until: Cell::new(UnixMs(0)),
             targets: RefCell::new(TargetTable::default()),
             trail,
+            turns: RefCell::new(IndexMap::new()),
             unsaved_crashes: RefCell::new(IndexSet::new()),
             usage: Usage::default(),
             vacating: RefCell::new(IndexMap::new()),
--- a/crates/serve/src/runs/score.rs
+++ b/crates/serve/src/runs/score.rs
@@ -137,6 +137,7 @@
         last_event_id: None,
         method: Method::POST,
         path: reward.path.clone(),
+        priority: 0,
         request_id: Some(reward.id.clone()),
         workspace: None,
     }
--- a/crates/serve/src/runs/stream.rs
+++ b/crates/serve/src/runs/stream.rs
@@ -180,6 +180,7 @@
         last_event_id: after,
         method: Method::POST,
         path: item.path.clone(),
+        priority: 0,
         request_id: Some(item.id.clone()),
         workspace: terms.workspace.clone(),
     }
