--- a/tests/all/site/harness.rs
+++ b/tests/all/site/harness.rs
@@ -357,6 +357,12 @@
         Self::start_with(nodes, 0, plain, options).await
     }
 
+    /// The same, with a proxy between each node and the store.
+    pub(crate) async fn start_with_duties_behind_proxies(nodes: usize, plain: usize) -> Self {
+        let options = SiteOptions { behind_proxies: true, duties: true };
+        Self::start_with(nodes, 0, plain, options).await
+    }
+
     async fn start_with(nodes: usize, engines: usize, plain: usize, options: SiteOptions) -> Self {
         let store = Store::open();
         let runs = Runs::default();
--- a/tests/all/site/mod.rs
+++ b/tests/all/site/mod.rs
@@ -18,6 +18,7 @@
 mod orders;
 mod requests;
 mod soak;
+mod soak_keys;
 mod standby;
 mod starts;
 mod stops;
