Files of one job each: messages and ranks of peers, calls about batches, one way to ask a peer

Change: peers/{messages,ranks}, batch_calls, Node::store_by; nothing decides otherwise. A node that watched in place of others had a watch open from before its door was closed, and read the key by itself; the test waits now until such a watch is over. What it asserts is unchanged.

--- /dev/null
+++ b/crates/serve/src/batch_calls.rs
@@ -0,0 +1,126 @@
+//! Callers' calls about batches: submissions, reads, bodies of items and ends.
+
+use crate::access::{self, Refusal};
+use crate::batches::{self, Acceptance, Lookup, Origin};
+use crate::caller::{Answer, COME_BACK_MS, Ending, ended, host, plain};
+use crate::clock;
+use crate::metrics::count;
+use crate::node::Node;
+use crate::platform::{BatchCall, Platform};
+use bytes::Bytes;
+use catkinmast_dispatch::Route;
+use catkinmast_model::Verdict;
+use http::{HeaderMap, StatusCode};
+use serde_json::json;
+use std::rc::Rc;
+
+/// Answers a call about a batch that was submitted.
+pub(crate) async fn answer<P: Platform>(
+    node: &Rc<Node<P>>,
+    headers: &HeaderMap,
+    call: BatchCall,
+) -> Answer<P> {
+    let began_at = clock::now();
+    let scope = match node.document() {
+        Some(document) => access::scope(node, &document, host(headers), headers),
+        None => Err(Refusal::Unsure("no configuration yet".to_owned())),
+    };
+    let scope = match scope {
+        Ok(scope) => scope,
+        Err(refusal) => {
+            let id = P::caller_terms(headers).request_id;
+            return ended(node, id.as_deref(), None, &Ending::of(refusal));
+        }
+    };
+    let (batch, what, result) = match call {
+        BatchCall::Read { after, batch, wait_ms } => {
+            let found = batches::read(node, &batch, &scope, after, wait_ms).await;
+            let page =
+                map(found, |(total, results)| P::page(total, after + results.len(), &results));
+            (batch, "read", page)
+        }
+        BatchCall::ItemBody { batch, item } => {
+            let found = batches::item_body(node, &batch, &scope, &item).await;
+            (batch, "item_body", map(found, Bytes::from))
+        }
+        BatchCall::End { batch } => {
+            let found = batches::end(node, &batch, &scope).await;
+            (batch, "end", map(found, |()| Bytes::from_static(b"{}")))
+        }
+    };
+    match result {
+        Lookup::Found(body) => {
+            count(&node.metrics.answers, "batch_call");
+            plain(StatusCode::OK, body)
+        }
+        Lookup::Missing => {
+            node.note("batch_call_missing", json!({ "request": batch, "call": what }));
+            Ending::new(StatusCode::NOT_FOUND, "no such batch or item").answer()
+        }
+        Lookup::Unsure(why) => {
+            let ms = clock::now().since_ms(began_at);
+            node.note(
+                "batch_call_unsure",
+                json!({ "request": batch, "call": what, "why": why, "ms": ms }),
+            );
+            Ending::not_run(why, COME_BACK_MS).answer()
+        }
+    }
+}
+
+fn map<T, U>(found: Lookup<T>, change: impl FnOnce(T) -> U) -> Lookup<U> {
+    match found {
+        Lookup::Found(found) => Lookup::Found(change(found)),
+        Lookup::Missing => Lookup::Missing,
+        Lookup::Unsure(why) => Lookup::Unsure(why),
+    }
+}
+
+/// Answers a submission.
+pub(crate) async fn submit<P: Platform>(
+    node: &Rc<Node<P>>,
+    origin: Origin,
+    body: Bytes,
+    id: Option<String>,
+    route: &Route,
+) -> Answer<P> {
+    let began_at = clock::now();
+    let fits = |id: &String| {
+        !id.is_empty()
+            && id.len() <= 100
+            && id.bytes().all(|b| b.is_ascii_alphanumeric() || b == b'-')
+    };
+    let Some(id) = id.filter(fits) else {
+        let ending = Ending::new(StatusCode::BAD_REQUEST, "a batch submission needs a plain id");
+        return ended(node, None, Some(route), &ending);
+    };
+    let submission = match P::submission(&body) {
+        Ok(submission) => submission,
+        Err(error) => {
+            let ending = Ending::new(StatusCode::BAD_REQUEST, error.to_string());
+            return ended(node, Some(&id), Some(route), &ending);
+        }
+    };
+    drop(body);
+    match batches::submit(node, &id, origin, submission).await {
+        Acceptance::Kept => {
+            let ms = clock::now().since_ms(began_at);
+            node.note("batch_accepted", json!({ "request": id, "route": route.name, "ms": ms }));
+            count(&node.metrics.answers, "batch_accepted");
+            plain(StatusCode::ACCEPTED, Bytes::from_static(b"{}"))
+        }
+        Acceptance::Taken => {
+            let message = format!("the id {id} is taken");
+            let ending = Ending::new(StatusCode::CONFLICT, message);
+            ended(node, Some(&id), Some(route), &ending)
+        }
+        Acceptance::Unknown(refusal) => {
+            let ending = if refusal.verdict == Verdict::NotRun {
+                Ending::not_run(refusal.message, COME_BACK_MS)
+            } else {
+                Ending::new(StatusCode::GATEWAY_TIMEOUT, refusal.message)
+            };
+            ended(node, Some(&id), Some(route), &ending)
+        }
+    }
+}
--- a/crates/serve/src/caller.rs
+++ b/crates/serve/src/caller.rs
@@ -1,14 +1,15 @@
 //! Requests of callers: which route they take, how often they are tried, and what is answered.
 
 use crate::access::{self, Refusal};
-use crate::batches::{self, Acceptance, Lookup, Origin};
+use crate::batch_calls;
+use crate::batches::Origin;
 use crate::clock;
 use crate::crashes;
 use crate::feed::{self, Subject};
 use crate::forward::{self, AttemptFailure, Cause, Chosen, Outgoing, WholeAnswer};
 use crate::metrics::count;
 use crate::node::Node;
-use crate::platform::{BatchCall, Platform};
+use crate::platform::Platform;
 use crate::turn::{self, Turn};
 use bytes::Bytes;
 use catkinmast_dispatch::{Document, Route, RouteKind};
@@ -34,7 +35,7 @@
 
 /// When to come back after a refusal because this node has no configuration, or the store does
 /// not answer: about the time in which either returns after a restart.
-const COME_BACK_MS: u64 = 500;
+pub(crate) const COME_BACK_MS: u64 = 500;
 /// When to come back after all targets refused for load: about one usual request's time.
 const FULL_COME_BACK_MS: u64 = 100;
 /// Pause before targets that have all been tried are tried again: a slot frees about that often. Targets
@@ -66,31 +67,31 @@
 
 /// A refusal or failure of our own.
 #[derive(Clone, Debug)]
-struct Ending {
+pub(crate) struct Ending {
     come_back_ms: Option<u64>,
     message: String,
     status: StatusCode,
 }
 
 impl Ending {
-    fn new(status: StatusCode, message: impl Into<String>) -> Self {
+    pub(crate) fn new(status: StatusCode, message: impl Into<String>) -> Self {
         Self { come_back_ms: None, message: message.into(), status }
     }
 
     /// Not run, and never will be.
-    fn not_run(message: impl Into<String>, come_back_ms: u64) -> Self {
+    pub(crate) fn not_run(message: impl Into<String>, come_back_ms: u64) -> Self {
         let come_back_ms = Some(come_back_ms);
         Self { come_back_ms, message: message.into(), status: StatusCode::SERVICE_UNAVAILABLE }
     }
 
-    fn of(refusal: Refusal) -> Self {
+    pub(crate) fn of(refusal: Refusal) -> Self {
         match refusal {
             Refusal::Denied(why) => Self::new(StatusCode::UNAUTHORIZED, why),
             Refusal::Unsure(why) => Self::not_run(why, COME_BACK_MS),
         }
     }
 
-    fn answer<P: Platform>(&self) -> Answer<P> {
+    pub(crate) fn answer<P: Platform>(&self) -> Answer<P> {
         let body = json!({ "error": self.message }).to_string();
         let mut answer = plain(self.status, Bytes::from(body));
         if self.status == StatusCode::UNAUTHORIZED {
@@ -123,7 +124,7 @@
     let began_at = clock::now();
     let (head, body) = request.into_parts();
     let mut answer = match P::batch_call(&head) {
-        Some(call) => batch_call(&node, &head.headers, call).await,
+        Some(call) => batch_calls::answer(&node, &head.headers, call).await,
         None => route_request(&node, head, body, began_at).await,
     };
     node.metrics.request_seconds.observe(clock::now().since_ms(began_at) as f64 / 1_000.0);
@@ -134,67 +135,6 @@
     Ok(answer)
 }
 
-async fn batch_call<P: Platform>(
-    node: &Rc<Node<P>>,
-    headers: &HeaderMap,
-    call: BatchCall,
-) -> Answer<P> {
-    let began_at = clock::now();
-    let scope = match node.document() {
-        Some(document) => access::scope(node, &document, host(headers), headers),
-        None => Err(Refusal::Unsure("no configuration yet".to_owned())),
-    };
-    let scope = match scope {
-        Ok(scope) => scope,
-        Err(refusal) => {
-            let id = P::caller_terms(headers).request_id;
-            return ended(node, id.as_deref(), None, &Ending::of(refusal));
-        }
-    };
-    let (batch, what, result) = match call {
-        BatchCall::Read { after, batch, wait_ms } => {
-            let found = batches::read(node, &batch, &scope, after, wait_ms).await;
-            let page =
-                map(found, |(total, results)| P::page(total, after + results.len(), &results));
-            (batch, "read", page)
-        }
-        BatchCall::ItemBody { batch, item } => {
-            let found = batches::item_body(node, &batch, &scope, &item).await;
-            (batch, "item_body", map(found, Bytes::from))
-        }
-        BatchCall::End { batch } => {
-            let found = batches::end(node, &batch, &scope).await;
-            (batch, "end", map(found, |()| Bytes::from_static(b"{}")))
-        }
-    };
-    match result {
-        Lookup::Found(body) => {
-            count(&node.metrics.answers, "batch_call");
-            plain(StatusCode::OK, body)
-        }
-        Lookup::Missing => {
-            node.note("batch_call_missing", json!({ "request": batch, "call": what }));
-            Ending::new(StatusCode::NOT_FOUND, "no such batch or item").answer()
-        }
-        Lookup::Unsure(why) => {
-            let ms = clock::now().since_ms(began_at);
-            node.note(
-                "batch_call_unsure",
-                json!({ "request": batch, "call": what, "why": why, "ms": ms }),
-            );
-            Ending::not_run(why, COME_BACK_MS).answer()
-        }
-    }
-}
-
-fn map<T, U>(found: Lookup<T>, change: impl FnOnce(T) -> U) -> Lookup<U> {
-    match found {
-        Lookup::Found(found) => Lookup::Found(change(found)),
-        Lookup::Missing => Lookup::Missing,
-        Lookup::Unsure(why) => Lookup::Unsure(why),
-    }
-}
-
 async fn route_request<P: Platform>(
     node: &Rc<Node<P>>,
     head: Parts,
@@ -232,7 +172,7 @@
     };
     if route.kind == RouteKind::Rollout {
         let origin = Origin { host, path: head.uri.path().to_owned(), workspace };
-        return submit(node, origin, body, id, &route).await;
+        return batch_calls::submit(node, origin, body, id, &route).await;
     }
     let mut headers = head.headers;
     forward::strip_hop_by_hop(&mut headers);
@@ -263,7 +203,7 @@
 }
 
 /// Reads the host that a request is for, without its port.
-fn host(headers: &HeaderMap) -> &str {
+pub(crate) fn host(headers: &HeaderMap) -> &str {
     let host = headers.get(HOST).and_then(|host| host.to_str().ok()).unwrap_or_default();
     host.split(':').next().unwrap_or_default()
 }
@@ -317,7 +257,7 @@
     }
 }
 
-fn ended<P: Platform>(
+pub(crate) fn ended<P: Platform>(
     node: &Node<P>,
     id: Option<&str>,
     route: Option<&Route>,
@@ -353,54 +293,6 @@
     response
 }
 
-async fn submit<P: Platform>(
-    node: &Rc<Node<P>>,
-    origin: Origin,
-    body: Bytes,
-    id: Option<String>,
-    route: &Route,
-) -> Answer<P> {
-    let began_at = clock::now();
-    let fits = |id: &String| {
-        !id.is_empty()
-            && id.len() <= 100
-            && id.bytes().all(|b| b.is_ascii_alphanumeric() || b == b'-')
-    };
-    let Some(id) = id.filter(fits) else {
-        let ending = Ending::new(StatusCode::BAD_REQUEST, "a batch submission needs a plain id");
-        return ended(node, None, Some(route), &ending);
-    };
-    let submission = match P::submission(&body) {
-        Ok(submission) => submission,
-        Err(error) => {
-            let ending = Ending::new(StatusCode::BAD_REQUEST, error.to_string());
-            return ended(node, Some(&id), Some(route), &ending);
-        }
-    };
-    drop(body);
-    match batches::submit(node, &id, origin, submission).await {
-        Acceptance::Kept => {
-            let ms = clock::now().since_ms(began_at);
-            node.note("batch_accepted", json!({ "request": id, "route": route.name, "ms": ms }));
-            count(&node.metrics.answers, "batch_accepted");
-            plain(StatusCode::ACCEPTED, Bytes::from_static(b"{}"))
-        }
-        Acceptance::Taken => {
-            let message = format!("the id {id} is taken");
-            let ending = Ending::new(StatusCode::CONFLICT, message);
-            ended(node, Some(&id), Some(route), &ending)
-        }
-        Acceptance::Unknown(refusal) => {
-            let ending = if refusal.verdict == Verdict::NotRun {
-                Ending::not_run(refusal.message, COME_BACK_MS)
-            } else {
-                Ending::new(StatusCode::GATEWAY_TIMEOUT, refusal.message)
-            };
-            ended(node, Some(&id), Some(route), &ending)
-        }
-    }
-}
-
 /// Tries a request at targets until one answers, the attempts are used up or the time is over.
 async fn serve<P: Platform>(
     node: &Rc<Node<P>>,
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -5,9 +5,12 @@
 //! behind the [`Platform`] trait, which is chosen at compile time.
 //!
 //! A request's way: `listener` → `caller` → `forward` → target → answer. A sample's: `caller` →
-//! `batches` (made durable) → `runs` (scheduled, run, scored) → `batches` (listed) → reader.
+//! `batch_calls` → `batches` (made durable) → `runs` (scheduled, run, scored) → `batches` (listed) →
+//! reader. What one node does for all is held under a lease by `tenancy`: `orders` to engines, and the
+//! `duties` towards the platform, which `usage` and `scaling` serve.
 
 mod access;
+mod batch_calls;
 mod batches;
 mod caller;
 mod clock;
--- a/crates/serve/src/node.rs
+++ b/crates/serve/src/node.rs
@@ -364,24 +364,18 @@
     }
 
     async fn store_by_peers(&self, call: &StoreCall) -> Result<StoreAnswer, StoreRefusal> {
-        let mut last =
-            StoreRefusal { message: "no peer to ask".to_owned(), verdict: Verdict::NotRun };
         let wait_ms = if let StoreCall::Watch { wait_ms, .. } = call { *wait_ms } else { 0 };
         let max = STORE_MAX + Duration::from_millis(wait_ms + WATCH_SLACK_MS);
         let peers = if wait_ms > 0 { 1 } else { STORE_PEERS };
+        let mut last = no_peer();
         for peer in self.live_peers().into_iter().take(peers) {
-            match self.ask_peer(peer, &PeerCall::Store(call.clone()), max).await {
-                Ok(PeerAnswer::Store(Ok(answer))) => {
+            match self.store_by(peer, call, max).await {
+                Ok(answer) => {
                     self.batches.store_returned();
                     return Ok(answer);
                 }
-                Ok(PeerAnswer::Store(Err(refusal))) => last = refusal,
-                Ok(_) => {}
-                Err(error) => {
-                    last = StoreRefusal { message: error.message, verdict: error.verdict };
-                }
+                Err(refusal) => last = refusal,
             }
-            count(&self.metrics.store_failures, "peer");
         }
         Err(last)
     }
@@ -390,16 +384,29 @@
     pub(crate) async fn store_by_a_peer(
         &self,
         call: &StoreCall,
+    ) -> Result<StoreAnswer, StoreRefusal> {
+        match self.live_peers().first() {
+            Some(peer) => self.store_by(*peer, call, STORE_MAX).await,
+            None => Err(no_peer()),
+        }
+    }
+
+    async fn store_by(
+        &self,
+        peer: SocketAddr,
+        call: &StoreCall,
+        max: Duration,
     ) -> Result<StoreAnswer, StoreRefusal> {
         let refusal = |message: String, verdict| StoreRefusal { message, verdict };
-        let Some(peer) = self.live_peers().into_iter().next() else {
-            return Err(refusal("no peer to ask".to_owned(), Verdict::NotRun));
-        };
-        match self.ask_peer(peer, &PeerCall::Store(call.clone()), STORE_MAX).await {
+        let result = match self.ask_peer(peer, &PeerCall::Store(call.clone()), max).await {
             Ok(PeerAnswer::Store(result)) => result,
             Ok(_) => Err(refusal("another answer than the store's".to_owned(), Verdict::Ran)),
             Err(error) => Err(refusal(error.message, error.verdict)),
+        };
+        if result.is_err() {
+            count(&self.metrics.store_failures, "peer");
         }
+        result
     }
 
     /// Asks a peer.
@@ -429,3 +436,7 @@
         }
     }
 }
+
+fn no_peer() -> StoreRefusal {
+    StoreRefusal { message: "no peer to ask".to_owned(), verdict: Verdict::NotRun }
+}
--- a/crates/serve/src/peers.rs
+++ b/crates/serve/src/peers/mod.rs
@@ -1,30 +1,33 @@
 //! The other nodes: who lives, and calls between nodes.
 
-use crate::batches::{self, Acceptance, BatchCopy, Origin, Scope};
+mod messages;
+mod ranks;
+
+pub(crate) use messages::{Datagram, Owner, PeerAnswer, PeerCall};
+pub(crate) use ranks::{
+    comes_before, first_for, followers, holder_of, is_first_for, rank_for, successor_for,
+    tell_holder, tellers,
+};
+
+use crate::batches::{self, Acceptance};
 use crate::clock;
 use crate::crashes;
-use crate::feed::{self, Changes, Subject};
+use crate::feed;
 use crate::node::Node;
 use crate::outage;
 use crate::platform::Platform;
 use crate::pool::CallError;
 use crate::settings::Settings;
-use crate::store::{StoreAnswer, StoreCall, StoreRefusal};
 use crate::usage;
 use bytes::Bytes;
-use catkinmast_dispatch::{ItemResult, Progress, Submission, TextNews};
-use catkinmast_member::{
-    DutyRank, Fact, Membership, MembershipSettings, Message, NodeFact, NodeState, Output, OwnerFact,
-};
+use catkinmast_member::{Fact, Membership, MembershipSettings, NodeFact, NodeState, Output};
 use catkinmast_model::{Incarnation, Name, UnixMs, Verdict};
-use catkinmast_usage::{Table, Teller};
 use catkinmast_wire as wire;
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
-use serde::{Deserialize, Serialize};
 use serde_json::json;
 use std::convert::Infallible;
 use std::net::SocketAddr;
@@ -47,86 +50,6 @@
 /// The largest call between nodes: a page of results or a value of the store.
 const PEER_CALL_MAX_BYTES: usize = 4 << 20;
 
-/// A call between nodes.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-pub(crate) enum PeerCall {
-    /// Gives a batch to the receiver, which the store names as its owner already.
-    Adopt { batch: String, texts: Vec<(String, Progress)> },
-    /// Asks for the changes of a feed that came after a revision.
-    Changes { after: u64, subject: Subject },
-    /// Ends a batch that the receiver owns.
-    End { batch: String, scope: Scope },
-    /// Keeps a copy of a batch for its owner, whom the receiver would follow.
-    KeepCopy { batch: String, copy: Box<BatchCopy> },
-    /// Keeps what is new of the texts of a batch of which the receiver has a copy.
-    KeepTexts { batch: String, texts: Vec<TextNews> },
-    /// Reads the body of an item of a batch that the receiver owns.
-    ItemBody { batch: String, item: String, scope: Scope },
-    /// Reads results of a batch that the receiver owns.
-    Read { after: usize, batch: String, scope: Scope, wait_ms: u64 },
-    /// Tells what the sender has counted of the requests of workspaces.
-    Usage { tables: Vec<Table>, teller: Teller },
-    /// Makes a call of the store for a node that the store turns away.
-    Store(StoreCall),
-    /// Hands a submission to the owner of its model's batches.
-    Submit { batch: String, origin: Origin, submission: Box<Submission> },
-}
-
-/// The answer to a [`PeerCall`].
-#[derive(Clone, Debug, Deserialize, Serialize)]
-pub(crate) enum PeerAnswer {
-    /// The batch is kept.
-    Accepted,
-    /// The receiver takes the batch.
-    Adopting,
-    /// The body of an item.
-    Body(Vec<u8>),
-    /// Changes of a feed.
-    Changes(Changes),
-    /// The batch is ended, and that is durable.
-    Ended,
-    /// No batch that the caller may see.
-    NoBatch,
-    /// No such item.
-    NoItem,
-    /// The receiver does not own the batch.
-    NotOwner,
-    /// Results.
-    Page { results: Vec<ItemResult>, total: usize },
-    /// What the store answered.
-    Store(Result<StoreAnswer, StoreRefusal>),
-    /// The receiver could not do it now.
-    Unavailable,
-}
-
-/// A datagram between nodes.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-pub(crate) enum Datagram {
-    /// A batch was ended, and that is durable.
-    BatchEnded { batch: String },
-    /// A batch's owner is dead, and the batch falls to the receiver.
-    BatchOrphaned { batch: String, owner: Owner },
-    /// A batch has a new owner.
-    BatchOwned { batch: String, model: Option<String>, owner: Owner, work_tokens: u64 },
-    /// Changes of a feed.
-    Changes { changes: Changes, subject: Subject },
-    /// Membership, and what the sender's clock shows.
-    Member { message: Message, wall: UnixMs },
-    /// The store answers again after an outage.
-    StoreReturned,
-    /// A target, in the life that began then, loads weights from now on, for about so long.
-    TargetLoads { born_at_unix_ms: Option<u64>, for_ms: u64, target: String },
-}
-
-/// A life of a node.
-#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
-pub(crate) struct Owner {
-    /// Where it is reached.
-    pub address: SocketAddr,
-    pub incarnation: Incarnation,
-    pub node: Name,
-}
-
 /// Makes a name of a text; what our names do not allow is replaced.
 pub(crate) fn name_of(text: &str) -> Name {
     let allowed = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || "-_.".contains(c);
@@ -343,7 +266,7 @@
 /// Returns this life of this node, once it has joined.
 pub(crate) fn me<P: Platform>(node: &Node<P>) -> Option<Owner> {
     let members = node.members.borrow();
-    members.as_ref().map(|members| owner_of(members.me()))
+    members.as_ref().map(|members| ranks::owner_of(members.me()))
 }
 
 /// What is known of a node's life.
@@ -374,92 +297,6 @@
     }
 }
 
-/// Returns this node's rank for a duty among those that live; none before it has joined.
-pub(crate) fn rank_for<P: Platform>(node: &Node<P>, duty: &str) -> Option<usize> {
-    let members = node.members.borrow();
-    let members = members.as_ref()?;
-    let mine = DutyRank::of(members.me(), duty);
-    let live = members.nodes().filter(|peer| peer.state == NodeState::Live);
-    Some(live.filter(|peer| DutyRank::of(peer, duty) < mine).count())
-}
-
-/// Tells whether the node at an address comes before this one for a duty.
-pub(crate) fn comes_before<P: Platform>(node: &Node<P>, address: SocketAddr, duty: &str) -> bool {
-    let members = node.members.borrow();
-    let Some(members) = members.as_ref() else { return false };
-    let mine = DutyRank::of(members.me(), duty);
-    let peer = members.nodes().find(|peer| peer.control == address);
-    peer.is_some_and(|peer| DutyRank::of(peer, duty) < mine)
-}
-
-/// Tells whether this node comes first for a duty among those that live.
-pub(crate) fn is_first_for<P: Platform>(node: &Node<P>, duty: &str) -> bool {
-    rank_for(node, duty) == Some(0)
-}
-
-/// Returns where the node that comes first for a duty is reached; none if it is this one.
-pub(crate) fn first_for<P: Platform>(node: &Node<P>, duty: &str) -> Option<SocketAddr> {
-    if is_first_for(node, duty) {
-        return None;
-    }
-    successor_for(node, duty).map(|owner| owner.address)
-}
-
-/// Returns the node that comes first for a duty among the others that live.
-pub(crate) fn successor_for<P: Platform>(node: &Node<P>, duty: &str) -> Option<Owner> {
-    let members = node.members.borrow();
-    let members = members.as_ref()?;
-    let live = members.peers().filter(|peer| peer.state == NodeState::Live);
-    let first = live.min_by_key(|peer| DutyRank::of(peer, duty))?;
-    Some(owner_of(first))
-}
-
-/// Returns the holder of a duty, and the nodes that come first in rank for it, this one among them.
-pub(crate) fn followers<P: Platform>(node: &Node<P>, duty: &str, count: usize) -> Vec<Owner> {
-    let holder = holder_of(node, &name_of(duty));
-    let members = node.members.borrow();
-    let Some(members) = members.as_ref() else { return Vec::new() };
-    let mut live: Vec<&NodeFact> =
-        members.nodes().filter(|peer| peer.state == NodeState::Live).collect();
-    live.sort_by_key(|peer| DutyRank::of(peer, duty));
-    let is_wanted = |(rank, peer): &(usize, &NodeFact)| {
-        *rank < count || holder.as_ref().is_some_and(|holder| *holder == peer.name)
-    };
-    let wanted = live.into_iter().enumerate().filter(is_wanted);
-    wanted.map(|(_, peer)| owner_of(peer)).collect()
-}
-
-fn owner_of(peer: &NodeFact) -> Owner {
-    Owner { address: peer.control, incarnation: peer.incarnation, node: peer.name.clone() }
-}
-
-/// Returns the lives that may serve callers now.
-pub(crate) fn tellers<P: Platform>(node: &Node<P>) -> Vec<Teller> {
-    let members = node.members.borrow();
-    let Some(members) = members.as_ref() else { return Vec::new() };
-    let serving = members.nodes().filter(|peer| peer.state != NodeState::Gone);
-    serving.map(|peer| Teller { incarnation: peer.incarnation, node: peer.name.clone() }).collect()
-}
-
-/// Returns the holder of a duty that all are told of, if it lives.
-pub(crate) fn holder_of<P: Platform>(node: &Node<P>, duty: &Name) -> Option<Name> {
-    let members = node.members.borrow();
-    let members = members.as_ref()?;
-    let fact = members.board().iter().find_map(|fact| match fact {
-        Fact::Owner(owner) if owner.trainer == *duty => Some(owner.clone()),
-        _ => None,
-    })?;
-    let lives = members.nodes().any(|peer| {
-        peer.name == fact.node && !matches!(peer.state, NodeState::Gone | NodeState::Leaving)
-    });
-    lives.then_some(fact.node)
-}
-
-/// Tells all that this node holds a duty.
-pub(crate) fn tell_holder<P: Platform>(node: &Node<P>, fact: OwnerFact) {
-    with_members(node, |members, now| members.observe(now, Fact::Owner(fact)));
-}
-
 /// Answers a call of another node.
 pub(crate) async fn answer<P: Platform>(
     node: Rc<Node<P>>,
--- /dev/null
+++ b/crates/serve/src/peers/ranks.rs
@@ -0,0 +1,95 @@
+//! Which node does what one node does for all.
+
+use super::{Owner, name_of, with_members};
+use crate::node::Node;
+use crate::platform::Platform;
+use catkinmast_member::{DutyRank, Fact, NodeFact, NodeState, OwnerFact};
+use catkinmast_model::Name;
+use catkinmast_usage::Teller;
+use std::net::SocketAddr;
+
+/// Returns this node's rank for a duty among those that live; none before it has joined.
+pub(crate) fn rank_for<P: Platform>(node: &Node<P>, duty: &str) -> Option<usize> {
+    let members = node.members.borrow();
+    let members = members.as_ref()?;
+    let mine = DutyRank::of(members.me(), duty);
+    let live = members.nodes().filter(|peer| peer.state == NodeState::Live);
+    Some(live.filter(|peer| DutyRank::of(peer, duty) < mine).count())
+}
+
+/// Tells whether the node at an address comes before this one for a duty.
+pub(crate) fn comes_before<P: Platform>(node: &Node<P>, address: SocketAddr, duty: &str) -> bool {
+    let members = node.members.borrow();
+    let Some(members) = members.as_ref() else { return false };
+    let mine = DutyRank::of(members.me(), duty);
+    let peer = members.nodes().find(|peer| peer.control == address);
+    peer.is_some_and(|peer| DutyRank::of(peer, duty) < mine)
+}
+
+/// Tells whether this node comes first for a duty among those that live.
+pub(crate) fn is_first_for<P: Platform>(node: &Node<P>, duty: &str) -> bool {
+    rank_for(node, duty) == Some(0)
+}
+
+/// Returns where the node that comes first for a duty is reached; none if it is this one.
+pub(crate) fn first_for<P: Platform>(node: &Node<P>, duty: &str) -> Option<SocketAddr> {
+    if is_first_for(node, duty) {
+        return None;
+    }
+    successor_for(node, duty).map(|owner| owner.address)
+}
+
+/// Returns the node that comes first for a duty among the others that live.
+pub(crate) fn successor_for<P: Platform>(node: &Node<P>, duty: &str) -> Option<Owner> {
+    let members = node.members.borrow();
+    let members = members.as_ref()?;
+    let live = members.peers().filter(|peer| peer.state == NodeState::Live);
+    let first = live.min_by_key(|peer| DutyRank::of(peer, duty))?;
+    Some(owner_of(first))
+}
+
+/// Returns the holder of a duty, and the nodes that come first in rank for it, this one among them.
+pub(crate) fn followers<P: Platform>(node: &Node<P>, duty: &str, count: usize) -> Vec<Owner> {
+    let holder = holder_of(node, &name_of(duty));
+    let members = node.members.borrow();
+    let Some(members) = members.as_ref() else { return Vec::new() };
+    let mut live: Vec<&NodeFact> =
+        members.nodes().filter(|peer| peer.state == NodeState::Live).collect();
+    live.sort_by_key(|peer| DutyRank::of(peer, duty));
+    let is_wanted = |(rank, peer): &(usize, &NodeFact)| {
+        *rank < count || holder.as_ref().is_some_and(|holder| *holder == peer.name)
+    };
+    let wanted = live.into_iter().enumerate().filter(is_wanted);
+    wanted.map(|(_, peer)| owner_of(peer)).collect()
+}
+
+pub(super) fn owner_of(peer: &NodeFact) -> Owner {
+    Owner { address: peer.control, incarnation: peer.incarnation, node: peer.name.clone() }
+}
+
+/// Returns the lives that may serve callers now.
+pub(crate) fn tellers<P: Platform>(node: &Node<P>) -> Vec<Teller> {
+    let members = node.members.borrow();
+    let Some(members) = members.as_ref() else { return Vec::new() };
+    let serving = members.nodes().filter(|peer| peer.state != NodeState::Gone);
+    serving.map(|peer| Teller { incarnation: peer.incarnation, node: peer.name.clone() }).collect()
+}
+
+/// Returns the holder of a duty that all are told of, if it lives.
+pub(crate) fn holder_of<P: Platform>(node: &Node<P>, duty: &Name) -> Option<Name> {
+    let members = node.members.borrow();
+    let members = members.as_ref()?;
+    let fact = members.board().iter().find_map(|fact| match fact {
+        Fact::Owner(owner) if owner.trainer == *duty => Some(owner.clone()),
+        _ => None,
+    })?;
+    let lives = members.nodes().any(|peer| {
+        peer.name == fact.node && !matches!(peer.state, NodeState::Gone | NodeState::Leaving)
+    });
+    lives.then_some(fact.node)
+}
+
+/// Tells all that this node holds a duty.
+pub(crate) fn tell_holder<P: Platform>(node: &Node<P>, fact: OwnerFact) {
+    with_members(node, |members, now| members.observe(now, Fact::Owner(fact)));
+}
--- a/tests/all/site/workspaces.rs
+++ b/tests/all/site/workspaces.rs
@@ -261,6 +261,8 @@
     let site = site_with_keys(3, 0).await;
     let node = &site.nodes[2];
     site.store.set_door(node.door, Door::Refuses);
+    // A watch that it had made before is answered within half of the bound.
+    tokio::time::sleep(Duration::from_millis(CHANGE_BOUND_MS)).await;
 
     put_in_force(&site, 9, &[("a", &["memorykey0123456789"]), ("b", &[KEY_B])]).await;
 
