--- a/crates/scaling/src/plan.rs
+++ b/crates/scaling/src/plan.rs
@@ -43,16 +43,15 @@
 pub struct Scaling {
     seen: (Wanted, UnixMs),
     states: IndexMap<Pool, State>,
-    terms: ScalingTerms,
     /// What the service is to have; none until it is known.
     wanted: Option<Wanted>,
 }
 
 impl Scaling {
     /// Opens the scaling of a service; `wanted` is what it is to have, where that was found before.
-    pub fn open(terms: ScalingTerms, wanted: Option<Wanted>) -> Self {
+    pub fn open(wanted: Option<Wanted>) -> Self {
         let seen = (Wanted::new(), UnixMs(0));
-        Self { seen, states: IndexMap::new(), terms, wanted }
+        Self { seen, states: IndexMap::new(), wanted }
     }
 
     /// Returns what the service is to have, once that is known.
@@ -60,8 +59,9 @@
         self.wanted.as_ref()
     }
 
-    /// Returns the orders that are due, given how many targets of each pool serve.
-    pub fn plan(&mut self, now: UnixMs, serving: &Wanted) -> Vec<TargetOrder> {
+    /// Returns the orders that are due under the terms in force, given how many targets of each pool
+    /// serve.
+    pub fn plan(&mut self, now: UnixMs, terms: ScalingTerms, serving: &Wanted) -> Vec<TargetOrder> {
         if self.wanted.is_none() {
             self.learn(now, serving);
         }
@@ -69,7 +69,7 @@
         let mut orders = Vec::new();
         for (pool, count) in &wanted {
             let state = self.states.entry(pool.clone()).or_default();
-            let count = (count + state.stands_in).clamp(self.terms.min, self.terms.max);
+            let count = (count + state.stands_in).clamp(terms.min, terms.max);
             if serving.get(pool).copied().unwrap_or(0) >= count {
                 state.short_since = None;
                 state.refused_short = 0;
@@ -77,7 +77,7 @@
             }
             let since = *state.short_since.get_or_insert(now);
             if now.since_ms(since) >= SHORT_MS && now >= state.order_from {
-                state.order_from = now.plus(self.terms.boot_ms + ORDER_AGAIN_MS);
+                state.order_from = now.plus(terms.boot_ms + ORDER_AGAIN_MS);
                 orders.push(TargetOrder { count, pool: pool.clone() });
             }
         }
--- a/crates/serve/src/runs/stream.rs
+++ b/crates/serve/src/runs/stream.rs
@@ -12,7 +12,7 @@
 use catkinmast_dispatch::{EventReader, Item, ItemResult, Outcome, Progress};
 use catkinmast_model::UnixMs;
 use catkinmast_quarantine::Fingerprint;
-use http::header::HOST;
+use http::header::{AUTHORIZATION, HOST};
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -170,9 +170,6 @@
     }
     forward::strip_hop_by_hop(&mut headers);
     headers.remove(http::header::CONTENT_LENGTH);
-    if terms.workspace.is_some() {
-        headers.remove(http::header::AUTHORIZATION);
-    }
     Outgoing {
         body: item.body.clone().into(),
         deadline_at: terms.give_up_at.min(clock::now().plus(RUN_MAX_MS)),
@@ -195,7 +192,10 @@
     longest_gap_ms: &Cell<u64>,
 ) -> RunEnd {
     let after = progress.borrow().last_event_id;
-    let request = outgoing(item, terms, after);
+    let mut request = outgoing(item, terms, after);
+    if node.document().is_some_and(|document| document.workspaces.is_some()) {
+        request.headers.remove(AUTHORIZATION);
+    }
     let sent = StreamRun::begin(chosen.clone(), request.clone());
     let broken = |why: &str, outcome| RunEnd::Broken { outcome, why: why.to_owned() };
     let opened = match timeout(FIRST_EVENT_MAX, forward::open(node, chosen, &request)).await {
--- a/crates/serve/src/scaling.rs
+++ b/crates/serve/src/scaling.rs
@@ -45,11 +45,11 @@
         }
         for (name, terms) in scaled(&node) {
             if !services.contains_key(&name) {
-                let Some(service) = open(&node, &name, terms).await else { continue };
+                let Some(service) = open(&node, &name).await else { continue };
                 services.insert(name.clone(), service);
             }
             let Some(service) = services.get_mut(&name) else { continue };
-            service.plan(&node, &tenancy, &duties, &name).await;
+            service.plan(&node, &tenancy, &duties, &name, terms).await;
         }
     }
 }
@@ -66,11 +66,7 @@
 
 /// Opens a service with what it is to have, as an earlier holder found it; none while the store does not
 /// tell.
-async fn open<P: Platform>(
-    node: &Rc<Node<P>>,
-    service: &str,
-    terms: ScalingTerms,
-) -> Option<Service> {
+async fn open<P: Platform>(node: &Rc<Node<P>>, service: &str) -> Option<Service> {
     let call = StoreCall::Get { key: wanted_key(service), may_be_old: false };
     let Ok(StoreAnswer::Item(found)) = node.store(&call).await else { return None };
     let wanted = found.and_then(|item| {
@@ -78,7 +74,7 @@
         wanted.ok().map(|pools| pools.into_iter().collect::<Wanted>())
     });
     let written = wanted.is_some();
-    Some(Service { scaling: Scaling::open(terms, wanted), written })
+    Some(Service { scaling: Scaling::open(wanted), written })
 }
 
 fn wanted_key(service: &str) -> String {
@@ -104,9 +100,10 @@
         tenancy: &Tenancy,
         duties: &DutySettings,
         name: &str,
+        terms: ScalingTerms,
     ) {
         let serving = serving(node, name);
-        let orders = self.scaling.plan(clock::now(), &serving);
+        let orders = self.scaling.plan(clock::now(), terms, &serving);
         if !self.written
             && let Some(wanted) = self.scaling.wanted()
         {
--- a/tests/all/scaling.rs
+++ b/tests/all/scaling.rs
@@ -27,7 +27,7 @@
 ) -> Vec<(u64, TargetOrder)> {
     let mut orders = Vec::new();
     for at_ms in (from_ms..from_ms + for_ms).step_by(TICK_MS as usize) {
-        for order in scaling.plan(UnixMs(at_ms), serving) {
+        for order in scaling.plan(UnixMs(at_ms), TERMS, serving) {
             let count = serving.get(&order.pool).copied().unwrap_or(0);
             scaling.outcome(UnixMs(at_ms), &order, count, outcome);
             orders.push((at_ms, order));
@@ -37,7 +37,7 @@
 }
 
 fn settled(counts: &[(&str, u32)]) -> Scaling {
-    let mut scaling = Scaling::open(TERMS, None);
+    let mut scaling = Scaling::open(None);
     let orders = play(&mut scaling, 0, 4_000, &serving(counts), OrderOutcome::Taken);
     assert_eq!(orders, []);
     scaling
@@ -45,7 +45,7 @@
 
 #[test]
 fn targets_that_are_still_coming_are_not_taken_for_all_there_are() {
-    let mut scaling = Scaling::open(TERMS, None);
+    let mut scaling = Scaling::open(None);
 
     for second in 0..5 {
         let at_ms = second * 1_000;
@@ -93,7 +93,7 @@
 #[test]
 fn what_a_service_is_to_have_outlives_the_holder_of_the_duty() {
     let wanted = settled(&[("a", 15)]).wanted().cloned();
-    let mut scaling = Scaling::open(TERMS, wanted);
+    let mut scaling = Scaling::open(wanted);
 
     let orders = play(&mut scaling, 0, 4_000, &serving(&[("a", 9)]), OrderOutcome::Taken);
 
@@ -115,6 +115,20 @@
     assert!(orders.contains(&order("c", 12)), "{orders:?}");
 }
 
+// Symptom: a bound that the operators change counts only once the holder of the duty changes.
+#[test]
+fn a_bound_that_the_operators_change_counts_at_once() {
+    let mut scaling = settled(&[("a", 15)]);
+    let lower = ScalingTerms { max: 10, ..TERMS };
+
+    let orders: Vec<TargetOrder> = (4_000..8_000)
+        .step_by(TICK_MS as usize)
+        .flat_map(|at_ms| scaling.plan(UnixMs(at_ms), lower, &serving(&[("a", 8)])))
+        .collect();
+
+    assert_eq!(orders, [TargetOrder { count: 10, pool: pool("a") }]);
+}
+
 #[test]
 fn terms_that_allow_no_number_are_an_error_that_names_both() {
     let error = ScalingTerms { min: 5, max: 4, ..TERMS }.checked().expect_err("unfit");
@@ -132,7 +146,7 @@
         let of = |counts: &[u32]| -> Wanted {
             counts.iter().enumerate().map(|(index, count)| (pool(&format!("z{index}")), *count)).collect()
         };
-        let mut scaling = Scaling::open(TERMS, None);
+        let mut scaling = Scaling::open(None);
         play(&mut scaling, 0, 4_000, &of(&began), OrderOutcome::Taken);
         for (round, (counts, outcome)) in later.iter().enumerate() {
             let outcomes = [OrderOutcome::Taken, OrderOutcome::NoneLeft, OrderOutcome::Unknown];
