--- a/crates/serve/src/feed/mod.rs
+++ b/crates/serve/src/feed/mod.rs
@@ -46,10 +46,9 @@
 const GATHER_TARGETS: Duration = Duration::from_millis(300);
 /// The same for what operators and trainers write; a trainer waits for its version.
 const GATHER_OPERATORS: Duration = Duration::from_millis(60);
-/// First pause after a failure; doubled up to [`catkinmast_dispatch::ChangeBound::wait_ms`], with jitter. A node that has both
-/// ways to the store fail cannot be told of a change before one of them is back, and the end of an
-/// outage ends the pause.
+/// First pause after a failure; doubled up to [`PAUSE_MAX_MS`], with jitter.
 const PAUSE_MS: u64 = 100;
+const PAUSE_MAX_MS: u64 = 800;
 /// How long the store may take to answer before a peer is asked as well; a slow one takes less.
 const HEDGE_AFTER: Duration = Duration::from_millis(500);
 /// How long a peer may take to tell what came since.
@@ -87,7 +86,6 @@
 pub(crate) async fn follow<P: Platform>(node: Rc<Node<P>>, subject: Subject) {
     let mut pause_ms = PAUSE_MS;
     let mut after_outage = false;
-    let mut failures: u32 = 0;
     loop {
         let idle_ms = looks_in_ms(&node, subject);
         if idle_ms > 0 {
@@ -97,16 +95,12 @@
             continue;
         }
         let began_at = clock::now();
-        // While all ways fail, each second look takes the one way that nobody can take for this node.
-        let by_peers = failures.is_multiple_of(2);
-        let failed = match look(&node, prefix::<P>(subject), by_peers).await {
+        let failed = match look(&node, prefix::<P>(subject)).await {
             Err(_) => {
-                failures += 1;
                 after_outage = true;
                 true
             }
             Ok((items, as_of)) => {
-                failures = 0;
                 pause_ms = PAUSE_MS;
                 let events = node.feeds.of(subject).known.borrow().difference(&items, as_of);
                 let after_outage = std::mem::take(&mut after_outage);
@@ -310,9 +304,8 @@
 
 async fn pause<P: Platform>(node: &Node<P>, pause_ms: u64) -> u64 {
     let jittered_ms = pause_ms / 2 + node.draw() % pause_ms;
-    let is_over = node.outage.over.notified();
-    drop(timeout(Duration::from_millis(jittered_ms), is_over).await);
-    (pause_ms * 2).min(node.settings().change_bound.wait_ms().max(PAUSE_MS))
+    sleep(Duration::from_millis(jittered_ms)).await;
+    (pause_ms * 2).min(PAUSE_MAX_MS)
 }
 
 /// Reads all keys under a prefix, and the revision after which changes are wanted.
@@ -337,30 +330,24 @@
 async fn look<P: Platform>(
     node: &Rc<Node<P>>,
     prefix: &'static str,
-    by_peers: bool,
 ) -> Result<(Vec<StoredItem>, u64), StoreRefusal> {
     let here = Rc::clone(node);
     // It runs to its end, so that a way that fails is known as such.
     let mut direct = spawn_local(async move {
         read_pages(prefix, false, async |call| here.store_here(&call).await).await
     });
-    let unanswered = || StoreRefusal {
-        message: "neither the store nor a peer answered".to_owned(),
-        verdict: catkinmast_model::Verdict::NotRun,
-    };
     match timeout(HEDGE_AFTER, &mut direct).await {
         Ok(Ok(Ok(found))) => return Ok(found),
-        Ok(_) if by_peers => return look_by_peer(node, prefix).await,
-        Ok(_) => return Err(unanswered()),
+        Ok(_) => return look_by_peer(node, prefix).await,
         Err(_) => {}
     }
-    if !by_peers {
-        return direct.await.unwrap_or_else(|_| Err(unanswered()));
-    }
     tokio::select! {
         Ok(Ok(found)) = direct => Ok(found),
         Ok(found) = look_by_peer(node, prefix) => Ok(found),
-        else => Err(unanswered()),
+        else => Err(StoreRefusal {
+            message: "neither the store nor a peer answered".to_owned(),
+            verdict: catkinmast_model::Verdict::NotRun,
+        }),
     }
 }
 
