A key among an item's headers is not kept with its batch

Cause: Authorization was dropped only where an item goes to a target; until then it stood in the store under cm/d/ and in the copies that an owner sends to the node that would follow it. Found by reading the change once more. Ruled out: headers of calls themselves go no further than the node (the test of a peer's memory, the trails). Change: it is dropped from items at their submission where workspaces are configured. Measured: the new test fails before (cm/d/s1/p000 holds a caller's key) and passes after; tests of workspaces 10 passed.

--- a/crates/serve/src/batch_calls.rs
+++ b/crates/serve/src/batch_calls.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use catkinmast_dispatch::Route;
 use catkinmast_model::Verdict;
+use http::header::AUTHORIZATION;
 use http::{HeaderMap, StatusCode};
 use serde_json::json;
 use std::rc::Rc;
@@ -94,7 +95,7 @@
         let ending = Ending::new(StatusCode::BAD_REQUEST, "a batch submission needs a plain id");
         return ended(node, None, Some(route), &ending);
     };
-    let submission = match P::submission(&body) {
+    let mut submission = match P::submission(&body) {
         Ok(submission) => submission,
         Err(error) => {
             let ending = Ending::new(StatusCode::BAD_REQUEST, error.to_string());
@@ -102,6 +103,12 @@
         }
     };
     drop(body);
+    if node.document().is_some_and(|document| document.workspaces.is_some()) {
+        // A batch lasts in the store and goes to other nodes.
+        for item in &mut submission.items {
+            item.headers.retain(|(name, _)| !name.eq_ignore_ascii_case(AUTHORIZATION.as_str()));
+        }
+    }
     match batches::submit(node, &id, origin, submission).await {
         Acceptance::Kept => {
             let ms = clock::now().since_ms(began_at);
--- a/tests/all/site/workspaces.rs
+++ b/tests/all/site/workspaces.rs
@@ -285,3 +285,21 @@
         read.is_ok() && bytes.windows(wanted.len()).any(|window| window == wanted)
     })
 }
+
+// Symptom: a key stands in what lasts of a batch, and in the copies that nodes send each other.
+// Sequence: a trainer puts its key among the headers of its items, too.
+// Cause: the header is dropped only where an item goes to a target.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_key_among_an_items_headers_is_not_kept_with_its_batch() {
+    let site = site_with_keys(2, 1).await;
+
+    assert_eq!(status(batch(&site, &site.nodes[0], "s1", KEY_A)).await, 202);
+
+    let keys = site.store.keys("cm/");
+    assert!(keys.iter().any(|key| key.starts_with("cm/d/s1")), "the batch is kept: {keys:?}");
+    for key in keys {
+        let value = site.store.get(&key).unwrap_or_default();
+        let holds = value.windows(KEY_B.len()).any(|window| window == KEY_B.as_bytes());
+        assert!(!holds, "{key} holds a caller's key");
+    }
+}
