Follow evacuations of data centres, and keep requests to cold targets within their limit

Cause: nothing read the operators' request to evacuate a data centre, nor how long a target stays cold, so work went on to both. Ruled out: removing evacuated targets from the table; the scaling of a service would then order replacements, and a loss of the registry's entries would be judged by too few. Change: evacuations come with the operators' feed and are left out of `TargetTable::usable`; a service without any other target refuses at once, as not run. A cold target has a fixed set of senders on a ring of all known nodes, with equal shares of its limit, counted where all requests pass (`forward::open`). Runs with two seconds left move out of an evacuated data centre. Measured: the five tests of `site::evacuation` and the property in `places` pass; none could pass before, as the words were not read.

--- a/crates/dispatch/src/document.rs
+++ b/crates/dispatch/src/document.rs
@@ -1,6 +1,7 @@
 //! The operators' configuration in the form that request handling uses.
 
 use catkinmast_access::Workspaces;
+use catkinmast_places::ColdConfig;
 use catkinmast_scaling::ScalingConfig;
 use indexmap::IndexMap;
 
@@ -95,6 +96,8 @@
 /// Configuration of a service.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct ServiceConfig {
+    /// Set if its targets bear fewer requests after they have started.
+    pub cold: Option<ColdConfig>,
     /// Most connections that one target accepts from all nodes together.
     pub connections_max: Option<u32>,
     /// Set if its targets are model engines.
@@ -153,6 +156,14 @@
         })
     }
 
+    /// Returns whether callers' requests reach a service directly, and not only as items of batches.
+    pub fn has_direct_route(&self, service: &str) -> bool {
+        self.routes.iter().any(|route| {
+            route.kind != RouteKind::Rollout
+                && route.services.iter().any(|share| share.service == service)
+        })
+    }
+
     /// Returns the engine configuration of a service, if its targets are model engines.
     pub fn engine(&self, service: &str) -> Option<&EngineConfig> {
         self.services.get(service).and_then(|config| config.engine.as_ref())
--- a/crates/dispatch/src/load.rs
+++ b/crates/dispatch/src/load.rs
@@ -93,6 +93,8 @@
 pub struct Candidate<'a> {
     /// The target's id.
     pub id: &'a str,
+    /// Whether the target has just started and is slower than usual.
+    pub is_cold: bool,
     /// Whether the target is in this node's data centre.
     pub same_data_centre: bool,
     /// Whether there is an idle connection to it.
@@ -115,7 +117,8 @@
         Self { run_count: 0, stats: IndexMap::new(), settings }
     }
 
-    /// Chooses a target for a call, if possible one that is not in `tried`. `draw` breaks ties.
+    /// Chooses a target for a call, if possible one that is not in `tried`, and one that is not cold
+    /// before any that is. `draw` breaks ties.
     pub fn choose<'a>(
         &self,
         now: UnixMs,
@@ -141,13 +144,13 @@
             .enumerate()
             .min_by_key(|(index, candidate)| {
                 let tie_break = (*index as u64 + draw) % count.max(1);
-                (self.cost(candidate, fastest_us), tie_break)
+                (candidate.is_cold, self.cost(candidate, fastest_us), tie_break)
             })
             .map(|(_, candidate)| **candidate)
     }
 
     /// Chooses a target with a free slot, by our own count, for a run that is expected to take
-    /// `run_ms`. Prefers the fastest targets (in steps of a quarter of the fastest target's
+    /// `run_ms`. Prefers targets that are not cold, then the fastest (in steps of a quarter of the fastest target's
     /// latency), then the one with the lowest expected concurrency, then `preferred`, the target
     /// that has already read the group's prompt. `draw` breaks ties. Returns `None` if no target
     /// has a free slot or all of those back off.
@@ -178,7 +181,8 @@
                 let load = self.expected_concurrency(now, candidate.id, run_ms)
                     / u64::from(candidate.slots.max(1));
                 let is_not_preferred = u8::from(preferred != Some(candidate.id));
-                (slowdown_step, load, is_not_preferred, (*index as u64 + draw) % count.max(1))
+                let tie_break = (*index as u64 + draw) % count.max(1);
+                (candidate.is_cold, slowdown_step, load, is_not_preferred, tie_break)
             })
             .map(|(_, candidate)| **candidate)
     }
--- a/crates/dispatch/src/targets.rs
+++ b/crates/dispatch/src/targets.rs
@@ -21,6 +21,7 @@
 
 use crate::shares::{Demand, SHARE_UNIT, interleave};
 use catkinmast_model::UnixMs;
+use catkinmast_places::Evacuations;
 use indexmap::IndexMap;
 use std::net::SocketAddr;
 
@@ -33,6 +34,8 @@
 pub struct TargetEntry {
     /// Address that it listens on.
     pub address: SocketAddr,
+    /// How much longer it was cold when it wrote the entry.
+    pub cold_left_ms: u64,
     /// Start time of this incarnation by the target's own clock. `None` where targets do not report
     /// it.
     pub started_at_unix_ms: Option<u64>,
@@ -123,6 +126,7 @@
 /// The known targets, by id.
 #[derive(Clone, Debug, Default)]
 pub struct TargetTable {
+    evacuations: Evacuations,
     /// How many listed entries have a start time. Updated with each change: recounting on each
     /// entry increased the processor time of a node's start with 3,000 targets by a quarter.
     with_start_time: usize,
@@ -250,6 +254,7 @@
             (Some(reported), Some(held)) if reported > held => {
                 let entry = TargetEntry {
                     started_at_unix_ms,
+                    cold_left_ms: 0,
                     draining: false,
                     models: Vec::new(),
                     sequence: 0,
@@ -284,13 +289,28 @@
 
     /// Returns the targets of a service that may receive work.
     pub fn usable<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a TargetEntry> {
+        self.serving(service).filter(|entry| !self.is_evacuated(entry))
+    }
+
+    /// Returns the targets of a service that serve, in evacuated data centres too.
+    pub fn serving<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a TargetEntry> {
         self.known
             .values()
-            .filter(move |known| known.entry.service == service && self.is_usable(known))
+            .filter(move |known| known.entry.service == service && self.is_serving(known))
             .map(|known| &known.entry)
     }
 
-    const fn is_usable(&self, known: &KnownTarget) -> bool {
+    /// Returns the data centres that are evacuated, to change them.
+    pub const fn evacuations_mut(&mut self) -> &mut Evacuations {
+        &mut self.evacuations
+    }
+
+    /// Returns whether a target's data centre is evacuated.
+    pub fn is_evacuated(&self, entry: &TargetEntry) -> bool {
+        self.evacuations.contains(&entry.data_centre)
+    }
+
+    const fn is_serving(&self, known: &KnownTarget) -> bool {
         known.is_present()
             && (known.entry.started_at_unix_ms.is_some() || !self.most_report_start_times())
     }
@@ -332,9 +352,9 @@
         serving.map(|entry| entry.id.as_str()).collect()
     }
 
-    /// Returns the number of targets that may receive work, of all services together.
-    pub fn usable_count(&self) -> usize {
-        self.known.values().filter(|known| self.is_usable(known)).count()
+    /// Returns the number of targets that serve, of all services together.
+    pub fn serving_count(&self) -> usize {
+        self.known.values().filter(|known| self.is_serving(known)).count()
     }
 
     /// Returns a target's entry, even if the target is gone.
--- a/crates/serve/src/batches/accept.rs
+++ b/crates/serve/src/batches/accept.rs
@@ -402,6 +402,6 @@
 
 /// Returns the duty by which nodes are ranked as owner of a model's batches, or of a path's if they
 /// name no model.
-pub(super) fn model_duty(model: &str) -> String {
+pub(crate) fn model_duty(model: &str) -> String {
     format!("batches/{model}")
 }
--- a/crates/serve/src/batches/mod.rs
+++ b/crates/serve/src/batches/mod.rs
@@ -17,7 +17,7 @@
 mod takeover;
 mod write;
 
-pub(crate) use accept::{Acceptance, accept, submit};
+pub(crate) use accept::{Acceptance, accept, model_duty, submit};
 pub(crate) use end::{end, end_owned};
 pub(crate) use keys::{Origin, Scope};
 pub(crate) use ownership::{on_batch_ended, on_owner_reported, verify_ownership_of_all};
--- a/crates/serve/src/caller.rs
+++ b/crates/serve/src/caller.rs
@@ -4,6 +4,7 @@
 use crate::batch_calls;
 use crate::batches::Origin;
 use crate::clock;
+use crate::cold;
 use crate::crashes;
 use crate::feed::{self, Subject};
 use crate::forward::{self, AttemptFailure, Cause, ChosenTarget, CompleteAnswer, OutgoingRequest};
@@ -39,6 +40,9 @@
 /// Retry-After of a refusal because all targets are overloaded: about the time of one usual
 /// request.
 const OVERLOADED_RETRY_AFTER_MS: u64 = 100;
+/// Retry-After of a refusal because all targets of the service are evacuated: operators take that
+/// back after seconds at the earliest.
+const EVACUATED_RETRY_AFTER_MS: u64 = 1_000;
 /// Pause before targets are tried again after all have been tried: a slot becomes free about this
 /// often. Targets that do not listen refuse at once; without a pause one request made 125,784
 /// attempts in 3 s.
@@ -259,6 +263,7 @@
         Verdict::NotRun => {
             let retry_after_ms = match failure.cause {
                 Cause::Blocked { retry_after_ms } => retry_after_ms,
+                Cause::Evacuated => EVACUATED_RETRY_AFTER_MS,
                 Cause::Overloaded | Cause::Other => OVERLOADED_RETRY_AFTER_MS,
             };
             ErrorAnswer::not_run(failure.message.clone(), retry_after_ms)
@@ -324,9 +329,10 @@
             let status = StatusCode::GATEWAY_TIMEOUT;
             return Err(ErrorAnswer::new(status, format!("no answer in {budget_ms} ms")));
         }
-        crashes::check(node, outgoing).map_err(|failure| blocked(&failure, may_have_run))?;
+        crashes::check(node, outgoing).map_err(|failure| final_error(&failure, may_have_run))?;
         let service = route.service(node.random_u64()).unwrap_or_default();
         let chosen = choose(node, service, &tried);
+        let has_target = chosen.is_some();
         let failure = match chosen {
             Some(chosen) => {
                 tried.push(chosen.id.clone());
@@ -338,13 +344,10 @@
                     Err(failure) => failure,
                 }
             }
-            None => AttemptFailure::not_run(
-                Cause::Overloaded,
-                format!("service {service} has no target"),
-            ),
+            None => no_target(node, service),
         };
-        if failure.is_blocked() {
-            return Err(blocked(&failure, may_have_run));
+        if failure.is_blocked() || failure.cause == Cause::Evacuated {
+            return Err(final_error(&failure, may_have_run));
         }
         if failure.verdict.may_have_run() {
             possible_runs += 1;
@@ -359,7 +362,7 @@
         if is_overloaded && clock::now() > refuse_at {
             return Err(error_of(&failure));
         }
-        if failure.verdict == Verdict::NotRun && all_tried(node, service, &tried) {
+        if failure.verdict == Verdict::NotRun && (!has_target || all_tried(node, service, &tried)) {
             tried.clear();
             sleep(RETRY_ROUND_PAUSE).await;
             if is_overloaded {
@@ -380,9 +383,9 @@
     UnixMs(deadline_at.0.saturating_sub(budget_ms * REFUSE_WITH_LEFT_PERCENT / 100))
 }
 
-/// Returns the answer to a blocked request, which depends on whether a target may have run it
-/// during this call.
-fn blocked(failure: &AttemptFailure, may_have_run: bool) -> ErrorAnswer {
+/// Returns the answer to a request that is not sent any more, which depends on whether a target may
+/// have run it during this call.
+fn final_error(failure: &AttemptFailure, may_have_run: bool) -> ErrorAnswer {
     if may_have_run {
         return ErrorAnswer::new(StatusCode::BAD_GATEWAY, failure.message.clone());
     }
@@ -391,7 +394,18 @@
 
 fn all_tried<P: Platform>(node: &Node<P>, service: &str, tried: &[String]) -> bool {
     let targets = node.targets.borrow();
-    targets.usable(service).all(|entry| tried.contains(&entry.id))
+    let mut within_reach = targets.usable(service).filter(|entry| cold::may_send(node, entry));
+    within_reach.all(|entry| tried.contains(&entry.id))
+}
+
+/// Returns the failure of a request for which this node has no target.
+pub(crate) fn no_target<P: Platform>(node: &Node<P>, service: &str) -> AttemptFailure {
+    let targets = node.targets.borrow();
+    if targets.usable(service).next().is_none() && targets.serving(service).next().is_some() {
+        let message = format!("all targets of service {service} are in evacuated data centres");
+        return AttemptFailure::not_run(Cause::Evacuated, message);
+    }
+    AttemptFailure::not_run(Cause::Overloaded, format!("service {service} has no target"))
 }
 
 /// Chooses a target of a service, preferably not one of `tried`.
--- a/crates/serve/src/feed/apply.rs
+++ b/crates/serve/src/feed/apply.rs
@@ -3,8 +3,9 @@
 
 use super::state::Source;
 use crate::clock;
+use crate::cold;
 use crate::node::Node;
-use crate::platform::{OperatorUpdate, Platform};
+use crate::platform::{OperatorRemoval, OperatorUpdate, Platform};
 use crate::store::{StoreEvent, StoredItem};
 use catkinmast_dispatch::Document;
 use serde_json::json;
@@ -35,6 +36,20 @@
                 );
             }
         }
+        Ok(Some(OperatorUpdate::Evacuate { data_centre })) => {
+            let is_new =
+                node.targets.borrow_mut().evacuations_mut().begin(&data_centre, item.revision);
+            if is_new {
+                node.note(
+                    "evacuation_begun",
+                    json!({
+                        "data_centre": data_centre, "revision": item.revision,
+                        "by": source.to_string(),
+                    }),
+                );
+                node.work.notify_one();
+            }
+        }
         Ok(Some(OperatorUpdate::Drain { instance })) => {
             let previous = node.draining.borrow_mut().insert(instance.clone(), item.revision);
             if previous != Some(item.revision) {
@@ -52,6 +67,22 @@
     }
 }
 
+/// Applies the removal of a key by an operator.
+pub(super) fn apply_operator_removal<P: Platform>(node: &Node<P>, key: &str, source: Source) {
+    match P::operator_removal(key) {
+        Some(OperatorRemoval::Evacuate { data_centre }) => {
+            // Marked first: no request may go there between the two.
+            cold::mark_data_centre(node, &data_centre);
+            if node.targets.borrow_mut().evacuations_mut().end(&data_centre) {
+                let fields = json!({ "data_centre": data_centre, "by": source.to_string() });
+                node.note("evacuation_ended", fields);
+                node.work.notify_one();
+            }
+        }
+        None => {}
+    }
+}
+
 /// Puts a configuration in force if its version is newer than the current one, so that a late
 /// answer does not restore an old configuration.
 fn install<P: Platform>(node: &Node<P>, document: Document, revision: u64, source: Source) {
@@ -81,7 +112,7 @@
     let now = clock::now();
     let removed = events.iter().filter(|event| matches!(event, StoreEvent::Deleted { .. })).count();
     let registry_lost =
-        removed > 1 && removed * LOSS_DIVISOR > node.targets.borrow().usable_count();
+        removed > 1 && removed * LOSS_DIVISOR > node.targets.borrow().serving_count();
     for event in events {
         let change = match event {
             StoreEvent::Deleted { key, .. } => {
@@ -89,7 +120,10 @@
                 node.targets.borrow_mut().apply_removal(now, id, after_outage || registry_lost)
             }
             StoreEvent::Written(item) => match decode_target(node, item) {
-                Some(entry) => node.targets.borrow_mut().apply_entry(entry),
+                Some(entry) => {
+                    cold::mark(node, &entry.id, entry.cold_left_ms);
+                    node.targets.borrow_mut().apply_entry(entry)
+                }
                 // The entry cannot be decoded, so it may no longer describe the target that is
                 // known by this id. That target may have left unnoticed, so it is removed.
                 None => {
--- a/crates/serve/src/feed/mod.rs
+++ b/crates/serve/src/feed/mod.rs
@@ -25,7 +25,7 @@
 use crate::peers::{self, Datagram, PeerAnswer, PeerCall};
 use crate::platform::Platform;
 use crate::store::{StoreAnswer, StoreCall, StoreEvent, StoreRefusal, StoredItem};
-use apply::{apply_operator_item, apply_target_events};
+use apply::{apply_operator_item, apply_operator_removal, apply_target_events};
 use catkinmast_dispatch::{ConfirmationSource, WATCHERS};
 use catkinmast_model::UnixMs;
 use serde_json::json;
@@ -301,8 +301,9 @@
     match subject {
         Subject::Operators => {
             for event in &events {
-                if let StoreEvent::Written(item) = event {
-                    apply_operator_item(node, item, source);
+                match event {
+                    StoreEvent::Written(item) => apply_operator_item(node, item, source),
+                    StoreEvent::Deleted { key, .. } => apply_operator_removal(node, key, source),
                 }
             }
         }
@@ -469,6 +470,7 @@
 pub(crate) async fn run_heartbeats<P: Platform>(node: Rc<Node<P>>) {
     loop {
         sleep(HEARTBEAT_INTERVAL).await;
+        node.cold.expire();
         let expired = node.targets.borrow_mut().expire(clock::now());
         for change in &expired {
             node.target_changed(change, "did not register again after an outage of the registry");
--- a/crates/serve/src/forward.rs
+++ b/crates/serve/src/forward.rs
@@ -1,6 +1,7 @@
 //! Sends requests to targets, with a verdict on whether a failed one may have run.
 
 use crate::clock;
+use crate::cold;
 use crate::crashes;
 use crate::feed::{self, Subject};
 use crate::metrics::count;
@@ -108,6 +109,8 @@
         /// The time after which it may be attempted again.
         retry_after_ms: u64,
     },
+    /// The request was not sent: all targets of its service are in evacuated data centres.
+    Evacuated,
     /// The target refused for load.
     Overloaded,
     /// The connection could not be opened or broke, the deadline passed, or the answer was not the
@@ -144,7 +147,7 @@
     /// Returns the outcome that is counted for the target.
     pub(crate) const fn outcome(&self) -> CallOutcome {
         match self.cause {
-            Cause::Blocked { .. } => CallOutcome::Cancelled,
+            Cause::Blocked { .. } | Cause::Evacuated => CallOutcome::Cancelled,
             Cause::Overloaded => CallOutcome::Overloaded,
             Cause::Other => CallOutcome::Failed,
         }
@@ -201,13 +204,19 @@
 ///
 /// All work reaches targets through this function: callers' requests, streams, items, second runs
 /// and scoring calls, also those of a batch that was taken over. So blocked requests are stopped
-/// here.
+/// here, and the requests to cold targets are counted here.
 pub(crate) async fn open<P: Platform>(
     node: &Rc<Node<P>>,
     chosen: &ChosenTarget,
     outgoing: &OutgoingRequest,
 ) -> Result<(Response<Incoming>, Connection, TargetResponseMetadata), AttemptFailure> {
     crashes::admit(node, outgoing).await?;
+    if !cold::admit(node, &chosen.id) {
+        return Err(AttemptFailure::not_run(
+            Cause::Overloaded,
+            "the target is cold and has had its requests from this node",
+        ));
+    }
     let request = build_request::<P>(chosen, outgoing)
         .map_err(|error| AttemptFailure::not_run(Cause::Other, error.to_string()))?;
     let sent = node.pool.send(chosen.address, request).await;
@@ -218,6 +227,7 @@
         AttemptFailure::of(error)
     })?;
     let metadata = P::response_metadata(response.headers());
+    cold::mark(node, &chosen.id, metadata.cold_left_ms.unwrap_or(0));
     // A late answer to an abandoned request may arrive in place of the expected one.
     if metadata.request_id.is_some() && metadata.request_id != outgoing.request_id {
         return Err(AttemptFailure::may_have_run("the answer belongs to another request"));
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -19,6 +19,7 @@
 mod batches;
 mod caller;
 mod clock;
+mod cold;
 mod crashes;
 mod duties;
 mod duty_lease;
@@ -43,8 +44,9 @@
 mod wait_queue;
 
 pub use platform::{
-    BatchCall, CallerOptions, DecodeError, DutyCall, DutyRequest, EngineReport, OperatorUpdate,
-    OrderCall, Platform, StoreRequest, TargetRequestMetadata, TargetResponseMetadata,
+    BatchCall, CallerOptions, DecodeError, DutyCall, DutyRequest, EngineReport, OperatorRemoval,
+    OperatorUpdate, OrderCall, Platform, StoreRequest, TargetRequestMetadata,
+    TargetResponseMetadata,
 };
 pub use process::{run_front, run_standby};
 pub use settings::{DutySettings, Settings, SettingsError};
--- a/crates/serve/src/node.rs
+++ b/crates/serve/src/node.rs
@@ -2,6 +2,7 @@
 
 use crate::batches::Batches;
 use crate::clock;
+use crate::cold::{self, Cold};
 use crate::crashes;
 use crate::feed::Feeds;
 use crate::metrics::{Metrics, count};
@@ -60,6 +61,7 @@
     pub interrupted: RefCell<InterruptedRequests>,
     /// Set when the process stops accepting connections and requests of callers.
     pub closing: watch::Sender<bool>,
+    pub cold: Cold,
     /// Wakes the background task that stores the evidence against requests that crash targets.
     pub crashes_changed: Notify,
     pub datagrams: UdpSocket,
@@ -118,6 +120,7 @@
             batches: Batches::default(),
             interrupted: RefCell::new(InterruptedRequests::default()),
             closing: watch::Sender::new(false),
+            cold: Cold::default(),
             crashes_changed: Notify::new(),
             datagrams,
             demand: RefCell::new(Demand::default()),
@@ -227,6 +230,7 @@
         }
         crashes::target_changed(self, change, &entry);
         if matches!(change, TargetChange::Restarted(_)) {
+            cold::mark_restarted(self, &entry);
             self.balancer.borrow_mut().target_restarted(id);
             // Connections of the ended incarnation may hang without an error; stopping the runs
             // lets their generated output continue on other targets at once.
@@ -235,8 +239,8 @@
         self.work.notify_one();
     }
 
-    /// Runs `choose` over the usable targets of a service that `fits` accepts. Returns the chosen
-    /// target's id and address.
+    /// Runs `choose` over the usable targets of a service that `fits` accepts and that are not too
+    /// cold for a request from here. Returns the chosen target's id and address.
     pub(crate) fn pick(
         &self,
         service: &str,
@@ -248,10 +252,11 @@
         let targets = self.targets.borrow();
         let picks: Vec<Candidate<'_>> = targets
             .usable(service)
-            .filter(|entry| fits(entry))
+            .filter(|entry| fits(entry) && cold::may_send(self, entry))
             .map(|entry| Candidate {
                 connected: self.pool.has_idle(entry.address),
                 id: &entry.id,
+                is_cold: self.cold.is_cold(now, &entry.id),
                 same_data_centre: entry.data_centre == settings.data_centre,
                 slots: entry.slots,
             })
--- a/crates/serve/src/peers/mod.rs
+++ b/crates/serve/src/peers/mod.rs
@@ -5,8 +5,8 @@
 
 pub(crate) use messages::{Datagram, Owner, PeerAnswer, PeerCall};
 pub(crate) use ranks::{
-    announce_holder, duty_candidates, first_for, holder_of, is_first_for, rank_for, ranks_before,
-    successor_for, usage_sources,
+    announce_holder, duty_candidates, first_for, first_known_for, holder_of, is_first_for,
+    known_names, rank_for, ranks_before, successor_for, usage_sources,
 };
 
 use crate::batches::{self, Acceptance};
--- a/crates/serve/src/peers/ranks.rs
+++ b/crates/serve/src/peers/ranks.rs
@@ -6,6 +6,7 @@
 use catkinmast_member::{DutyRank, Fact, NodeFact, NodeState, OwnerFact};
 use catkinmast_model::Name;
 use catkinmast_usage::UsageSource;
+use indexmap::IndexSet;
 use std::net::SocketAddr;
 
 /// Returns this node's rank for a duty among the live nodes; none before it has joined.
@@ -64,6 +65,31 @@
     wanted.map(|(_, peer)| owner_of(peer)).collect()
 }
 
+/// Returns the names of the `count` nodes that rank first for a duty among all known nodes, dead
+/// ones included.
+pub(crate) fn first_known_for<P: Platform>(
+    node: &Node<P>,
+    duty: &str,
+    count: usize,
+) -> Vec<String> {
+    let members = node.members.borrow();
+    let Some(members) = members.as_ref() else { return Vec::new() };
+    let mut known: Vec<&NodeFact> = members.nodes().collect();
+    known.sort_by_cached_key(|peer| DutyRank::of(peer, duty));
+    known.into_iter().take(count).map(|peer| peer.name.as_str().to_owned()).collect()
+}
+
+/// Returns the names of all known nodes, dead ones included.
+pub(crate) fn known_names<P: Platform>(node: &Node<P>) -> IndexSet<String> {
+    let registered = node.registered.borrow();
+    let mut names: IndexSet<String> =
+        registered.keys().map(|name| name.as_str().to_owned()).collect();
+    if let Some(members) = node.members.borrow().as_ref() {
+        names.extend(members.nodes().map(|peer| peer.name.as_str().to_owned()));
+    }
+    names
+}
+
 pub(super) fn owner_of(peer: &NodeFact) -> Owner {
     Owner { address: peer.control, incarnation: peer.incarnation, node: peer.name.clone() }
 }
--- a/crates/serve/src/platform.rs
+++ b/crates/serve/src/platform.rs
@@ -45,6 +45,11 @@
         /// The name of the store instance.
         instance: String,
     },
+    /// A data centre is to be evacuated: nothing more is sent to its targets.
+    Evacuate {
+        /// The data centre.
+        data_centre: String,
+    },
     /// A trainer has published a weight version of its model.
     Version {
         /// The model.
@@ -54,6 +59,16 @@
     },
 }
 
+/// The removal of an update by an operator.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum OperatorRemoval {
+    /// A data centre is no longer evacuated.
+    Evacuate {
+        /// The data centre.
+        data_centre: String,
+    },
+}
+
 /// A caller's call about a batch that it has submitted.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum BatchCall {
@@ -107,6 +122,8 @@
 /// The metadata that a target sends with its response.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct TargetResponseMetadata {
+    /// How much longer the target is cold, in milliseconds, if it reports that.
+    pub cold_left_ms: Option<u64>,
     /// Whether the target reports that the request did not run.
     pub not_run: bool,
     /// The id of the request that the response is for.
@@ -214,6 +231,9 @@
     /// If the value is not in its format.
     fn operator_update(key: &str, value: &[u8]) -> Result<Option<OperatorUpdate>, DecodeError>;
 
+    /// Decodes the removal of a key; none for a key whose removal means nothing.
+    fn operator_removal(key: &str) -> Option<OperatorRemoval>;
+
     /// Returns a target's id from its key.
     fn target_id(key: &str) -> &str;
 
--- a/crates/serve/src/relay.rs
+++ b/crates/serve/src/relay.rs
@@ -103,7 +103,7 @@
     loop {
         let service = route.service(node.random_u64()).unwrap_or_default();
         let Some(chosen) = caller::choose(node, service, &tried) else {
-            let failure = overloaded(format!("service {service} has no target"));
+            let failure = caller::no_target(node, service);
             return caller::end_with_failure(node, id.as_deref(), route, &failure);
         };
         if tried.contains(&chosen.id) {
--- a/crates/serve/src/runs/placement.rs
+++ b/crates/serve/src/runs/placement.rs
@@ -19,7 +19,8 @@
 /// A run moves if the latency of its target is at least this many tenths of that of the free one: a
 /// move costs about as much time as one event, so a smaller difference does not make up for it.
 const MOVE_MIN_RATIO_TENTHS: u64 = 18;
-/// The assumed remaining time of a run that is considered for a move.
+/// The assumed remaining time of a run that is considered for a move. A shorter one stays in an
+/// evacuated data centre until it ends.
 const MOVED_RUN_EXPECTED_MS: u64 = 2_000;
 /// Most runs moved in one pass: enough to move all runs from a target of eight slots that becomes
 /// slow, and few enough not to delay other work on a small machine for longer than an event takes.
@@ -117,7 +118,23 @@
     }
 }
 
-/// Returns a free target that is fast enough to be worth moving a run to.
+/// Returns the expected remaining time of a run on a target in an evacuated data centre, in
+/// milliseconds; none if the data centre is not evacuated.
+fn time_left_if_evacuated<P: Platform>(
+    node: &Node<P>,
+    local: &RefCell<LocalBatch>,
+    index: usize,
+    target: &str,
+) -> Option<u64> {
+    let targets = node.targets.borrow();
+    targets.entry(target).filter(|entry| targets.is_evacuated(entry))?;
+    let local = local.borrow();
+    let last_event = local.runs.get(&index)?.progress.borrow().last_event_id;
+    Some(node.expected_run_ms(&local.batch.submission().items[index], last_event))
+}
+
+/// Returns a free target that a run is to move to: a faster one, or one outside an evacuated data
+/// centre.
 fn faster_target<P: Platform>(
     node: &Rc<Node<P>>,
     local: &RefCell<LocalBatch>,
@@ -125,6 +142,13 @@
     target: &str,
     model_targets: &mut ModelTargets,
 ) -> Option<ChosenTarget> {
+    if let Some(left_ms) = time_left_if_evacuated(node, local, index, target) {
+        if left_ms < MOVED_RUN_EXPECTED_MS {
+            return None;
+        }
+        let (id, address) = pick_free(node, local, index, left_ms, model_targets)?;
+        return Some(ChosenTarget { address, id });
+    }
     // Most runs are on targets of normal speed; a free target is searched only for the others, and
     // for the first run of a pass, when no latencies are known yet.
     let (current_ms, fastest_ms) = {
--- a/crates/serve/src/scaling.rs
+++ b/crates/serve/src/scaling.rs
@@ -82,10 +82,11 @@
     format!("{DESIRED}{service}")
 }
 
-/// Returns the number of usable targets in each pool of a service.
+/// Returns the number of serving targets in each pool of a service. Those of an evacuated data
+/// centre count: they come back, and need no replacement.
 fn serving<P: Platform>(node: &Node<P>, service: &str) -> PoolCounts {
     let mut serving = PoolCounts::new();
-    for entry in node.targets.borrow().usable(service) {
+    for entry in node.targets.borrow().serving(service) {
         let data_centre = entry.data_centre.clone();
         let pool = Pool { data_centre, reclaimable: entry.reclaimable };
         *serving.entry(pool).or_default() += 1;
--- a/tests/all/dispatch/load.rs
+++ b/tests/all/dispatch/load.rs
@@ -4,7 +4,13 @@
 use catkinmast_model::UnixMs;
 
 fn candidates() -> [Candidate<'static>; 3] {
-    ["a", "b", "c"].map(|id| Candidate { connected: true, id, same_data_centre: true, slots: 4 })
+    ["a", "b", "c"].map(|id| Candidate {
+        connected: true,
+        id,
+        is_cold: false,
+        same_data_centre: true,
+        slots: 4,
+    })
 }
 
 fn answered(balancer: &mut LoadBalancer, id: &str, latency_ms: u64) {
--- a/tests/all/dispatch/shares.rs
+++ b/tests/all/dispatch/shares.rs
@@ -34,6 +34,7 @@
     for target in targets {
         table.apply_entry(TargetEntry {
             address: "127.0.0.1:1".parse().expect("an address"),
+            cold_left_ms: 0,
             started_at_unix_ms: None,
             data_centre: target.data_centre.clone(),
             draining: false,
--- a/tests/all/dispatch/targets.rs
+++ b/tests/all/dispatch/targets.rs
@@ -7,6 +7,7 @@
 fn entry(id: &str, sequence: u64, draining: bool) -> TargetEntry {
     TargetEntry {
         address: "127.0.0.1:1".parse().expect("an address"),
+        cold_left_ms: 0,
         started_at_unix_ms: None,
         data_centre: "dc".to_owned(),
         draining,
@@ -161,7 +162,7 @@
     table.apply_entry(started("b", 1_000, 1, false));
 
     assert_eq!(usable(&table), ["a", "b"]);
-    assert_eq!(table.usable_count(), 2);
+    assert_eq!(table.serving_count(), 2);
 }
 
 #[test]
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -12,6 +12,7 @@
 mod dispatch;
 mod lease_retake;
 mod membership;
+mod places;
 mod platform_parsers;
 mod policy;
 mod processes;
--- a/tests/all/site/mod.rs
+++ b/tests/all/site/mod.rs
@@ -16,6 +16,7 @@
 mod configuration;
 mod crashes;
 mod duties;
+mod evacuation;
 mod orders;
 mod requests;
 mod soak;
--- a/tests/all/site/worker.rs
+++ b/tests/all/site/worker.rs
@@ -80,6 +80,7 @@
 
 struct State {
     abandoned: u64,
+    cold_left_ms: u64,
     /// How long after a crash by a request the worker restarts, under another id.
     restart_after: Duration,
     /// The start time it reports, in milliseconds; `None` if it does not report one.
@@ -95,6 +96,7 @@
     server: Option<Server>,
     versions: BTreeMap<String, u64>,
     work_ms: u64,
+    zone: String,
 }
 
 /// A worker, across its restarts.
@@ -140,6 +142,7 @@
         let versions = BTreeMap::from([("model-a".to_owned(), 1), ("model-b".to_owned(), 1)]);
         let state = Arc::new(Mutex::new(State {
             abandoned: 0,
+            cold_left_ms: 0,
             restart_after: Duration::from_secs(3),
             started_at_ms: None,
             busy_until: None,
@@ -152,6 +155,7 @@
             server: None,
             versions,
             work_ms: 5,
+            zone: "zone-a".to_owned(),
         }));
         let context =
             SharedContext { runs: runs.clone(), service: service.to_owned(), store: store.clone() };
@@ -170,6 +174,18 @@
         register(&self.lock(), &self.context, &self.id, state, self.sequence);
     }
 
+    /// Registers the worker in another zone.
+    pub(crate) fn move_to_zone(&mut self, zone: &str) {
+        zone.clone_into(&mut self.lock().zone);
+        self.register("ready");
+    }
+
+    /// Registers the worker as cold for some more time.
+    pub(crate) fn report_cold(&mut self, cold_left_ms: u64) {
+        self.lock().cold_left_ms = cold_left_ms;
+        self.register("ready");
+    }
+
     /// Makes the worker report a start time.
     pub(crate) fn report_start_time(&mut self, started_at_ms: u64) {
         self.lock().started_at_ms = Some(started_at_ms);
@@ -296,8 +312,8 @@
         .map(|(name, version)| json!({ "name": name, "version": version, "adapters": [] }))
         .collect();
     let mut entry = json!({
-        "service": context.service, "address": server.address, "zone": "zone-a", "version": "v1",
-        "slots": 4, "state": status, "coldLeftMs": 0, "models": models, "seq": sequence,
+        "service": context.service, "address": server.address, "zone": state.zone, "version": "v1",
+        "slots": 4, "state": status, "coldLeftMs": state.cold_left_ms, "models": models, "seq": sequence,
     });
     if let Some(started_at_ms) = state.started_at_ms {
         entry["born"] = json!(started_at_ms);
