News of the store's keys by trees and pulls, and no news of heartbeats

Cause: the cost of a node grew with the fleet times its targets. Two watchers sent every change, and each target's heartbeat every few seconds, to every node themselves: 2,000 entries a second to 834 nodes are 580 MB/s from each of them (worked out), over links of 25 MB/s. Whoever missed more than 512 changes read the list from the store, 52 pages of it, and so did every node that started. `difference` compared each held key with each listed one. Ruled out: longer coalescing (the volume stays), more watchers (each sends to all). Change: crate `feed`. A write that changes only an entry's count of heartbeats is applied and not passed on; the last one comes with the removal, so that a late entry is still known as late. Messages go over a tree of at most 17 copies a node, a tree for each watcher. The log is as long as the list. Lists come from peers in pages, two a second from each; the first four nodes by registration read them from the store. A node without news for a second pulls from any peer. A node joins once it knows the targets, or after 0.5 s. Measured: copies by the busiest node at 30, 300, 1,000 and 2,000 nodes: 29, 299, 999, 1,999 -> 17 at most, in 3 steps; news for a heartbeat of each of 300 to 20,000 targets: all -> 0 (`feed`). Reads of the list in a restart of 14 nodes: 14 and more -> 6 at most (`site::starts`).

--- a/crates/dispatch/src/targets.rs
+++ b/crates/dispatch/src/targets.rs
@@ -23,14 +23,16 @@
 use catkinmast_model::UnixMs;
 use catkinmast_places::Evacuations;
 use indexmap::IndexMap;
+use std::hash::{Hash, Hasher};
 use std::net::SocketAddr;
+use xxhash_rust::xxh3::Xxh3Default;
 
 /// How long after the registry's return a missing entry may still reappear. The platform states
 /// that entries are back within about two seconds.
 const RETURN_GRACE_MS: u64 = 2_200;
 
 /// A target as the registry lists it.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub struct TargetEntry {
     /// Address that it listens on.
     pub address: SocketAddr,
@@ -58,6 +60,13 @@
 }
 
 impl TargetEntry {
+    /// Returns a hash of all but the sequence number: entries with the same digest mean the same.
+    pub fn digest(&self) -> u64 {
+        let mut hasher = Xxh3Default::new();
+        Self { sequence: 0, ..self.clone() }.hash(&mut hasher);
+        hasher.finish()
+    }
+
     /// Returns the version of a model that it holds.
     pub fn version(&self, model: &str) -> Option<u64> {
         self.models.iter().find(|(name, _)| name == model).map(|(_, version)| *version)
--- a/crates/serve/src/feed/apply.rs
+++ b/crates/serve/src/feed/apply.rs
@@ -1,7 +1,7 @@
 //! Applies the changes of a feed: configurations, weight versions, drain requests, and targets that
 //! join or leave.
 
-use super::state::Source;
+use super::state::{Source, Subject};
 use crate::clock;
 use crate::cold;
 use crate::node::Node;
@@ -10,6 +10,7 @@
 use catkinmast_dispatch::Document;
 use serde_json::json;
 use std::rc::Rc;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// If at least two targets, and more than one in this many, are removed at once, the registry
 /// counts as having lost its entries: targets that really leave do so one by one.
@@ -135,6 +136,18 @@
     }
 }
 
+/// Returns what stands for the meaning of a key's value: for a target's entry, all but its count of
+/// heartbeats.
+pub(super) fn digest<P: Platform>(subject: Subject, item: &StoredItem) -> u64 {
+    match subject {
+        Subject::Operators => item.revision,
+        Subject::Targets => match P::target_entry(&item.key, &item.value) {
+            Ok(entry) => entry.digest(),
+            Err(_) => xxh3_64(&item.value),
+        },
+    }
+}
+
 fn decode_target<P: Platform>(
     node: &Node<P>,
     item: &StoredItem,
--- a/crates/serve/src/feed/mod.rs
+++ b/crates/serve/src/feed/mod.rs
@@ -2,9 +2,9 @@
 //! weight versions and the targets' entries.
 //!
 //! Calls of the store cost money, and their rate must not grow with the fleet. So only two nodes
-//! watch the store and forward the changes to all others by datagrams; with two, the death of one
-//! delays nothing. A datagram names the revisions that it covers, and a node that misses some asks
-//! a peer for the changes since its own revision.
+//! watch the store and send the changes to all others by datagrams, which are passed on over trees;
+//! with two, the death of one delays nothing. A datagram names the revisions that it covers, and a
+//! node that misses some asks a peer for the changes since its own revision, or for all keys.
 //!
 //! Fault guarded against: watchers that have lost the store keep sending datagrams, so nodes that
 //! could reach the store do not read it and receive changes late. Each datagram therefore carries
@@ -18,25 +18,28 @@
 mod apply;
 mod state;
 
-pub(crate) use state::{Changes, Subject};
+pub(crate) use state::Subject;
 
 use crate::clock;
 use crate::node::Node;
 use crate::peers::{self, Datagram, PeerAnswer, PeerCall};
 use crate::platform::Platform;
 use crate::store::{StoreAnswer, StoreCall, StoreEvent, StoreRefusal, StoredItem};
-use apply::{apply_operator_item, apply_operator_removal, apply_target_events};
+use apply::{apply_operator_item, apply_operator_removal, apply_target_events, digest};
 use catkinmast_dispatch::{ConfirmationSource, WATCHERS};
+use catkinmast_feed::{Changes, HashSpan, KeyPage, datagrams, delegate};
 use catkinmast_model::UnixMs;
 use serde_json::json;
-use state::{FeedState, FeedUpdate, Source, datagrams};
+use state::{FeedState, FeedUpdate, Source};
 use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
+use xxhash_rust::xxh3::xxh3_64;
 
 /// The name by which nodes are ranked as watchers; the first two watch the store. No lease is held.
 const DUTY: &str = "feeds";
@@ -55,6 +58,21 @@
 const HEDGE_AFTER: Duration = Duration::from_millis(500);
 /// How long a peer may take to answer with the missed changes.
 const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(500);
+/// Peers that are asked for missed changes before the store is.
+const PULL_PEERS_MAX: usize = 3;
+/// How long a peer may take to answer with a page of keys, on a slow link beside others.
+const PAGE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Age of the view from which a node pulls changes from a peer: several heartbeats were lost.
+const PULL_FROM_AGE_MS: u64 = 1_000;
+/// Lists of all keys that a node begins to send in [`LIST_SPAN_MS`]: more at once would share its
+/// link, and none of them would arrive in time.
+const LISTS_PER_SPAN: usize = 2;
+const LIST_SPAN_MS: u64 = 1_000;
+/// Pause of a node that has just started before it asks another peer for the list of keys.
+const LIST_RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// How much later each group of nodes reads the list from the store, if no peer has it: about the
+/// time in which a peer sends it. Each group is as large as all before it together.
+const LIST_GROUP_DELAY_MS: u64 = 1_000;
 
 /// One feed of this node.
 #[derive(Debug, Default)]
@@ -65,6 +83,8 @@
     own_read_wanted: Notify,
     /// Whether the view was older than the change bound at the last check.
     is_old: Cell<bool>,
+    /// When this node began to send its last lists of all keys.
+    lists_sent: RefCell<VecDeque<UnixMs>>,
     state: RefCell<FeedState>,
 }
 
@@ -105,7 +125,7 @@
             }
             Ok((items, as_of)) => {
                 backoff_ms = BACKOFF_FIRST_MS;
-                let events = node.feeds.of(subject).state.borrow().difference(&items, as_of);
+                let events = node.feeds.of(subject).state.borrow().table.difference(&items, as_of);
                 let after_outage = std::mem::take(&mut after_outage);
                 let confirmed_at = Some(began_at);
                 let source = Source::Store;
@@ -179,19 +199,123 @@
     loop {
         feed.catch_up_wanted.notified().await;
         let Some(peer) = feed.catch_up_from.borrow_mut().take() else { continue };
-        let after = feed.state.borrow().as_of;
-        let call = PeerCall::Changes { after, subject };
-        let began_at = clock::now();
-        if let Ok(PeerAnswer::Changes(changes)) = node.ask_peer(peer, &call, CATCH_UP_TIMEOUT).await
-        {
-            apply_update(&node, subject, peer_update(changes, peer, began_at));
-        } else {
+        if !pull_from_any(&node, subject, peer).await {
             feed.state.borrow_mut().freshness.invalidate();
             feed.own_read_wanted.notify_one();
         }
     }
 }
 
+/// Pulls what this node has missed from a peer, or from others if that one does not have it.
+async fn pull_from_any<P: Platform>(node: &Node<P>, subject: Subject, first: SocketAddr) -> bool {
+    let others = node.live_peers().into_iter().filter(|peer| *peer != first);
+    for peer in std::iter::once(first).chain(others).take(PULL_PEERS_MAX) {
+        if pull_changes(node, subject, peer).await || pull_list(node, subject, peer).await {
+            return true;
+        }
+    }
+    false
+}
+
+/// Asks a peer for the changes since this node's own revision. Returns whether it had them.
+async fn pull_changes<P: Platform>(node: &Node<P>, subject: Subject, peer: SocketAddr) -> bool {
+    let after = node.feeds.of(subject).state.borrow().table.as_of();
+    let call = PeerCall::Changes { after, subject };
+    let began_at = clock::now();
+    match node.ask_peer(peer, &call, CATCH_UP_TIMEOUT).await {
+        Ok(PeerAnswer::Changes(changes)) => {
+            let update = peer_update(changes, Source::Pull(peer), began_at);
+            apply_update(node, subject, update);
+            true
+        }
+        _ => false,
+    }
+}
+
+/// Reads all keys of a subject from a peer. Returns whether the peer had them.
+async fn pull_list<P: Platform>(node: &Node<P>, subject: Subject, peer: SocketAddr) -> bool {
+    let began_at = clock::now();
+    let mut listed: Vec<StoredItem> = Vec::new();
+    let mut first_page = None;
+    loop {
+        let after = listed.last().map(|item| item.key.clone()).unwrap_or_default();
+        let call = PeerCall::Keys { after, subject };
+        let answer = node.ask_peer(peer, &call, PAGE_TIMEOUT).await;
+        let Ok(PeerAnswer::Keys { as_of, confirmed_ms_ago, items, truncated }) = answer else {
+            return false;
+        };
+        // Pages are not a snapshot: changes since the first one are pulled afterwards.
+        first_page.get_or_insert((as_of, confirmed_ms_ago));
+        listed.extend(items);
+        if !truncated {
+            break;
+        }
+    }
+    let Some((as_of, confirmed_ms_ago)) = first_page else { return false };
+    let events = {
+        let mut state = node.feeds.of(subject).state.borrow_mut();
+        if !state.started {
+            state.started = true;
+            state.table.begin_log(as_of);
+        }
+        state.table.difference(&listed, as_of)
+    };
+    let confirmed_at = Some(UnixMs(began_at.since_ms(UnixMs(confirmed_ms_ago))));
+    let source = Source::Pull(peer);
+    let update = FeedUpdate { after_outage: false, as_of, confirmed_at, events, source };
+    apply_update(node, subject, update);
+    pull_changes(node, subject, peer).await;
+    true
+}
+
+/// Reads all keys of a subject from one of the registered nodes, and then follows it until the
+/// process ends.
+///
+/// Only a few nodes read the list from the store, also when the whole fleet starts at once: the list
+/// takes each of them dozens of calls, and the store's link would take minutes to send it to all.
+pub(crate) async fn follow_from_peers<P: Platform>(
+    node: Rc<Node<P>>,
+    subject: Subject,
+    registered: Vec<SocketAddr>,
+) {
+    let group = (peers::registered_rank(&node, DUTY) / WATCHERS).checked_ilog2().unwrap_or(0);
+    let read_at = clock::now().plus(LIST_GROUP_DELAY_MS * u64::from(group));
+    while group > 0 && clock::now() < read_at && !registered.is_empty() {
+        let peer = registered[node.random_u64() as usize % registered.len()];
+        if pull_list(&node, subject, peer).await {
+            break;
+        }
+        sleep(LIST_RETRY_PAUSE).await;
+    }
+    follow(node, subject).await;
+}
+
+/// Answers a peer that asks for a page of all keys. Refuses it if this node does not know them all,
+/// or has begun to send as many lists as its link bears.
+pub(crate) fn answer_keys<P: Platform>(
+    node: &Node<P>,
+    subject: Subject,
+    after: &str,
+) -> PeerAnswer {
+    let feed = node.feeds.of(subject);
+    let now = clock::now();
+    let state = feed.state.borrow();
+    let (true, Some(confirmed_ms_ago)) = (state.started, state.freshness.age_ms(now)) else {
+        return PeerAnswer::Unavailable;
+    };
+    if after.is_empty() {
+        let mut lists_sent = feed.lists_sent.borrow_mut();
+        lists_sent.retain(|at| now.since_ms(*at) < LIST_SPAN_MS);
+        if lists_sent.len() >= LISTS_PER_SPAN {
+            return PeerAnswer::Unavailable;
+        }
+        lists_sent.push_back(now);
+    }
+    let page = state.table.page(after);
+    let KeyPage { as_of, items, truncated } = page;
+    PeerAnswer::Keys { as_of, confirmed_ms_ago, items, truncated }
+}
+
 /// Returns the changes after a revision, for a peer that has missed them. None if this node does
 /// not have them all.
 pub(crate) fn changes_since<P: Platform>(
@@ -200,20 +324,15 @@
     after: u64,
 ) -> Option<Changes> {
     let state = node.feeds.of(subject).state.borrow();
-    if !state.started || after > state.as_of {
+    if !state.started {
         return None;
     }
-    let events = if after >= state.log_from {
-        state.log.iter().filter(|event| event.revision() > after).cloned().collect()
-    } else {
-        // The log no longer holds all deletions since then; the peer reads the full list from the
-        // store.
-        return None;
-    };
-    let confirmed_ms_ago =
-        state.freshness.reportable_age_ms(clock::now(), node.settings().change_bound);
-    let events = Some(events);
-    Some(Changes { after, after_outage: false, as_of: state.as_of, confirmed_ms_ago, events })
+    let events = Some(state.table.changes_after(after)?);
+    // The age of the whole view, whoever confirmed it: the peer counts it from before its call, so
+    // a view does not get younger by being passed on.
+    let confirmed_ms_ago = state.freshness.age_ms(clock::now());
+    let as_of = state.table.as_of();
+    Some(Changes { after, after_outage: false, as_of, confirmed_ms_ago, events })
 }
 
 /// Returns how long ago the view of a subject was last confirmed as complete, in milliseconds.
@@ -221,6 +340,11 @@
     node.feeds.of(subject).state.borrow().freshness.age_ms(clock::now())
 }
 
+/// Returns whether all keys of a subject were read once.
+pub(crate) fn is_started<P: Platform>(node: &Node<P>, subject: Subject) -> bool {
+    node.feeds.of(subject).state.borrow().started
+}
+
 /// Returns whether the view of a subject is no older than the change bound.
 pub(crate) fn is_current<P: Platform>(node: &Node<P>, subject: Subject) -> bool {
     age_ms(node, subject).is_some_and(|age_ms| age_ms <= node.settings().change_bound.as_ms())
@@ -228,7 +352,7 @@
 
 /// Converts a peer's changes into an update by this node's clock. `sent_after` is a time before
 /// they were sent; for a datagram it is the time of receipt, and the time in flight is neglected.
-fn peer_update(changes: Changes, from: SocketAddr, sent_after: UnixMs) -> FeedUpdate {
+fn peer_update(changes: Changes, source: Source, sent_after: UnixMs) -> FeedUpdate {
     FeedUpdate {
         after_outage: changes.after_outage,
         as_of: changes.as_of,
@@ -236,54 +360,101 @@
             .confirmed_ms_ago
             .map(|ago_ms| UnixMs(sent_after.since_ms(UnixMs(ago_ms)))),
         events: changes.events.unwrap_or_default(),
-        source: Source::Peer(from),
+        source,
     }
 }
 
-/// Handles a watcher's datagram. If this node has missed earlier changes, it asks the sender for
-/// them instead.
+/// Handles a datagram with changes that the node at `origin` has read. If this node has missed
+/// earlier changes, it asks the sender for them instead.
 pub(crate) fn receive_changes<P: Platform>(
     node: &Node<P>,
     subject: Subject,
     changes: Changes,
     from: SocketAddr,
+    origin: SocketAddr,
 ) {
     let feed = node.feeds.of(subject);
-    let as_of = feed.state.borrow().as_of;
+    let (as_of, started) = {
+        let state = feed.state.borrow();
+        (state.table.as_of(), state.started)
+    };
     if changes.after > as_of || (changes.events.is_none() && changes.as_of > as_of) {
-        *feed.catch_up_from.borrow_mut() = Some(from);
-        feed.catch_up_wanted.notify_one();
+        if started {
+            request_catch_up(feed, from);
+        }
         return;
     }
-    apply_update(node, subject, peer_update(changes, from, clock::now()));
+    apply_update(node, subject, peer_update(changes, Source::Peer(origin), clock::now()));
+}
+
+fn request_catch_up(feed: &Feed, from: SocketAddr) {
+    *feed.catch_up_from.borrow_mut() = Some(from);
+    feed.catch_up_wanted.notify_one();
 }
 
-/// Applies changes that this node has read from the store, and forwards them if it watches.
+/// Applies changes that this node has read from the store, and sends them to all nodes if it
+/// watches.
 fn apply_and_forward<P: Platform>(node: &Node<P>, subject: Subject, update: FeedUpdate) {
-    let after = {
+    let read_after = {
         let mut state = node.feeds.of(subject).state.borrow_mut();
         if !state.started {
             state.started = true;
-            state.log_from = update.as_of;
+            state.table.begin_log(update.as_of);
         }
-        state.as_of
+        state.table.as_of()
     };
-    let (after_outage, as_of) = (update.after_outage, update.as_of);
-    let events = Some(update.events.clone());
+    let after_outage = update.after_outage;
     apply_update(node, subject, update);
-    if watches(node, subject) {
+    if !watches(node, subject) {
+        return;
+    }
+    // What another watcher has reported meanwhile is sent as well: its tree may miss other nodes.
+    let changes = {
+        let state = node.feeds.of(subject).state.borrow();
+        let events = state.table.changes_after(read_after);
+        let is_news = events.as_ref().is_none_or(|events| !events.is_empty());
+        is_news.then(|| Changes {
+            after: state.table.base_of(read_after),
+            after_outage,
+            as_of: state.table.as_of(),
+            confirmed_ms_ago: None,
+            events,
+        })
+    };
+    if let Some(changes) = changes {
         let confirmed_ms_ago = reportable_age_ms(node, subject);
-        forward(node, subject, Changes { after, after_outage, as_of, confirmed_ms_ago, events });
+        send_to_all(node, subject, Changes { confirmed_ms_ago, ..changes });
     }
 }
 
-fn forward<P: Platform>(node: &Node<P>, subject: Subject, changes: Changes) {
-    let peers = node.live_peers();
+/// Sends changes to all nodes, over a tree of which this node is the root.
+fn send_to_all<P: Platform>(node: &Node<P>, subject: Subject, changes: Changes) {
+    let origin = node.settings().peer;
     for part in datagrams(changes) {
-        let datagram = Datagram::Changes { changes: part, subject };
-        for peer in &peers {
-            peers::send(node, &datagram, *peer);
+        relay(node, subject, part, origin, HashSpan::ALL);
+    }
+}
+
+/// Passes changes on to the nodes of a span.
+pub(crate) fn relay<P: Platform>(
+    node: &Node<P>,
+    subject: Subject,
+    changes: Changes,
+    origin: SocketAddr,
+    span: HashSpan,
+) {
+    let Some((recipients, own_hash)) = peers::recipients(node) else { return };
+    let salt = xxh3_64(origin.to_string().as_bytes());
+    let delegations = delegate(&recipients, span, own_hash, salt);
+    if delegations.is_empty() {
+        return;
+    }
+    let mut datagram = Datagram::RelayedChanges { changes, origin, span, subject };
+    for delegation in delegations {
+        if let Datagram::RelayedChanges { span, .. } = &mut datagram {
+            *span = delegation.span;
         }
+        peers::send(node, &datagram, delegation.to);
     }
 }
 
@@ -295,8 +466,7 @@
         if let Some(at) = confirmed_at {
             state.freshness.confirm(at, confirmation_source);
         }
-        // A later update was applied meanwhile; older changes could restore deleted keys.
-        if as_of < state.as_of { Vec::new() } else { state.apply(events, as_of) }
+        state.table.apply(events, as_of, |item| digest::<P>(subject, item))
     };
     match subject {
         Subject::Operators => {
@@ -317,7 +487,7 @@
         Source::Peer(peer) if peers::ranks_before(node, peer, DUTY) => {
             ConfirmationSource::EarlierRank
         }
-        Source::Peer(_) => ConfirmationSource::OtherRank,
+        Source::Peer(_) | Source::Pull(_) => ConfirmationSource::OtherRank,
     }
 }
 
@@ -415,7 +585,7 @@
     while watches(node, subject) {
         let (after, freshness) = {
             let state = node.feeds.of(subject).state.borrow();
-            (state.as_of, state.freshness)
+            (state.table.as_of(), state.freshness)
         };
         let prefix = prefix::<P>(subject).to_owned();
         let began_at = clock::now();
@@ -459,7 +629,7 @@
     let is_old = age_ms > node.settings().change_bound.as_ms();
     if node.feeds.of(subject).is_old.replace(is_old) != is_old {
         let event = if is_old { "feed_old" } else { "feed_current" };
-        let as_of = node.feeds.of(subject).state.borrow().as_of;
+        let as_of = node.feeds.of(subject).state.borrow().table.as_of();
         let subject = format!("{subject:?}");
         node.note(event, json!({ "subject": subject, "age_ms": age_ms, "revision": as_of }));
     }
@@ -479,6 +649,8 @@
             report_age(&node, subject);
             if !node.leaving.get() && watches(&node, subject) {
                 send_heartbeat(&node, subject);
+            } else {
+                pull_if_old(&node, subject);
             }
         }
     }
@@ -486,9 +658,29 @@
 
 fn send_heartbeat<P: Platform>(node: &Node<P>, subject: Subject) {
     let Some(age_ms) = reportable_age_ms(node, subject) else { return };
-    let as_of = node.feeds.of(subject).state.borrow().as_of;
+    let (after, as_of) = {
+        let state = node.feeds.of(subject).state.borrow();
+        (state.table.base_of(state.table.as_of()), state.table.as_of())
+    };
     let confirmed_ms_ago = Some(age_ms);
     let events = Some(Vec::new());
-    let changes = Changes { after: as_of, after_outage: false, as_of, confirmed_ms_ago, events };
-    forward(node, subject, changes);
+    let changes = Changes { after, after_outage: false, as_of, confirmed_ms_ago, events };
+    send_to_all(node, subject, changes);
+}
+
+/// Pulls changes from a random peer if no watcher's report has arrived for some time: the nodes
+/// that pass them on to this one may be dead, which is known only seconds later.
+fn pull_if_old<P: Platform>(node: &Node<P>, subject: Subject) {
+    let now = clock::now();
+    let feed = node.feeds.of(subject);
+    let is_due = {
+        let state = feed.state.borrow();
+        let age_ms = state.freshness.age_ms(now).unwrap_or(u64::MAX);
+        let is_old = age_ms.min(now.since_ms(state.pulled_at)) >= PULL_FROM_AGE_MS;
+        state.started && is_old
+    };
+    if let Some(peer) = node.live_peers().first().copied().filter(|_| is_due) {
+        feed.state.borrow_mut().pulled_at = now;
+        request_catch_up(feed, peer);
+    }
 }
--- a/crates/serve/src/node.rs
+++ b/crates/serve/src/node.rs
@@ -19,6 +19,7 @@
     Candidate, Demand, Document, Item, LoadBalancer, LoadBalancerSettings, RunTimeEstimator,
     TargetChange, TargetTable, WaitQueue,
 };
+use catkinmast_feed::Recipient;
 use catkinmast_member::{Membership, NodeState};
 use catkinmast_model::{Incarnation, Name, UnixMs, Verdict};
 use catkinmast_quarantine::{Fingerprint, InterruptedRequests, Quarantine};
@@ -90,6 +91,8 @@
     pub quarantine: RefCell<Quarantine>,
     /// Whether the node has joined the fleet and has received a configuration.
     pub ready: Cell<bool>,
+    /// The nodes that messages for all go to, and the version of the facts that they come from.
+    pub recipients: RefCell<Option<(u64, Rc<[Recipient]>)>>,
     /// The incarnations of the nodes that were registered when this one started.
     pub registered: RefCell<IndexMap<Name, Incarnation>>,
     pub rng: RefCell<Pcg64Mcg>,
@@ -141,6 +144,7 @@
             pool,
             quarantine: RefCell::new(Quarantine::default()),
             ready: Cell::new(false),
+            recipients: RefCell::new(None),
             registered: RefCell::new(IndexMap::new()),
             rng: RefCell::new(Pcg64Mcg::from_os_rng()),
             settings: RefCell::new(Rc::new(settings)),
--- a/crates/serve/src/peers/messages.rs
+++ b/crates/serve/src/peers/messages.rs
@@ -3,9 +3,10 @@
 //! They are encoded with postcard: the order of variants and fields is the format.
 
 use crate::batches::{BatchCopy, Origin, Scope};
-use crate::feed::{Changes, Subject};
-use crate::store::{StoreAnswer, StoreCall, StoreRefusal};
+use crate::feed::Subject;
+use crate::store::{StoreAnswer, StoreCall, StoreRefusal, StoredItem};
 use catkinmast_dispatch::{ItemResult, Progress, Submission, TextUpdate};
+use catkinmast_feed::{Changes, HashSpan};
 use catkinmast_member::Message;
 use catkinmast_model::{Incarnation, Name, UnixMs};
 use catkinmast_usage::{UsageSource, WindowCounts};
@@ -35,6 +36,8 @@
     Store(StoreCall),
     /// Forwards a submission to the owner of its model's batches.
     Submit { batch: String, origin: Origin, submission: Box<Submission> },
+    /// Asks for the page of a feed's keys that begins after a key; an empty one for the first page.
+    Keys { after: String, subject: Subject },
 }
 
 /// The answer to a [`PeerCall`].
@@ -62,6 +65,8 @@
     Store(Result<StoreAnswer, StoreRefusal>),
     /// The receiver cannot serve the call now, or lacks the changes or the copy that it is about.
     Unavailable,
+    /// A page of a feed's keys, and how long ago the sender's view was last confirmed as complete.
+    Keys { as_of: u64, confirmed_ms_ago: u64, items: Vec<StoredItem>, truncated: bool },
 }
 
 /// A datagram between nodes.
@@ -82,6 +87,8 @@
     /// The incarnation of a target that started at `started_at_unix_ms` loads weights for about
     /// `for_ms` from now on.
     TargetLoading { started_at_unix_ms: Option<u64>, for_ms: u64, target: String },
+    /// Changes of a feed that the node at `origin` has read, to be passed on within `span`.
+    RelayedChanges { changes: Changes, origin: SocketAddr, span: HashSpan, subject: Subject },
 }
 
 /// An incarnation of a node, as the owner of batches or a candidate for a duty.
--- a/crates/serve/src/peers/mod.rs
+++ b/crates/serve/src/peers/mod.rs
@@ -6,7 +6,7 @@
 pub(crate) use messages::{Datagram, Owner, PeerAnswer, PeerCall};
 pub(crate) use ranks::{
     announce_holder, duty_candidates, first_for, first_known_for, holder_of, is_first_for,
-    known_names, rank_for, ranks_before, successor_for, usage_sources,
+    known_names, rank_for, ranks_before, recipients, registered_rank, successor_for, usage_sources,
 };
 
 use crate::batches::{self, Acceptance};
@@ -156,7 +156,11 @@
             with_members(node, |members, now| members.receive(now, from, message));
         }
         Ok(Datagram::Changes { changes, subject }) => {
-            feed::receive_changes(node, subject, changes, from);
+            feed::receive_changes(node, subject, changes, from, from);
+        }
+        Ok(Datagram::RelayedChanges { changes, origin, span, subject }) => {
+            feed::receive_changes(node, subject, changes.clone(), from, origin);
+            feed::relay(node, subject, changes, origin, span);
         }
         Ok(Datagram::BatchEnded { batch }) => batches::on_batch_ended(node, &batch),
         Ok(Datagram::BatchOrphaned { batch, owner }) => {
@@ -350,6 +354,7 @@
         }
         PeerCall::Changes { after, subject } => feed::changes_since(&node, subject, after)
             .map_or(PeerAnswer::Unavailable, PeerAnswer::Changes),
+        PeerCall::Keys { after, subject } => feed::answer_keys(&node, subject, &after),
         PeerCall::Usage { window_counts, source } => {
             usage::record_counts(&node, &source, window_counts);
             PeerAnswer::Accepted
--- a/crates/serve/src/peers/ranks.rs
+++ b/crates/serve/src/peers/ranks.rs
@@ -3,11 +3,14 @@
 use super::{Owner, to_node_name, with_members};
 use crate::node::Node;
 use crate::platform::Platform;
+use catkinmast_feed::Recipient;
 use catkinmast_member::{DutyRank, Fact, NodeFact, NodeState, OwnerFact};
 use catkinmast_model::Name;
 use catkinmast_usage::UsageSource;
 use indexmap::IndexSet;
 use std::net::SocketAddr;
+use std::rc::Rc;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Returns this node's rank for a duty among the live nodes; none before it has joined.
 pub(crate) fn rank_for<P: Platform>(node: &Node<P>, duty: &str) -> Option<usize> {
@@ -123,3 +126,49 @@
 pub(crate) fn announce_holder<P: Platform>(node: &Node<P>, fact: OwnerFact) {
     with_members(node, |members, now| members.observe(now, Fact::Owner(fact)));
 }
+
+/// Returns the other nodes that are not gone, sorted by the hashes of their names, and this node's
+/// own hash; none before it has joined. A node that is suspected or leaving is the weakest, so that
+/// it passes messages on only where there is no other.
+pub(crate) fn recipients<P: Platform>(node: &Node<P>) -> Option<(Rc<[Recipient]>, u64)> {
+    let members = node.members.borrow();
+    let members = members.as_ref()?;
+    let own_hash = name_hash(&members.me().name);
+    let version = members.facts().digest();
+    let mut cached = node.recipients.borrow_mut();
+    if let Some((of, recipients)) = cached.as_ref()
+        && *of == version
+    {
+        return Some((Rc::clone(recipients), own_hash));
+    }
+    let capacity = |peer: &NodeFact| match peer.state {
+        NodeState::Live => peer.capacity_millicores,
+        _ => 0,
+    };
+    let mut recipients: Vec<Recipient> = members
+        .peers()
+        .map(|peer| Recipient {
+            address: peer.control,
+            capacity_millicores: capacity(peer),
+            hash: name_hash(&peer.name),
+        })
+        .collect();
+    recipients.sort_unstable_by_key(|recipient| recipient.hash);
+    let recipients: Rc<[Recipient]> = recipients.into();
+    *cached = Some((version, Rc::clone(&recipients)));
+    Some((recipients, own_hash))
+}
+
+fn name_hash(name: &Name) -> u64 {
+    xxh3_64(name.as_str().as_bytes())
+}
+
+/// Returns this node's place among the nodes that were registered when it started, in an order by
+/// hash. It is known before any other node is heard of.
+pub(crate) fn registered_rank<P: Platform>(node: &Node<P>, duty: &str) -> usize {
+    let place = |name: &str| xxh3_64(format!("{duty}/{name}").as_bytes());
+    let own = to_node_name(&node.settings().node);
+    let own_place = place(own.as_str());
+    let registered = node.registered.borrow();
+    registered.keys().filter(|name| place(name.as_str()) < own_place).count()
+}
--- a/crates/serve/src/process.rs
+++ b/crates/serve/src/process.rs
@@ -38,6 +38,11 @@
 /// Interval of the summary lines: rare enough to cost little, frequent enough to show
 /// when an incident began.
 const SUMMARY_INTERVAL: Duration = Duration::from_secs(10);
+/// How long a node waits for the list of targets before it joins the fleet without it. A whole fleet
+/// that starts at once gets the list within seconds, and must find itself meanwhile.
+const JOIN_WITHOUT_TARGETS_AFTER_MS: u64 = 500;
+/// Interval at which a node that has registered checks whether it knows the targets.
+const TARGETS_POLL_INTERVAL: Duration = Duration::from_millis(2);
 /// Interval at which a start waits for the configuration, and a stop for its last requests.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -117,8 +122,8 @@
     listen(&node, metrics_port).await?;
     spawn_local(reload_on_signal(Rc::clone(&node)));
     spawn_local(summarize(Rc::clone(&node)));
+    spawn_local(feed::follow(Rc::clone(&node), Subject::Operators));
     for subject in [Subject::Operators, Subject::Targets] {
-        spawn_local(feed::follow(Rc::clone(&node), subject));
         spawn_local(feed::catch_up(Rc::clone(&node), subject));
     }
     spawn_local(feed::run_heartbeats(Rc::clone(&node)));
@@ -162,13 +167,22 @@
     Ok(())
 }
 
-/// Registers, joins the fleet, waits for a configuration and starts all background tasks.
+/// Registers, joins the fleet, waits until it knows a configuration and the targets, and starts all
+/// background tasks.
 async fn join_and_serve<P: Platform>(node: Rc<Node<P>>) {
     let settings = node.settings();
     let (incarnation, seeds) = register(&node, &settings).await;
+    spawn_local(feed::follow_from_peers(Rc::clone(&node), Subject::Targets, seeds.clone()));
+    // Callers are sent to a node from the moment at which it joins.
+    let began_at = clock::now();
+    while !feed::is_started(&node, Subject::Targets)
+        && clock::now().since_ms(began_at) < JOIN_WITHOUT_TARGETS_AFTER_MS
+    {
+        sleep(TARGETS_POLL_INTERVAL).await;
+    }
     peers::join(&node, &settings, incarnation, seeds);
     spawn_local(peers::run_membership(Rc::clone(&node)));
-    while node.document().is_none() {
+    while node.document().is_none() || !feed::is_started(&node, Subject::Targets) {
         sleep(POLL_INTERVAL).await;
     }
     node.ready.set(true);
--- a/crates/serve/src/store.rs
+++ b/crates/serve/src/store.rs
@@ -4,14 +4,12 @@
 //! behalf; a peer never forwards it further. A call that may have been carried out is reported as
 //! such, and the code that makes the call must be able to find out whether it was.
 
+pub use catkinmast_feed::{LeaseId, StoreEvent, StoredItem};
+
 use catkinmast_model::Verdict;
 use displaydoc::Display;
 use serde::{Deserialize, Serialize};
 
-/// A lease of the store.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct LeaseId(pub u64);
-
 /// A condition of a transaction on a key.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Expectation {
@@ -102,33 +100,6 @@
     }
 }
 
-/// A key in the store, with its value.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct StoredItem {
-    /// The key.
-    pub key: String,
-    /// The lease that the key is bound to.
-    pub lease: Option<LeaseId>,
-    /// The revision of its last change; 0 if the key does not exist.
-    pub revision: u64,
-    /// The value.
-    pub value: Vec<u8>,
-}
-
-/// A change of a key.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub enum StoreEvent {
-    /// The key was removed.
-    Deleted {
-        /// The key.
-        key: String,
-        /// The revision of the removal.
-        revision: u64,
-    },
-    /// The key was written.
-    Written(StoredItem),
-}
-
 /// An answer of the store.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum StoreAnswer {
