Keep as many targets current as the work asks for, and plan loads in time linear in the targets

Cause: each version of each model was loaded on a share of all targets, whatever the work, and the plan compared all targets with all others ten times a second: `prune` searched the list for each assigned target, `lag` counted all targets for each target and model, a move counted all again. Ruled out: a larger interval between plans; it only divides the square. Change: batches report their number of items, and three slots for each item are kept current, on targets that the plan keeps from step to step; a new holder keeps the ones that are current already. Counts are made once a plan, targets are borrowed and looked up by id.

--- a/crates/dispatch/src/shares.rs
+++ b/crates/dispatch/src/shares.rs
@@ -18,12 +18,21 @@
 /// Largest amount of work that a batch counts as. Lengths are estimates of the caller: without a
 /// bound, one absurd estimate would take nearly all targets from the other models, or overflow.
 const WORK_MAX_TOKENS: u64 = 1 << 30;
+/// Targets kept current while no batch is known, as after a start.
+const UNKNOWN_TARGETS: usize = 64;
+/// Slots kept current for each item of a batch: two batches of a model are open at once, and a third
+/// of the targets may be lost or loading.
+const SLOTS_PER_ITEM: usize = 3;
+/// Least number of targets kept current for a model: one serves while the other loads.
+const MODEL_TARGETS_MIN: usize = 2;
 /// Shares are in thousandths of a target.
 pub(crate) const SHARE_UNIT: u64 = 1_000;
 
 /// The recent work of each model's batches.
 #[derive(Clone, Debug, Default)]
 pub struct Demand {
+    /// Number of items of each model's recent batches, the largest for a while.
+    items: IndexMap<String, u64>,
     work_tokens: IndexMap<String, u64>,
 }
 
@@ -67,6 +76,36 @@
         }
     }
 
+    /// Records the number of items of a model's batch. More work counts at once, less of it slowly.
+    pub fn record_items(&mut self, model: &str, items: u64) {
+        match self.items.get_mut(model) {
+            Some(held) => {
+                *held = items.max((*held * (WORK_SMOOTHING - 1) + items) / WORK_SMOOTHING);
+            }
+            None => {
+                self.items.insert(model.to_owned(), items);
+            }
+        }
+    }
+
+    /// Returns how many targets of `slots` requests each should be kept current for the models
+    /// together. A model without a recorded batch counts as the mean of the others.
+    pub fn targets_needed(&self, models: &[String], slots: u32) -> usize {
+        let known: Vec<u64> =
+            models.iter().filter_map(|model| self.items.get(model).copied()).collect();
+        let Some(mean) = known.iter().sum::<u64>().checked_div(known.len() as u64) else {
+            return UNKNOWN_TARGETS.max(models.len() * MODEL_TARGETS_MIN);
+        };
+        let needed = |model: &String| {
+            let items = self.items.get(model).copied().unwrap_or(mean) as usize;
+            items
+                .saturating_mul(SLOTS_PER_ITEM)
+                .div_ceil(slots.max(1) as usize)
+                .max(MODEL_TARGETS_MIN)
+        };
+        models.iter().map(needed).fold(0, usize::saturating_add)
+    }
+
     fn work_of(&self, model: &str) -> Option<u64> {
         self.work_tokens.get(model).copied()
     }
--- a/crates/serve/src/batches/accept.rs
+++ b/crates/serve/src/batches/accept.rs
@@ -301,15 +301,15 @@
     let local = Rc::new(RefCell::new(local));
     node.batches.owned.borrow_mut().insert(id.to_owned(), Rc::clone(&local));
     node.metrics.batches_open.set(node.batches.owned.borrow().len() as i64);
-    let (model, work_tokens) = {
+    let (model, work_tokens, items) = {
         let local = local.borrow();
         let submission = local.batch.submission();
-        (submission.model.clone(), submission.work_tokens())
+        (submission.model.clone(), submission.work_tokens(), submission.items.len() as u64)
     };
-    node.record_demand(model.as_deref(), work_tokens);
+    node.record_demand(model.as_deref(), work_tokens, items);
     if let Some(owner) = peers::me(node) {
         let batch = id.to_owned();
-        peers::broadcast(node, &Datagram::BatchOwned { batch, model, owner, work_tokens });
+        peers::broadcast(node, &Datagram::BatchOwned { batch, model, owner, work_tokens, items });
     }
     node.work.notify_one();
     tokio::task::spawn_local(write_results(Rc::clone(node), Rc::clone(&local)));
--- a/crates/serve/src/node.rs
+++ b/crates/serve/src/node.rs
@@ -171,10 +171,12 @@
 
     /// Records that a batch was opened: its work, by which targets are shared among models, and
     /// its time, by which load orders are planned.
-    pub(crate) fn record_demand(&self, model: Option<&str>, work_tokens: u64) {
+    pub(crate) fn record_demand(&self, model: Option<&str>, work_tokens: u64, items: u64) {
         if let Some(model) = model {
             self.batch_opened_at.borrow_mut().insert(model.to_owned(), clock::now());
-            self.demand.borrow_mut().record_batch(model, work_tokens);
+            let mut demand = self.demand.borrow_mut();
+            demand.record_batch(model, work_tokens);
+            demand.record_items(model, items);
         }
     }
 
--- a/crates/serve/src/orders.rs
+++ b/crates/serve/src/orders.rs
@@ -119,17 +119,16 @@
     let now = clock::now();
     for (service, config) in &document.services {
         let Some(engine) = &config.engine else { continue };
-        let targets: Vec<RolloutTarget> = node
-            .targets
-            .borrow()
-            .usable(service)
-            .map(|entry| RolloutTarget {
-                data_centre: entry.data_centre.clone(),
-                id: entry.id.clone(),
-                models: entry.models.clone(),
-            })
-            .collect();
         let orders = {
+            let known = node.targets.borrow();
+            let targets: Vec<RolloutTarget<'_>> = known
+                .usable(service)
+                .map(|entry| RolloutTarget {
+                    data_centre: &entry.data_centre,
+                    id: &entry.id,
+                    models: &entry.models,
+                })
+                .collect();
             let mut rollouts = holder.rollouts.borrow_mut();
             let rollout = rollouts
                 .entry(service.clone())
@@ -140,7 +139,8 @@
             for (model, at) in node.batch_opened_at.borrow().iter() {
                 rollout.batch_opened(*at, model);
             }
-            let orders = rollout.plan(now, &targets, &engine.models, &node.demand.borrow());
+            let demand = node.demand.borrow();
+            let orders = rollout.plan(now, &targets, &engine.models, engine.slots, &demand);
             log_shares(node, holder, service, rollout);
             orders
         };
--- a/crates/serve/src/peers/messages.rs
+++ b/crates/serve/src/peers/messages.rs
@@ -77,7 +77,7 @@
     /// The owner of a batch is dead; the receiver is to take the batch over.
     BatchOrphaned { batch: String, owner: Owner },
     /// A batch has a new owner.
-    BatchOwned { batch: String, model: Option<String>, owner: Owner, work_tokens: u64 },
+    BatchOwned { batch: String, model: Option<String>, owner: Owner, work_tokens: u64, items: u64 },
     /// Changes of a feed.
     Changes { changes: Changes, subject: Subject },
     /// A membership message, with the sender's wall-clock time.
--- a/crates/serve/src/peers/mod.rs
+++ b/crates/serve/src/peers/mod.rs
@@ -166,8 +166,8 @@
         Ok(Datagram::BatchOrphaned { batch, owner }) => {
             batches::on_batch_orphaned(node, &batch, owner);
         }
-        Ok(Datagram::BatchOwned { batch, model, owner, work_tokens }) => {
-            node.record_demand(model.as_deref(), work_tokens);
+        Ok(Datagram::BatchOwned { batch, model, owner, work_tokens, items }) => {
+            node.record_demand(model.as_deref(), work_tokens, items);
             batches::on_owner_reported(node, &batch, owner);
         }
         Ok(Datagram::StoreReturned) => outage::receive_store_returned(node),
--- a/tests/all/dispatch/shares.rs
+++ b/tests/all/dispatch/shares.rs
@@ -1,7 +1,8 @@
 //! Sharing of targets among models by their work.
 
+use super::{Target, plan_loads};
 use catkinmast_dispatch::{
-    Demand, RolloutSettings, RolloutTarget, TargetEntry, TargetTable, WeightRollout, interleave,
+    Demand, RolloutSettings, TargetEntry, TargetTable, WeightRollout, interleave,
 };
 use catkinmast_model::UnixMs;
 use indexmap::IndexMap;
@@ -19,9 +20,9 @@
     demand
 }
 
-fn targets(count: usize) -> Vec<RolloutTarget> {
+fn targets(count: usize) -> Vec<Target> {
     (0..count)
-        .map(|number| RolloutTarget {
+        .map(|number| Target {
             data_centre: format!("dc{}", number % 4),
             id: format!("t{number:02}"),
             models: models().into_iter().map(|model| (model, 1)).collect(),
@@ -29,7 +30,7 @@
         .collect()
 }
 
-fn table(targets: &[RolloutTarget]) -> TargetTable {
+fn table(targets: &[Target]) -> TargetTable {
     let mut table = TargetTable::default();
     for target in targets {
         table.apply_entry(TargetEntry {
@@ -49,7 +50,7 @@
     table
 }
 
-fn counts(rollout: &WeightRollout, targets: &[RolloutTarget]) -> Vec<usize> {
+fn counts(rollout: &WeightRollout, targets: &[Target]) -> Vec<usize> {
     let of = |model: &String| {
         targets.iter().filter(|target| rollout.model_of(&target.id) == Some(model)).count()
     };
@@ -119,7 +120,7 @@
     let mut rollout = WeightRollout::open(RolloutSettings::default());
     let targets = targets(45);
 
-    rollout.plan(UnixMs(0), &targets, &models(), &uneven());
+    plan_loads(&mut rollout, UnixMs(0), &targets, &models(), &uneven());
 
     assert_eq!(counts(&rollout, &targets), [18, 18, 9]);
 }
@@ -129,9 +130,9 @@
     let mut rollout = WeightRollout::open(RolloutSettings::default());
     let targets = targets(45);
     let (table, demand) = (table(&targets), uneven());
-    rollout.plan(UnixMs(0), &targets, &models(), &Demand::default());
+    plan_loads(&mut rollout, UnixMs(0), &targets, &models(), &Demand::default());
 
-    rollout.plan(UnixMs(100), &targets, &models(), &demand);
+    plan_loads(&mut rollout, UnixMs(100), &targets, &models(), &demand);
 
     for model in models() {
         let own = table.for_model("s", &model, 1, &IndexMap::new(), &demand);
@@ -155,7 +156,7 @@
         versions.insert(model, 7);
     }
 
-    let orders = rollout.plan(UnixMs(0), &targets, &models(), &Demand::default());
+    let orders = plan_loads(&mut rollout, UnixMs(0), &targets, &models(), &Demand::default());
 
     assert!(orders.is_empty(), "{orders:?}");
     let table = table(&targets);
@@ -169,11 +170,11 @@
     let targets = targets(45);
     let mut demand = uneven();
     rollout.version_published("long", 1);
-    rollout.plan(UnixMs(0), &targets, &models(), &demand);
+    plan_loads(&mut rollout, UnixMs(0), &targets, &models(), &demand);
     let before = counts(&rollout, &targets);
     demand.record_batch("long", 224 * 20 * 12 / 10);
 
-    rollout.plan(UnixMs(100), &targets, &models(), &demand);
+    plan_loads(&mut rollout, UnixMs(100), &targets, &models(), &demand);
 
     assert_eq!(counts(&rollout, &targets), before);
 }
