Index targets by service, and choose among a few near ones

Cause: each call and each placing of an item walked, filtered, sorted and dealt all targets of a service, and looked for an open connection to each. Each node called any of them, so hardly a connection was used twice. Ruled out: a cache of the whole answer for each call; each call changes the load that it depends on. Change: the table of targets keeps an order by data centre and id, and one by this node's preference, updated with each change. A call chooses among 16 near targets with room; an item among the targets of its model, which are computed again after a time that grows with the number of targets. `models_of` no longer clones a name for each target and model.

--- a/crates/dispatch/src/load.rs
+++ b/crates/dispatch/src/load.rs
@@ -216,6 +216,12 @@
         self.entry(id).run_ends.swap_remove(&number);
     }
 
+    /// Returns whether a target has room for one more call: fewer of our own calls are in flight there
+    /// than half of its slots, and it is not skipped.
+    pub fn has_room(&self, now: UnixMs, id: &str, slots: u32) -> bool {
+        self.in_flight(id) * 2 < slots.max(1) && !self.is_unavailable(now, id)
+    }
+
     /// Returns whether a target is skipped after a failure or refusal, or while it loads weights.
     pub fn is_unavailable(&self, now: UnixMs, id: &str) -> bool {
         self.unavailable_until(id) > now
--- a/crates/dispatch/src/targets.rs
+++ b/crates/dispatch/src/targets.rs
@@ -23,9 +23,10 @@
 use catkinmast_model::UnixMs;
 use catkinmast_places::Evacuations;
 use indexmap::IndexMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::hash::{Hash, Hasher};
 use std::net::SocketAddr;
-use xxhash_rust::xxh3::Xxh3Default;
+use xxhash_rust::xxh3::{Xxh3Default, xxh3_64, xxh3_64_with_seed};
 
 /// How long after the registry's return a missing entry may still reappear. The platform states
 /// that entries are back within about two seconds.
@@ -132,9 +133,24 @@
     },
 }
 
+/// The targets of one service, in the orders in which they are walked.
+#[derive(Clone, Debug, Default)]
+struct ServiceIndex {
+    /// Data centre and id, in the order by which all nodes share targets among models.
+    ordered: BTreeSet<(String, String)>,
+    /// Ids in the order in which this node prefers them: its own data centre first, and then by a
+    /// hash that is different at each node, so that nodes spread over the targets.
+    near: BTreeMap<(bool, u64), String>,
+}
+
 /// The known targets, by id.
 #[derive(Clone, Debug, Default)]
 pub struct TargetTable {
+    /// The data centre of this node.
+    data_centre: String,
+    /// Hash of this node's name, by which its order of preference differs from that of others.
+    salt: u64,
+    services: IndexMap<String, ServiceIndex>,
     evacuations: Evacuations,
     /// How many listed entries have a start time. Updated with each change: recounting on each
     /// entry increased the processor time of a node's start with 3,000 targets by a quarter.
@@ -145,22 +161,63 @@
 }
 
 impl TargetTable {
+    /// Opens an empty table of a node.
+    pub fn open(node: &str, data_centre: &str) -> Self {
+        let salt = xxh3_64(node.as_bytes());
+        Self { data_centre: data_centre.to_owned(), salt, ..Self::default() }
+    }
+
     /// Applies a registry entry.
     pub fn apply_entry(&mut self, entry: TargetEntry) -> TargetChange {
         let id = entry.id.clone();
         self.update_counted(&id, |table| table.upsert(entry))
     }
 
-    /// Applies a change to one target and updates the counts of listed entries.
+    /// Applies a change to one target, and updates the indexes and the counts of listed entries.
     fn update_counted<R>(&mut self, id: &str, change: impl FnOnce(&mut Self) -> R) -> R {
         let before = self.tally(id);
+        let place_before = self.place(id);
         let result = change(self);
         let after = self.tally(id);
+        let place_after = self.place(id);
+        if place_before != place_after {
+            if let Some(place) = place_before {
+                self.remove_from_index(id, place);
+            }
+            if let Some(place) = place_after {
+                self.add_to_index(id, place);
+            }
+        }
         self.listed = self.listed + after.0 - before.0;
         self.with_start_time = self.with_start_time + after.1 - before.1;
         result
     }
 
+    /// Returns the service and the data centre of a target.
+    fn place(&self, id: &str) -> Option<(String, String)> {
+        let entry = &self.known.get(id)?.entry;
+        Some((entry.service.clone(), entry.data_centre.clone()))
+    }
+
+    fn near_key(&self, id: &str, data_centre: &str) -> (bool, u64) {
+        (data_centre != self.data_centre, xxh3_64_with_seed(id.as_bytes(), self.salt))
+    }
+
+    fn add_to_index(&mut self, id: &str, (service, data_centre): (String, String)) {
+        let near_key = self.near_key(id, &data_centre);
+        let index = self.services.entry(service).or_default();
+        index.near.insert(near_key, id.to_owned());
+        index.ordered.insert((data_centre, id.to_owned()));
+    }
+
+    fn remove_from_index(&mut self, id: &str, (service, data_centre): (String, String)) {
+        let near_key = self.near_key(id, &data_centre);
+        if let Some(index) = self.services.get_mut(&service) {
+            index.near.remove(&near_key);
+            index.ordered.remove(&(data_centre, id.to_owned()));
+        }
+    }
+
     /// Returns what a target adds to the counts of listed entries and of entries with a start time.
     fn tally(&self, id: &str) -> (usize, usize) {
         match self.known.get(id) {
@@ -303,10 +360,25 @@
 
     /// Returns the targets of a service that serve, in evacuated data centres too.
     pub fn serving<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a TargetEntry> {
-        self.known
-            .values()
-            .filter(move |known| known.entry.service == service && self.is_serving(known))
-            .map(|known| &known.entry)
+        let ordered = self.services.get(service).into_iter().flat_map(|index| &index.ordered);
+        ordered.filter_map(|(_, id)| self.known.get(id)).filter_map(|known| self.entry_if(known))
+    }
+
+    /// Returns the targets of a service that may receive work, the ones that this node prefers
+    /// first.
+    pub fn usable_near<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a TargetEntry> {
+        let near = self.services.get(service).into_iter().flat_map(|index| index.near.values());
+        near.filter_map(|id| self.usable_entry(id))
+    }
+
+    /// Returns a target's entry, if it may receive work.
+    pub fn usable_entry(&self, id: &str) -> Option<&TargetEntry> {
+        let entry = self.entry_if(self.known.get(id)?)?;
+        (!self.is_evacuated(entry)).then_some(entry)
+    }
+
+    fn entry_if<'a>(&self, known: &'a KnownTarget) -> Option<&'a TargetEntry> {
+        self.is_serving(known).then_some(&known.entry)
     }
 
     /// Returns the data centres that are evacuated, to change them.
@@ -338,8 +410,8 @@
         versions: &IndexMap<String, u64>,
         demand: &Demand,
     ) -> Vec<&'a str> {
-        let mut usable: Vec<&TargetEntry> = self.usable(service).collect();
-        usable.sort_by(|a, b| (&a.data_centre, &a.id).cmp(&(&b.data_centre, &b.id)));
+        // In the order of data centres and ids.
+        let usable: Vec<&TargetEntry> = self.usable(service).collect();
         let models = models_of(&usable);
         let shares = demand.shares(&models, usable.len());
         let assigned = interleave(&shares, usable.len());
@@ -347,8 +419,9 @@
             .iter()
             .zip(assigned)
             .filter(|(entry, assigned)| {
-                let main = entry.main_model(versions, Some(&models[*assigned]));
-                entry.serves(model, oldest) && main == Some(model)
+                // The first condition is cheap and holds for few targets of a large fleet.
+                entry.serves(model, oldest)
+                    && entry.main_model(versions, Some(&models[*assigned])) == Some(model)
             })
             .map(|(entry, _)| entry.id.as_str())
             .collect();
@@ -361,6 +434,11 @@
         serving.map(|entry| entry.id.as_str()).collect()
     }
 
+    /// Returns the number of known targets of a service.
+    pub fn count(&self, service: &str) -> usize {
+        self.services.get(service).map_or(0, |index| index.ordered.len())
+    }
+
     /// Returns the number of targets that serve, of all services together.
     pub fn serving_count(&self) -> usize {
         self.known.values().filter(|known| self.is_serving(known)).count()
@@ -374,11 +452,18 @@
 
 /// Returns the models that targets hold, sorted and without duplicates.
 fn models_of(targets: &[&TargetEntry]) -> Vec<String> {
-    let names = targets.iter().flat_map(|entry| &entry.models).map(|(name, _)| name.clone());
-    let mut models: Vec<String> = names.collect();
-    models.sort_unstable();
-    models.dedup();
-    models
+    let mut models: BTreeSet<&String> = BTreeSet::new();
+    let mut previous: &[(String, u64)] = &[];
+    for entry in targets {
+        // Most targets list the same models as the one before.
+        let same = entry.models.len() == previous.len()
+            && entry.models.iter().zip(previous).all(|(a, b)| a.0 == b.0);
+        if !same {
+            models.extend(entry.models.iter().map(|(name, _)| name));
+            previous = &entry.models;
+        }
+    }
+    models.into_iter().cloned().collect()
 }
 
 impl KnownTarget {
--- a/crates/serve/src/caller.rs
+++ b/crates/serve/src/caller.rs
@@ -415,12 +415,8 @@
     tried: &[String],
 ) -> Option<ChosenTarget> {
     let random = node.random_u64();
-    let chosen = node.pick(
-        service,
-        |_| true,
-        |load, now, candidates| {
-            load.choose(now, candidates, tried, random).map(|candidate| candidate.id.to_owned())
-        },
-    );
+    let chosen = node.pick_near(service, tried, |load, now, candidates| {
+        load.choose(now, candidates, tried, random).map(|candidate| candidate.id.to_owned())
+    });
     chosen.map(|(id, address)| ChosenTarget { address, id })
 }
--- a/crates/serve/src/node.rs
+++ b/crates/serve/src/node.rs
@@ -10,6 +10,7 @@
 use crate::peers::{PeerAnswer, PeerCall};
 use crate::platform::Platform;
 use crate::pool::{Pool, read_body};
+use crate::runs::ModelTargets;
 use crate::settings::Settings;
 use crate::store::{StoreAnswer, StoreCall, StoreRefusal};
 use crate::trail::Trail;
@@ -17,7 +18,7 @@
 use bytes::Bytes;
 use catkinmast_dispatch::{
     Candidate, Demand, Document, Item, LoadBalancer, LoadBalancerSettings, RunTimeEstimator,
-    TargetChange, TargetTable, WaitQueue,
+    TargetChange, TargetEntry, TargetTable, WaitQueue,
 };
 use catkinmast_feed::Recipient;
 use catkinmast_member::{Membership, NodeState};
@@ -51,6 +52,9 @@
 const STORE_PEERS_MAX: usize = 2;
 /// Approximate time per stream event, to estimate the remaining time of a resumed run.
 const EVENT_MS: u64 = 40;
+/// Targets with room among which a call chooses. A choice between two would do for an even load;
+/// more are needed where some fail or are slow.
+const NEAR_TARGETS: usize = 16;
 /// Size limit of the answers of the store and of peers: a page of 1 MB in base64, with a margin.
 const ANSWER_MAX_BYTES: usize = 4 << 20;
 
@@ -86,6 +90,8 @@
     /// When the last batch was opened, by model.
     pub batch_opened_at: RefCell<IndexMap<String, UnixMs>>,
     pub outage: Outage,
+    /// The targets of each model, as placing runs uses them.
+    pub model_targets: RefCell<ModelTargets>,
     pub pool: Pool,
     /// The requests during which targets have ended, and the evidence against each.
     pub quarantine: RefCell<Quarantine>,
@@ -118,6 +124,7 @@
 impl<P: Platform> Node<P> {
     pub(crate) fn open(settings: Settings, datagrams: UdpSocket, trail: Trail) -> Self {
         let metrics = Metrics::open();
+        let targets = TargetTable::open(&settings.node, &settings.data_centre);
         let pool = Pool::new(metrics.connections_opened.clone());
         Self {
             batches: Batches::default(),
@@ -141,6 +148,7 @@
             metrics,
             batch_opened_at: RefCell::new(IndexMap::new()),
             outage: Outage::default(),
+            model_targets: RefCell::new(ModelTargets::default()),
             pool,
             quarantine: RefCell::new(Quarantine::default()),
             ready: Cell::new(false),
@@ -149,7 +157,7 @@
             rng: RefCell::new(Pcg64Mcg::from_os_rng()),
             settings: RefCell::new(Rc::new(settings)),
             store_backoff_until: Cell::new(UnixMs(0)),
-            targets: RefCell::new(TargetTable::default()),
+            targets: RefCell::new(targets),
             trail,
             wait_queues: RefCell::new(IndexMap::new()),
             unsaved_crashes: RefCell::new(IndexSet::new()),
@@ -245,20 +253,70 @@
         self.work.notify_one();
     }
 
-    /// Runs `choose` over the usable targets of a service that `fits` accepts and that are not too
+    /// Runs `choose` over the usable targets among `ids` that `fits` accepts and that are not too
     /// cold for a request from here. Returns the chosen target's id and address.
+    pub(crate) fn pick_among<'a>(
+        &self,
+        ids: impl Iterator<Item = &'a str>,
+        fits: impl Fn(&TargetEntry) -> bool,
+        choose: impl FnOnce(&LoadBalancer, UnixMs, &[Candidate<'_>]) -> Option<String>,
+    ) -> Option<(String, SocketAddr)> {
+        let targets = self.targets.borrow();
+        let entries = ids.filter_map(|id| targets.usable_entry(id));
+        self.pick_from(&targets, entries.filter(|entry| fits(entry)), choose)
+    }
+
+    /// Like [`pick_among`](Self::pick_among), over all usable targets of a service.
     pub(crate) fn pick(
         &self,
         service: &str,
-        fits: impl Fn(&catkinmast_dispatch::TargetEntry) -> bool,
+        fits: impl Fn(&TargetEntry) -> bool,
+        choose: impl FnOnce(&LoadBalancer, UnixMs, &[Candidate<'_>]) -> Option<String>,
+    ) -> Option<(String, SocketAddr)> {
+        let targets = self.targets.borrow();
+        self.pick_from(&targets, targets.usable(service).filter(|entry| fits(entry)), choose)
+    }
+
+    /// Like [`pick`](Self::pick), over as many of the targets that this node prefers as have room
+    /// for the calls that it makes. With a few targets for each node, a call costs as much in a
+    /// large fleet as in a small one, and most calls find an open connection.
+    pub(crate) fn pick_near(
+        &self,
+        service: &str,
+        tried: &[String],
         choose: impl FnOnce(&LoadBalancer, UnixMs, &[Candidate<'_>]) -> Option<String>,
     ) -> Option<(String, SocketAddr)> {
         let now = clock::now();
-        let settings = self.settings();
         let targets = self.targets.borrow();
-        let picks: Vec<Candidate<'_>> = targets
-            .usable(service)
-            .filter(|entry| fits(entry) && cold::may_send(self, entry))
+        let mut with_room = 0;
+        let near = {
+            let balancer = self.balancer.borrow();
+            let mut near: Vec<&TargetEntry> = Vec::new();
+            for entry in targets.usable_near(service) {
+                near.push(entry);
+                let has_room = !tried.contains(&entry.id)
+                    && balancer.has_room(now, &entry.id, entry.slots)
+                    && cold::may_send(self, entry);
+                with_room += usize::from(has_room);
+                if with_room >= NEAR_TARGETS {
+                    break;
+                }
+            }
+            near
+        };
+        self.pick_from(&targets, near.into_iter(), choose)
+    }
+
+    fn pick_from<'a>(
+        &self,
+        targets: &TargetTable,
+        entries: impl Iterator<Item = &'a TargetEntry>,
+        choose: impl FnOnce(&LoadBalancer, UnixMs, &[Candidate<'_>]) -> Option<String>,
+    ) -> Option<(String, SocketAddr)> {
+        let now = clock::now();
+        let settings = self.settings();
+        let picks: Vec<Candidate<'_>> = entries
+            .filter(|entry| cold::may_send(self, entry))
             .map(|entry| Candidate {
                 connected: self.pool.has_idle(entry.address),
                 id: &entry.id,
--- a/crates/serve/src/runs/mod.rs
+++ b/crates/serve/src/runs/mod.rs
@@ -5,6 +5,7 @@
 mod second;
 mod stream;
 
+pub(crate) use placement::ModelTargets;
 pub(crate) use second::SecondRuns;
 
 use crate::batches::{LocalBatch, Run};
@@ -13,7 +14,7 @@
 use crate::node::Node;
 use crate::platform::Platform;
 use catkinmast_dispatch::{ItemResult, NextItem};
-use placement::{ModelTargets, choose, move_slow_runs};
+use placement::{choose, move_slow_runs};
 use score::start_scoring;
 use second::start_second_runs;
 use serde_json::json;
@@ -53,7 +54,6 @@
 
 fn start_items<P: Platform>(node: &Rc<Node<P>>, local: &Rc<RefCell<LocalBatch>>) {
     let now = clock::now();
-    let mut model_targets = ModelTargets::default();
     let given_up = local.borrow_mut().batch.expire(now);
     if given_up > 0 {
         let local = local.borrow();
@@ -66,7 +66,7 @@
             start_scoring(node, local, next);
             continue;
         }
-        let Some(chosen) = choose(node, local, &next, &mut model_targets) else {
+        let Some(chosen) = choose(node, local, &next) else {
             local.borrow_mut().batch.put_back(next.index, now, next.progress);
             return;
         };
--- a/crates/serve/src/runs/placement.rs
+++ b/crates/serve/src/runs/placement.rs
@@ -8,6 +8,7 @@
 use crate::node::Node;
 use crate::platform::Platform;
 use catkinmast_dispatch::{Candidate, LoadBalancer, NextItem, Submission, TargetEntry};
+use catkinmast_model::UnixMs;
 use indexmap::{IndexMap, IndexSet};
 use serde_json::json;
 use std::cell::RefCell;
@@ -26,37 +27,48 @@
 /// slow, and few enough not to delay other work on a small machine for longer than an event takes.
 const MOVES_PER_PASS: usize = 12;
 
-/// The targets assigned to a batch's model, by service. They are computed once in each pass over a
-/// batch: computed for each item, they took a third of an owner's processor time.
-#[derive(Debug, Default)]
-pub(super) struct ModelTargets(IndexMap<String, Option<IndexSet<String>>>);
+/// How long the targets of a model are used before they are computed again, for each target of the
+/// service: the computation takes about a twentieth of that.
+const VALID_US_PER_TARGET: u64 = 20;
 
-impl ModelTargets {
-    /// Returns the ids of a service's targets for the model; none if the batch names no model.
-    fn of<P: Platform>(
-        &mut self,
-        node: &Node<P>,
-        service: &str,
-        submission: &Submission,
-    ) -> Option<&IndexSet<String>> {
-        if !self.0.contains_key(service) {
-            let model_targets = submission.model.as_ref().map(|model| {
-                let (targets, versions) = (node.targets.borrow(), node.versions.borrow());
-                let demand = node.demand.borrow();
-                let oldest = submission.oldest_version;
-                let ids = targets.for_model(service, model, oldest, &versions, &demand);
-                ids.into_iter().map(str::to_owned).collect()
-            });
-            self.0.insert(service.to_owned(), model_targets);
-        }
-        self.0[service].as_ref()
-    }
+/// What the targets of a model depend on, besides the table of targets: the service, the model and
+/// the oldest version that a batch accepts.
+type ModelKey = (String, String, u64);
+
+#[derive(Debug)]
+struct ComputedTargets {
+    ids: Rc<IndexSet<String>>,
+    valid_until: UnixMs,
+}
 
-    /// Returns the recent latency of the fastest of the targets computed so far; 0 if there are
-    /// none.
-    fn fastest_ms(&self, load: &LoadBalancer) -> u64 {
-        load.fastest_ms(self.0.values().flatten().flatten().map(String::as_str))
+/// The targets assigned to the models of batches. They are computed again after a time that grows
+/// with the number of targets: computed for each item, they took a third of an owner's processor
+/// time, and computed for each pass, most of it in a fleet of thousands of targets.
+#[derive(Debug, Default)]
+pub(crate) struct ModelTargets(IndexMap<ModelKey, ComputedTargets>);
+
+/// Returns the ids of a service's targets for the model of a batch; none if it names no model.
+fn model_targets<P: Platform>(
+    node: &Node<P>,
+    service: &str,
+    submission: &Submission,
+) -> Option<Rc<IndexSet<String>>> {
+    let model = submission.model.as_ref()?;
+    let now = clock::now();
+    let key = (service.to_owned(), model.clone(), submission.oldest_version);
+    let mut computed = node.model_targets.borrow_mut();
+    if let Some(held) = computed.0.get(&key).filter(|held| held.valid_until > now) {
+        return Some(Rc::clone(&held.ids));
     }
+    let (targets, versions) = (node.targets.borrow(), node.versions.borrow());
+    let demand = node.demand.borrow();
+    let ids = targets.for_model(service, model, submission.oldest_version, &versions, &demand);
+    let ids: Rc<IndexSet<String>> = Rc::new(ids.into_iter().map(str::to_owned).collect());
+    let valid_ms = targets.count(service) as u64 * VALID_US_PER_TARGET / 1_000;
+    computed.0.retain(|_, held| held.valid_until > now);
+    let held = ComputedTargets { ids: Rc::clone(&ids), valid_until: now.plus(valid_ms) };
+    computed.0.insert(key, held);
+    Some(ids)
 }
 
 /// Moves runs from slow targets to free faster ones once no item waits: a group is complete only
@@ -71,7 +83,7 @@
         return;
     }
     let now = clock::now();
-    let mut model_targets = ModelTargets::default();
+    let fastest_ms = fastest_ms(node, &local.borrow());
     let old: Vec<(usize, String)> = local
         .borrow()
         .runs
@@ -84,7 +96,7 @@
         if moves >= MOVES_PER_PASS {
             return;
         }
-        if let Some(faster) = faster_target(node, local, index, &target, &mut model_targets) {
+        if let Some(faster) = faster_target(node, local, index, &target, fastest_ms) {
             move_run(node, local, index, &target, faster);
             moves += 1;
         }
@@ -140,25 +152,21 @@
     local: &RefCell<LocalBatch>,
     index: usize,
     target: &str,
-    model_targets: &mut ModelTargets,
+    fastest_ms: u64,
 ) -> Option<ChosenTarget> {
     if let Some(left_ms) = time_left_if_evacuated(node, local, index, target) {
         if left_ms < MOVED_RUN_EXPECTED_MS {
             return None;
         }
-        let (id, address) = pick_free(node, local, index, left_ms, model_targets)?;
+        let (id, address) = pick_free(node, local, index, left_ms)?;
         return Some(ChosenTarget { address, id });
     }
-    // Most runs are on targets of normal speed; a free target is searched only for the others, and
-    // for the first run of a pass, when no latencies are known yet.
-    let (current_ms, fastest_ms) = {
-        let load = node.balancer.borrow();
-        (load.latency_ms(target), model_targets.fastest_ms(&load))
-    };
+    // Most runs are on targets of normal speed; a free target is searched only for the others.
+    let current_ms = node.balancer.borrow().latency_ms(target);
     if current_ms * 10 < fastest_ms * MOVE_MIN_RATIO_TENTHS {
         return None;
     }
-    let (id, address) = pick_free(node, local, index, MOVED_RUN_EXPECTED_MS, model_targets)?;
+    let (id, address) = pick_free(node, local, index, MOVED_RUN_EXPECTED_MS)?;
     let candidate_ms = node.balancer.borrow().latency_ms(&id);
     (candidate_ms > 0 && current_ms * 10 >= candidate_ms * MOVE_MIN_RATIO_TENTHS)
         .then_some(ChosenTarget { address, id })
@@ -168,15 +176,13 @@
     node: &Rc<Node<P>>,
     local: &RefCell<LocalBatch>,
     next: &NextItem,
-    model_targets: &mut ModelTargets,
 ) -> Option<ChosenTarget> {
     let run_ms = {
         let local = local.borrow();
         let item = &local.batch.submission().items[next.index];
         node.expected_run_ms(item, next.progress.last_event_id)
     };
-    pick_free(node, local, next.index, run_ms, model_targets)
-        .map(|(id, address)| ChosenTarget { address, id })
+    pick_free(node, local, next.index, run_ms).map(|(id, address)| ChosenTarget { address, id })
 }
 
 /// Chooses a target with a free slot and new enough weights, preferably the one on which the item's
@@ -186,7 +192,6 @@
     local: &RefCell<LocalBatch>,
     index: usize,
     run_ms: u64,
-    model_targets: &mut ModelTargets,
 ) -> Option<(String, SocketAddr)> {
     let local = local.borrow();
     let submission = local.batch.submission();
@@ -198,21 +203,38 @@
     let preferred = item.group.as_ref().and_then(|group| local.group_targets.get(group));
     let random = node.random_u64();
     let oldest = submission.oldest_version;
-    let model_targets = model_targets.of(node, service, submission);
     let fits = |entry: &TargetEntry| {
         submission.model.as_ref().is_none_or(|model| entry.serves(model, oldest))
     };
-    node.pick(service, fits, |load, now, candidates| {
-        let is_model_target =
-            |candidate: &&Candidate<'_>| model_targets.is_none_or(|ids| ids.contains(candidate.id));
-        let model_candidates: Vec<Candidate<'_>> =
-            candidates.iter().filter(is_model_target).copied().collect();
-        // If all targets of the model are backing off, use the others rather than none.
-        let all_back_off =
-            model_candidates.iter().all(|candidate| load.is_unavailable(now, candidate.id));
-        let from = if all_back_off { candidates } else { &model_candidates };
-        let preferred = preferred.map(String::as_str);
-        load.choose_with_free_slot(now, from, preferred, run_ms, random)
+    let preferred = preferred.map(String::as_str);
+    let choose = |load: &LoadBalancer, now: UnixMs, candidates: &[Candidate<'_>]| {
+        load.choose_with_free_slot(now, candidates, preferred, run_ms, random)
             .map(|candidate| candidate.id.to_owned())
-    })
+    };
+    let Some(ids) = model_targets(node, service, submission) else {
+        return node.pick(service, fits, choose);
+    };
+    // If all targets of the model are backing off, use the others rather than none.
+    let now = clock::now();
+    let all_back_off = ids.iter().all(|id| node.balancer.borrow().is_unavailable(now, id));
+    if all_back_off {
+        return node.pick(service, fits, choose);
+    }
+    node.pick_among(ids.iter().map(String::as_str), fits, choose)
+}
+
+/// Returns the recent latency of the fastest of the targets of a batch's model; 0 if none is known.
+fn fastest_ms<P: Platform>(node: &Node<P>, local: &LocalBatch) -> u64 {
+    let submission = local.batch.submission();
+    let Some(document) = node.document() else { return 0 };
+    let services: IndexSet<&str> = submission
+        .items
+        .first()
+        .and_then(|item| document.route(&local.origin().host, &item.path))
+        .map(|route| route.services.iter().map(|share| share.service.as_str()).collect())
+        .unwrap_or_default();
+    let ids = services.iter().filter_map(|service| model_targets(node, service, submission));
+    let balancer = node.balancer.borrow();
+    let fastest = ids.map(|ids| balancer.fastest_ms(ids.iter().map(String::as_str)));
+    fastest.filter(|latency_ms| *latency_ms > 0).min().unwrap_or(0)
 }
--- a/tests/all/dispatch/targets.rs
+++ b/tests/all/dispatch/targets.rs
@@ -221,3 +221,73 @@
         }
     }
 }
+
+#[test]
+fn a_target_that_changes_its_service_is_listed_under_the_new_one_only() {
+    let mut table = TargetTable::open("node-1", "dc");
+    table.apply_entry(entry("a", 1, false));
+
+    table.apply_entry(TargetEntry { service: "other".to_owned(), ..entry("a", 2, false) });
+
+    assert!(usable(&table).is_empty());
+    assert_eq!((table.count("s"), table.count("other")), (0, 1));
+    assert_eq!(table.usable_near("other").count(), 1);
+}
+
+#[test]
+fn a_node_prefers_targets_of_its_own_data_centre() {
+    let mut table = TargetTable::open("node-1", "dc");
+    for number in 0..20 {
+        let data_centre = if number % 4 == 0 { "dc" } else { "other" }.to_owned();
+        table.apply_entry(TargetEntry { data_centre, ..entry(&format!("t{number}"), 1, false) });
+    }
+
+    let near: Vec<&str> = table.usable_near("s").map(|entry| entry.data_centre.as_str()).collect();
+
+    assert_eq!(near[..5], ["dc"; 5]);
+    assert_eq!(near[5..], ["other"; 15]);
+}
+
+// Guards against nodes that all prefer the same targets: each node uses a few of them, and together
+// they use all.
+#[yare::parameterized(
+    nodes_30 = { 30 },
+    nodes_300 = { 300 },
+    nodes_1000 = { 1_000 },
+)]
+fn nodes_spread_over_the_targets(nodes: usize) {
+    const TARGETS_PER_NODE: usize = 2;
+    const USED: usize = 16;
+    let entries: Vec<TargetEntry> = (0..nodes * TARGETS_PER_NODE)
+        .map(|number| entry(&format!("t{number}"), 1, false))
+        .collect();
+
+    let mut uses: IndexMap<String, usize> = IndexMap::new();
+    for node in 0..nodes.min(60) {
+        let mut table = TargetTable::open(&format!("node-{node}"), "dc");
+        for entry in &entries {
+            table.apply_entry(entry.clone());
+        }
+        for near in table.usable_near("s").take(USED) {
+            *uses.entry(near.id.clone()).or_default() += 1;
+        }
+    }
+
+    let most = uses.values().max().copied().unwrap_or(0);
+    assert!(most <= nodes.min(60) * USED * 3 / entries.len() + 6, "{most} nodes use one target");
+}
+
+#[test]
+fn targets_of_an_evacuated_data_centre_serve_but_get_no_work() {
+    let mut table = TargetTable::default();
+    table.apply_entry(entry("a", 1, false));
+    table.apply_entry(TargetEntry { data_centre: "b".to_owned(), ..entry("b", 1, false) });
+
+    table.evacuations_mut().begin("b", 7);
+
+    assert_eq!(usable(&table), ["a"]);
+    assert_eq!(table.serving("s").count(), 2);
+    assert!(table.usable_entry("b").is_none());
+    table.evacuations_mut().end("b");
+    assert_eq!(usable(&table), ["b", "a"]);
+}
