Keep a node's ranks until a fact changes

Cause: the rank for a duty is asked for several times a second at every node, and each time all known nodes were hashed: at 834 nodes 834 hashes of a text, a dozen times a second. Ruled out: a rank kept for a time; two nodes would watch or none. Change: ranks are kept with the digest of the facts that they come from; the status of an owner is looked up by its name. Measured: hashes for a rank while nothing changes, at any size: all nodes -> 0; by reading, no count. Conclusion: what is left grows with changes of the membership only.

--- a/crates/member/src/membership.rs
+++ b/crates/member/src/membership.rs
@@ -390,7 +390,8 @@
         PUSH_FANOUT as u8 + 1
     }
 
-    pub(crate) fn node(&self, name: &Name) -> Option<&NodeFact> {
+    /// Returns what is known of a node.
+    pub fn node(&self, name: &Name) -> Option<&NodeFact> {
         match self.facts.get(&FactKey::Node(name.clone())) {
             Some(Fact::Node(node)) => Some(node),
             _ => None,
--- a/crates/serve/src/node.rs
+++ b/crates/serve/src/node.rs
@@ -7,7 +7,7 @@
 use crate::feed::Feeds;
 use crate::metrics::{Metrics, count};
 use crate::outage::{self, Outage};
-use crate::peers::{PeerAnswer, PeerCall};
+use crate::peers::{PeerAnswer, PeerCall, RankCache};
 use crate::platform::Platform;
 use crate::pool::{Pool, read_body};
 use crate::runs::ModelTargets;
@@ -97,6 +97,7 @@
     pub quarantine: RefCell<Quarantine>,
     /// Whether the node has joined the fleet and has received a configuration.
     pub ready: Cell<bool>,
+    pub ranks: RefCell<RankCache>,
     /// The nodes that messages for all go to, and the version of the facts that they come from.
     pub recipients: RefCell<Option<(u64, Rc<[Recipient]>)>>,
     /// The incarnations of the nodes that were registered when this one started.
@@ -152,6 +153,7 @@
             pool,
             quarantine: RefCell::new(Quarantine::default()),
             ready: Cell::new(false),
+            ranks: RefCell::new(RankCache::default()),
             recipients: RefCell::new(None),
             registered: RefCell::new(IndexMap::new()),
             rng: RefCell::new(Pcg64Mcg::from_os_rng()),
--- a/crates/serve/src/peers/mod.rs
+++ b/crates/serve/src/peers/mod.rs
@@ -5,8 +5,9 @@
 
 pub(crate) use messages::{Datagram, Owner, PeerAnswer, PeerCall};
 pub(crate) use ranks::{
-    announce_holder, duty_candidates, first_for, first_known_for, holder_of, is_first_for,
-    known_names, rank_for, ranks_before, recipients, registered_rank, successor_for, usage_sources,
+    RankCache, announce_holder, duty_candidates, first_for, first_known_for, holder_of,
+    is_first_for, known_names, rank_for, ranks_before, recipients, registered_rank, successor_for,
+    usage_sources,
 };
 
 use crate::batches::{self, Acceptance};
@@ -303,7 +304,7 @@
     }
     let members = node.members.borrow();
     let Some(members) = members.as_ref() else { return OwnerStatus::Unknown };
-    match members.nodes().find(|peer| peer.name == owner.node) {
+    match members.node(&owner.node) {
         None => OwnerStatus::Unknown,
         Some(peer) if peer.incarnation > owner.incarnation => OwnerStatus::Ended,
         Some(peer) if peer.incarnation < owner.incarnation => OwnerStatus::Unknown,
--- a/crates/serve/src/peers/ranks.rs
+++ b/crates/serve/src/peers/ranks.rs
@@ -7,18 +7,42 @@
 use catkinmast_member::{DutyRank, Fact, NodeFact, NodeState, OwnerFact};
 use catkinmast_model::Name;
 use catkinmast_usage::UsageSource;
-use indexmap::IndexSet;
+use indexmap::{IndexMap, IndexSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use xxhash_rust::xxh3::xxh3_64;
 
+/// Ranks that are kept; a batch that is searched for counts as a duty of its own.
+const RANKS_MAX: usize = 64;
+
+/// This node's ranks, as long as no fact has changed. They are asked for several times a second, and
+/// each takes a hash of every node's name.
+#[derive(Debug, Default)]
+pub(crate) struct RankCache {
+    ranks: IndexMap<String, usize>,
+    /// The digest of the facts that the ranks come from.
+    version: u64,
+}
+
 /// Returns this node's rank for a duty among the live nodes; none before it has joined.
 pub(crate) fn rank_for<P: Platform>(node: &Node<P>, duty: &str) -> Option<usize> {
     let members = node.members.borrow();
     let members = members.as_ref()?;
+    let version = members.facts().digest();
+    let mut cache = node.ranks.borrow_mut();
+    if cache.version != version {
+        *cache = RankCache { ranks: IndexMap::new(), version };
+    }
+    if let Some(rank) = cache.ranks.get(duty) {
+        return Some(*rank);
+    }
     let mine = DutyRank::of(members.me(), duty);
     let live = members.nodes().filter(|peer| peer.state == NodeState::Live);
-    Some(live.filter(|peer| DutyRank::of(peer, duty) < mine).count())
+    let rank = live.filter(|peer| DutyRank::of(peer, duty) < mine).count();
+    if cache.ranks.len() < RANKS_MAX {
+        cache.ranks.insert(duty.to_owned(), rank);
+    }
+    Some(rank)
 }
 
 /// Returns whether the node at an address ranks before this one for a duty.
