Pull changes after a silence of the watchers, not when the view is old

Cause: a view is as old as the store's last answer, and a watcher's call waits for half of the change bound; so every node pulled the operators' keys from a peer each second, by a new connection, although reports arrived all the while. Ruled out: a longer age; it would exceed the bound where no watcher is left. Change: a node pulls 1.2 s after it last heard a report. Test: `site::configuration::nodes_that_hear_from_the_watchers_do_not_pull`.

--- a/crates/serve/src/feed/mod.rs
+++ b/crates/serve/src/feed/mod.rs
@@ -62,8 +62,9 @@
 const PULL_PEERS_MAX: usize = 3;
 /// How long a peer may take to answer with a page of keys, on a slow link beside others.
 const PAGE_TIMEOUT: Duration = Duration::from_secs(2);
-/// Age of the view from which a node pulls changes from a peer: several heartbeats were lost.
-const PULL_FROM_AGE_MS: u64 = 1_000;
+/// Time without a report after which a node pulls changes from a peer: several heartbeats of both
+/// watchers were lost.
+const PULL_AFTER_SILENCE_MS: u64 = 1_200;
 /// Lists of all keys that a node begins to send in [`LIST_SPAN_MS`]: more at once would share its
 /// link, and none of them would arrive in time.
 const LISTS_PER_SPAN: usize = 2;
@@ -375,7 +376,8 @@
 ) {
     let feed = node.feeds.of(subject);
     let (as_of, started) = {
-        let state = feed.state.borrow();
+        let mut state = feed.state.borrow_mut();
+        state.heard_at = clock::now();
         (state.table.as_of(), state.started)
     };
     if changes.after > as_of || (changes.events.is_none() && changes.as_of > as_of) {
@@ -675,12 +677,13 @@
     let feed = node.feeds.of(subject);
     let is_due = {
         let state = feed.state.borrow();
-        let age_ms = state.freshness.age_ms(now).unwrap_or(u64::MAX);
-        let is_old = age_ms.min(now.since_ms(state.pulled_at)) >= PULL_FROM_AGE_MS;
-        state.started && is_old
+        state.started && now.since_ms(state.heard_at) >= PULL_AFTER_SILENCE_MS
     };
     if let Some(peer) = node.live_peers().first().copied().filter(|_| is_due) {
-        feed.state.borrow_mut().pulled_at = now;
+        let silent_ms = now.since_ms(feed.state.borrow().heard_at);
+        let subject = format!("{subject:?}");
+        node.note("feed_silent", json!({ "subject": subject, "ms": silent_ms, "peer": peer }));
+        feed.state.borrow_mut().heard_at = now;
         request_catch_up(feed, peer);
     }
 }
--- a/crates/serve/src/feed/state.rs
+++ b/crates/serve/src/feed/state.rs
@@ -64,8 +64,9 @@
 #[derive(Debug, Default)]
 pub(super) struct FeedState {
     pub(super) freshness: Freshness,
-    /// When this node last pulled changes because nobody had reported any.
-    pub(super) pulled_at: UnixMs,
+    /// When a report last arrived, or this node last pulled changes because none had. A watcher's
+    /// reports arrive more often than the store answers it, so this is no age of the view.
+    pub(super) heard_at: UnixMs,
     /// Whether a complete list of keys was read.
     pub(super) started: bool,
     pub(super) table: KeyTable,
--- a/tests/all/site/configuration.rs
+++ b/tests/all/site/configuration.rs
@@ -57,6 +57,20 @@
     }
 }
 
+// Guards against nodes that call each other although they hear from the watchers: the store answers
+// a watcher more rarely than the watcher reports.
+#[tokio::test(flavor = "multi_thread")]
+async fn nodes_that_hear_from_the_watchers_do_not_pull() {
+    let site = Site::start(5, 0, 1).await;
+
+    tokio::time::sleep(Duration::from_secs(5)).await;
+
+    for node in &site.nodes {
+        let pulls = node.lines("feed_silent");
+        assert!(pulls.is_empty(), "{pulls:?}");
+    }
+}
+
 // Guards against nodes that use an old configuration for ten seconds. The store makes a change that
 // no watch reports, drops its history and cuts the watches. It reports the lost history only with
 // the next change or at the end of a watch, so a watch resumed at its revision would wait for that.
