--- a/crates/serve/src/feed/mod.rs
+++ b/crates/serve/src/feed/mod.rs
@@ -465,6 +465,7 @@
     let confirmation_source = confirmation_source(node, source);
     let events = {
         let mut state = node.feeds.of(subject).state.borrow_mut();
+        state.heard_at = clock::now();
         if let Some(at) = confirmed_at {
             state.freshness.confirm(at, confirmation_source);
         }
--- a/crates/serve/src/feed/state.rs
+++ b/crates/serve/src/feed/state.rs
@@ -64,8 +64,8 @@
 #[derive(Debug, Default)]
 pub(super) struct FeedState {
     pub(super) freshness: Freshness,
-    /// When a report last arrived, or this node last pulled changes because none had. A watcher's
-    /// reports arrive more often than the store answers it, so this is no age of the view.
+    /// When a report or the store's answer last arrived, or this node last pulled changes because
+    /// none had. A watcher's reports arrive more often than the store answers it, so this is no age of the view.
     pub(super) heard_at: UnixMs,
     /// Whether a complete list of keys was read.
     pub(super) started: bool,
