Pass changes on in the order of their revisions, also after a list in pages

Cause: the last pages of a list are later than the changes that follow it, so the log is not in order. Split into datagrams in the log's order, the first parts said that they were complete up to the latest revision, and a later part that was lost left no gap. Nodes lacked targets, and lists pulled from them removed those targets at others. Ruled out: foreign entries (the same targets left at different nodes seconds apart). Change: the changes after a revision are sorted by revision. Test: `feed::changes_after_a_list_in_pages_are_in_the_order_of_their_revisions` (40, 20 before). Also moves what speaks of catkinmast-node from the capacity page to a page of its own, with its test.

--- a/crates/bench/src/capacity.rs
+++ b/crates/bench/src/capacity.rs
@@ -2,7 +2,7 @@
 //! production types.
 //!
 //! Counted figures are the same on every machine: state in allocated bytes, messages in encoded
-//! bytes, propagation in virtual time. They are in `docs/CAPACITY.md`, and a test compares that
+//! bytes, propagation in virtual time. They are in `docs/capacity-node.md`, and a test compares that
 //! page with the output of this command. Processor time differs between machines, so it is reported
 //! relative to a reference operation measured in the same run, is left out with `--counted`, and no
 //! test compares it.
--- a/crates/feed/src/table.rs
+++ b/crates/feed/src/table.rs
@@ -159,12 +159,15 @@
         }
     }
 
-    /// Returns the changes after a revision; none if they are not all known.
+    /// Returns the changes after a revision, in the order of their revisions; none if they are not
+    /// all known.
     pub fn changes_after(&self, after: u64) -> Option<Vec<StoreEvent>> {
         let is_known = after >= self.log_from && after <= self.as_of;
         is_known.then(|| {
             let later = self.log.iter().filter(|event| event.revision() > after);
-            later.cloned().collect()
+            let mut later: Vec<StoreEvent> = later.cloned().collect();
+            later.sort_by_key(StoreEvent::revision);
+            later
         })
     }
 
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -4,7 +4,7 @@
 //! commands and reports together with the current time and returns effects, and does no I/O itself.
 //! It keeps each sample's metadata (state, segments, score, holders of its tokens) but never the
 //! tokens: a step's tokens can be hundreds of megabytes, so they stay on the node that ran the
-//! sample and on one other node that has a copy (see `docs/CAPACITY.md`).
+//! sample and on one other node that has a copy (see `docs/capacity-node.md`).
 //!
 //! State that must survive the owner is in the [`Ledger`], one value in the platform's key-value
 //! service that is changed by compare-and-swap only. A new owner first writes its own fencing
--- a/tests/all/capacity.rs
+++ b/tests/all/capacity.rs
@@ -13,8 +13,8 @@
 #[test]
 fn the_capacity_page_matches_the_counted_figures() {
     // Arrange
-    let page = Path::new(env!("CARGO_MANIFEST_DIR")).join("docs/CAPACITY.md");
-    let page = std::fs::read_to_string(page).expect("docs/CAPACITY.md can be read");
+    let page = Path::new(env!("CARGO_MANIFEST_DIR")).join("docs/capacity-node.md");
+    let page = std::fs::read_to_string(page).expect("docs/capacity-node.md can be read");
     let shown = page.split_once(BEGIN).and_then(|(_, rest)| rest.split_once(END));
     let (shown, _) = shown.expect("the page has both markers of the table");
 
@@ -28,6 +28,6 @@
     let counted = String::from_utf8(output.stdout).expect("the output is UTF-8");
     assert_eq!(
         shown, counted,
-        "copy the table of `catkinmast-bench capacity --counted` to docs/CAPACITY.md"
+        "copy the table of `catkinmast-bench capacity --counted` to docs/capacity-node.md"
     );
 }
--- a/tests/all/feed.rs
+++ b/tests/all/feed.rs
@@ -179,6 +179,21 @@
     assert_eq!(table.changes_after(603), None, "it does not know them itself");
 }
 
+// Guards against changes that are lost without a gap in the revisions: a list was read in pages, its
+// last page is later than the changes that follow, and a datagram among them is lost.
+#[test]
+fn changes_after_a_list_in_pages_are_in_the_order_of_their_revisions() {
+    let mut table = KeyTable::default();
+    table.begin_log(10);
+    table.apply(vec![written("t1", 9, 1, 0), written("t9", 40, 1, 0)], 10, meaning);
+    table.apply(vec![written("t2", 20, 1, 0), written("t9", 40, 1, 0)], 50, meaning);
+
+    let changes = table.changes_after(10).expect("they are known");
+
+    let revisions: Vec<u64> = changes.iter().map(StoreEvent::revision).collect();
+    assert_eq!(revisions, [20, 40]);
+}
+
 // Guards against a log that is too short for a large fleet: while many targets are replaced, a peer
 // that missed a second of it would read the whole list.
 #[test]
