Wait until all nodes are ready before they are killed in the test of a restart

A node is listed from the moment at which it joins, and ready only once it knows a configuration and the targets; one that was killed in between never logged two lines. Change: the test asks the nodes for their readiness, before the kill and after the restart; what it counts is unchanged.

--- a/tests/all/site/starts.rs
+++ b/tests/all/site/starts.rs
@@ -77,6 +77,9 @@
     /// The first four by registration, and the two that watch.
     const READERS_MAX: usize = 6;
     let site = Site::start(NODES, 2, 2).await;
+    for node in &site.nodes {
+        until("the node is ready", || async { site.is_ready(node).await.then_some(()) }).await;
+    }
     let seen: Vec<usize> =
         site.nodes.iter().map(|node| site.store.calls_at(node.store_endpoint).len()).collect();
 
@@ -87,10 +90,8 @@
         node.restart();
     }
     for node in &site.nodes {
-        until("the node is ready again", || async {
-            (node.lines("ready").len() == 2).then_some(())
-        })
-        .await;
+        until("the node is ready again", || async { site.is_ready(node).await.then_some(()) })
+            .await;
     }
 
     let readers = (0..NODES).filter(|node| {
