--- a/crates/serve/src/caller.rs
+++ b/crates/serve/src/caller.rs
@@ -3,15 +3,13 @@
 use crate::access::{self, Refusal};
 use crate::batch_calls;
 use crate::batches::Origin;
+use crate::calls;
 use crate::clock;
-use crate::cold;
-use crate::crashes;
 use crate::feed::{self, Subject};
-use crate::forward::{self, AttemptFailure, Cause, ChosenTarget, CompleteAnswer, OutgoingRequest};
+use crate::forward::{self, AttemptFailure, Cause, CompleteAnswer, OutgoingRequest};
 use crate::metrics::count;
 use crate::node::Node;
 use crate::platform::Platform;
-use crate::wait_queue::{self, QueuePlace};
 use bytes::Bytes;
 use catkinmast_dispatch::{Document, Route, RouteKind};
 use catkinmast_model::{UnixMs, Verdict};
@@ -27,7 +25,6 @@
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::sleep;
 
 /// The body of an answer: buffered, or passed on as it arrives.
 pub(crate) type AnswerBody<P> = Either<Full<Bytes>, crate::relay::Relay<P>>;
@@ -43,18 +40,8 @@
 /// Retry-After of a refusal because all targets of the service are evacuated: operators take that
 /// back after seconds at the earliest.
 const EVACUATED_RETRY_AFTER_MS: u64 = 1_000;
-/// Pause before targets are tried again after all have been tried: a slot becomes free about this
-/// often. Targets that do not listen refuse at once; without a pause one request made 125,784
-/// attempts in 3 s.
-const RETRY_ROUND_PAUSE: Duration = Duration::from_millis(20);
 /// Deadline of a request whose caller has set none.
 const DEFAULT_DEADLINE_MS: u64 = 60_000;
-/// A request that finds all targets overloaded is refused once less than this part of the caller's
-/// time is left.
-const REFUSE_WITH_LEFT_PERCENT: u64 = 70;
-/// How long before the caller's deadline a time-out is answered, so that the caller still receives
-/// the answer.
-const ANSWER_BEFORE_MS: u64 = 20;
 
 /// Counts a request as in flight until it is dropped; a planned stop waits for these requests.
 struct ServingGuard<'a>(&'a Cell<usize>);
@@ -200,12 +187,13 @@
         path,
         priority,
         request_id: id,
+        route: Some(route.name.clone()),
         workspace,
     };
     if route.kind == RouteKind::Stream {
         return crate::relay::stream(node, &route, outgoing).await;
     }
-    match serve(node, &route, &outgoing).await {
+    match calls::serve(node, &route, &outgoing).await {
         Ok(answer) => pass_on(node, answer),
         Err(error) => end_with_error(node, outgoing.request_id.as_deref(), Some(&route), &error),
     }
@@ -258,7 +246,7 @@
     end_with_error(node, id, Some(route), &error_of(failure))
 }
 
-fn error_of(failure: &AttemptFailure) -> ErrorAnswer {
+pub(crate) fn error_of(failure: &AttemptFailure) -> ErrorAnswer {
     match failure.verdict {
         Verdict::NotRun => {
             let retry_after_ms = match failure.cause {
@@ -310,113 +298,3 @@
     *response.headers_mut() = answer.headers;
     response
 }
-
-/// Attempts a request on targets until one answers, the attempts are used up or the deadline is
-/// near.
-async fn serve<P: Platform>(
-    node: &Rc<Node<P>>,
-    route: &Route,
-    outgoing: &OutgoingRequest,
-) -> Result<CompleteAnswer, ErrorAnswer> {
-    let started_at = clock::now();
-    let budget_ms = outgoing.deadline_at.since_ms(started_at);
-    let mut tried: Vec<String> = Vec::new();
-    let mut possible_runs = 0;
-    let mut may_have_run = false;
-    loop {
-        let left_ms = outgoing.deadline_at.since_ms(clock::now());
-        if left_ms <= ANSWER_BEFORE_MS {
-            let status = StatusCode::GATEWAY_TIMEOUT;
-            return Err(ErrorAnswer::new(status, format!("no answer in {budget_ms} ms")));
-        }
-        crashes::check(node, outgoing).map_err(|failure| final_error(&failure, may_have_run))?;
-        let service = route.service(node.random_u64()).unwrap_or_default();
-        let chosen = choose(node, service, &tried);
-        let has_target = chosen.is_some();
-        let failure = match chosen {
-            Some(chosen) => {
-                tried.push(chosen.id.clone());
-                match forward::attempt(node, &chosen, outgoing).await {
-                    Ok(answer) => {
-                        wait_queue::request_served(node, service, outgoing.workspace.as_deref());
-                        return Ok(answer);
-                    }
-                    Err(failure) => failure,
-                }
-            }
-            None => no_target(node, service),
-        };
-        if failure.is_blocked() || failure.cause == Cause::Evacuated {
-            return Err(final_error(&failure, may_have_run));
-        }
-        if failure.verdict.may_have_run() {
-            possible_runs += 1;
-            may_have_run = true;
-        }
-        let repeatable = route.repeatable() || !may_have_run;
-        if possible_runs >= route.attempts.max(1) || !repeatable {
-            return Err(error_of(&failure));
-        }
-        let refuse_at = refuse_at(outgoing.deadline_at, budget_ms);
-        let is_overloaded = failure.cause == Cause::Overloaded && !may_have_run;
-        if is_overloaded && clock::now() > refuse_at {
-            return Err(error_of(&failure));
-        }
-        if failure.verdict == Verdict::NotRun && (!has_target || all_tried(node, service, &tried)) {
-            tried.clear();
-            sleep(RETRY_ROUND_PAUSE).await;
-            if is_overloaded {
-                let workspace = outgoing.workspace.as_deref();
-                let place =
-                    QueuePlace::enqueue(node, service, started_at, workspace, outgoing.priority);
-                while !place.is_due() && clock::now() <= refuse_at {
-                    sleep(RETRY_ROUND_PAUSE).await;
-                }
-            }
-        }
-    }
-}
-
-/// Returns the time from which a request is refused if all targets are overloaded: a later refusal
-/// would leave the caller no time to try elsewhere.
-const fn refuse_at(deadline_at: UnixMs, budget_ms: u64) -> UnixMs {
-    UnixMs(deadline_at.0.saturating_sub(budget_ms * REFUSE_WITH_LEFT_PERCENT / 100))
-}
-
-/// Returns the answer to a request that is not sent any more, which depends on whether a target may
-/// have run it during this call.
-fn final_error(failure: &AttemptFailure, may_have_run: bool) -> ErrorAnswer {
-    if may_have_run {
-        return ErrorAnswer::new(StatusCode::BAD_GATEWAY, failure.message.clone());
-    }
-    error_of(failure)
-}
-
-fn all_tried<P: Platform>(node: &Node<P>, service: &str, tried: &[String]) -> bool {
-    let targets = node.targets.borrow();
-    let mut within_reach = targets.usable(service).filter(|entry| cold::may_send(node, entry));
-    within_reach.all(|entry| tried.contains(&entry.id))
-}
-
-/// Returns the failure of a request for which this node has no target.
-pub(crate) fn no_target<P: Platform>(node: &Node<P>, service: &str) -> AttemptFailure {
-    let targets = node.targets.borrow();
-    if targets.usable(service).next().is_none() && targets.serving(service).next().is_some() {
-        let message = format!("all targets of service {service} are in evacuated data centres");
-        return AttemptFailure::not_run(Cause::Evacuated, message);
-    }
-    AttemptFailure::not_run(Cause::Overloaded, format!("service {service} has no target"))
-}
-
-/// Chooses a target of a service, preferably not one of `tried`.
-pub(crate) fn choose<P: Platform>(
-    node: &Node<P>,
-    service: &str,
-    tried: &[String],
-) -> Option<ChosenTarget> {
-    let random = node.random_u64();
-    let chosen = node.pick_near(service, tried, |load, now, candidates| {
-        load.choose(now, candidates, tried, random).map(|candidate| candidate.id.to_owned())
-    });
-    chosen.map(|(id, address)| ChosenTarget { address, id })
-}
--- a/crates/serve/src/forward.rs
+++ b/crates/serve/src/forward.rs
@@ -65,6 +65,9 @@
     /// Its priority in the wait queue; 0 is the most urgent.
     pub priority: u32,
     pub request_id: Option<String>,
+    /// Name of the route that it came by; none for items of batches. Calls by one route take
+    /// similar times.
+    pub route: Option<String>,
     /// The workspace that it belongs to; none where no key was required.
     pub workspace: Option<String>,
 }
@@ -304,7 +307,8 @@
         node.note(
             "attempt_failed",
             json!({
-                "request": outgoing.request_id, "target": chosen.id, "why": failure.message,
+                "request": outgoing.request_id, "route": outgoing.route, "target": chosen.id,
+                "why": failure.message,
                 "verdict": failure.verdict, "ms": clock::now().since_ms(started_at),
                 "left_ms": outgoing.deadline_at.since_ms(clock::now()),
                 "fingerprint": outgoing.fingerprint_if(failure.verdict),
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -18,6 +18,7 @@
 mod batch_calls;
 mod batches;
 mod caller;
+mod calls;
 mod clock;
 mod cold;
 mod crashes;
--- a/crates/serve/src/relay.rs
+++ b/crates/serve/src/relay.rs
@@ -1,6 +1,7 @@
 //! Event streams, passed on to callers as they arrive.
 
 use crate::caller::{self, Answer};
+use crate::calls;
 use crate::clock;
 use crate::crashes::StreamRun;
 use crate::feed::{self, Subject};
@@ -102,8 +103,8 @@
     let mut tried = Vec::new();
     loop {
         let service = route.service(node.random_u64()).unwrap_or_default();
-        let Some(chosen) = caller::choose(node, service, &tried) else {
-            let failure = caller::no_target(node, service);
+        let Some(chosen) = calls::choose(node, service, &tried) else {
+            let failure = calls::no_target(node, service);
             return caller::end_with_failure(node, id.as_deref(), route, &failure);
         };
         if tried.contains(&chosen.id) {
--- a/crates/serve/src/runs/score.rs
+++ b/crates/serve/src/runs/score.rs
@@ -2,6 +2,7 @@
 
 use super::finish;
 use crate::batches::{LocalBatch, Run};
+use crate::calls;
 use crate::clock;
 use crate::forward::{self, OutgoingRequest};
 use crate::node::Node;
@@ -94,10 +95,11 @@
         let chosen = node.document().and_then(|document| {
             let route = document.route(&reward.host, &reward.path)?;
             let service = route.service(node.random_u64())?;
-            crate::caller::choose(node, service, &tried)
+            let chosen = calls::choose(node, service, &tried)?;
+            Some((chosen, route.name.clone()))
         });
-        if let Some(chosen) = chosen {
-            match forward::attempt(node, &chosen, &score_request(reward)).await {
+        if let Some((chosen, route)) = chosen {
+            match forward::attempt(node, &chosen, &score_request(reward, route)).await {
                 // The target's signature of its answer is the score.
                 Ok(answer) if answer.status.is_success() => return answer.metadata.signature,
                 Ok(answer) if answer.status == StatusCode::INTERNAL_SERVER_ERROR => {
@@ -127,7 +129,7 @@
     }
 }
 
-fn score_request(reward: &RewardRequest) -> OutgoingRequest {
+fn score_request(reward: &RewardRequest, route: String) -> OutgoingRequest {
     let mut headers = HeaderMap::new();
     if let Ok(host) = HeaderValue::from_str(&reward.host) {
         headers.insert(HOST, host);
@@ -141,6 +143,7 @@
         path: reward.path.clone(),
         priority: 0,
         request_id: Some(reward.id.clone()),
+        route: Some(route),
         workspace: None,
     }
 }
--- a/crates/serve/src/runs/stream.rs
+++ b/crates/serve/src/runs/stream.rs
@@ -184,6 +184,7 @@
         path: item.path.clone(),
         priority: 0,
         request_id: Some(item.id.clone()),
+        route: None,
         workspace: spec.workspace.clone(),
     }
 }
