Retry budget: saved units at the start and a minimum rate

Cause: a budget that earns only by first attempts leaves a node that makes a call every few seconds without any retry, and starts empty.

--- a/tests/all/routing.rs
+++ b/tests/all/routing.rs
@@ -1,6 +1,8 @@
-//! Bounds on the routing benchmark, on counts and virtual times.
+//! Bounds on the routing benchmark, on counts and virtual times, and the budget for retries.
 
 use catkinmast_bench::{Chooser, SCENARIOS, Scenario, run_choice, run_overload};
+use catkinmast_model::UnixMs;
+use catkinmast_route::RetryBudget;
 
 fn scenario(name: &str) -> Scenario {
     let found = SCENARIOS.iter().find(|(title, _)| *title == name);
@@ -47,3 +49,15 @@
     assert!(with_admission.refusal_p99_ms <= 100, "{with_admission:?}");
     assert!(plain_queue.lookups_in_time_percent <= 10, "{plain_queue:?}");
 }
+
+/// Guards against a budget that refuses the only retry of a node that makes few calls.
+#[test]
+fn a_retry_budget_with_a_minimum_rate_lets_a_node_with_few_requests_retry() {
+    let start = UnixMs(1_000);
+    let mut budget = RetryBudget::new(20).with_saved(1).with_minimum(start, 5_000);
+
+    let taken = [start, start, start.plus(4_999), start.plus(5_000), start.plus(20_000)]
+        .map(|now| budget.take_retry_at(now));
+
+    assert_eq!(taken, [true, false, false, true, true]);
+}
