--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -7,6 +7,7 @@
 mod support;
 
 mod access;
+mod admission;
 mod bad_input;
 mod capacity;
 mod dispatch;
