Callers' requests pass the gate of their service

The loop in calls.rs sent a refused request to one target after the other, and polled each 20 ms in between.

Change: serve::admission carries out the decisions of the gates. A request waits on a oneshot channel and is woken by whoever ends a request of the same service; a timer runs only at the end of a pause of a window below one. A place in the window or in the queue is given back on drop, so also when the caller disconnects. A refusal for load goes back through the gate if the retry budget allows. Scoring calls bypass the gate; their refusals shrink its window. Refusals of cold targets, and of engines with less than half of their slots in use by this node (as in the load balancer), do not count: they say nothing about the other targets.

Requests without a gate (routes without a latency goal, no target, only cold or loading targets) wait in rounds of 20 ms in the order of the queue, at most four at a time, as before; a task for each service starts the rounds in place of polling by each request.

Ruled out: keeping the polling for requests without a gate.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -9,7 +9,6 @@
 //!   outages.
 //! - [`LoadBalancer`]: the load of each target as observed from this process's own calls, and the
 //!   choice among targets.
-//! - [`WaitQueue`]: fair queueing while all targets refuse for load.
 //! - [`Batch`]: a batch submission, its items, and the results at their fixed positions.
 //! - [`Freshness`]: how old a node's view of the store is, and when it must read the store itself.
 //! - [`RunTimeEstimator`]: how long items run.
@@ -31,7 +30,6 @@
 mod stream;
 mod submission;
 mod targets;
-mod wait_queue;
 
 pub use batch::{Batch, BatchPolicy, Chunk, Merge, NextItem, group_of};
 pub use copies::{CopiedTexts, SentTexts, TextUpdate};
@@ -47,4 +45,3 @@
 pub use stream::{EventReader, StreamEvent};
 pub use submission::{Item, ItemResult, ItemState, Progress, RewardRequest, Submission};
 pub use targets::{TargetChange, TargetEntry, TargetTable};
-pub use wait_queue::{WaitQueue, WaiterId};
--- a/crates/serve/src/caller.rs
+++ b/crates/serve/src/caller.rs
@@ -65,17 +65,24 @@
     retry_after_ms: Option<u64>,
     message: String,
     status: StatusCode,
+    /// How long the request waited for the window of its service, if it came to a limited one.
+    waited_ms: Option<u64>,
 }
 
 impl ErrorAnswer {
     pub(crate) fn new(status: StatusCode, message: impl Into<String>) -> Self {
-        Self { retry_after_ms: None, message: message.into(), status }
+        Self { retry_after_ms: None, message: message.into(), status, waited_ms: None }
     }
 
     /// A refusal: the request was not run and will not be, so the caller may repeat it.
     pub(crate) fn not_run(message: impl Into<String>, retry_after_ms: u64) -> Self {
         let retry_after_ms = Some(retry_after_ms);
-        Self { retry_after_ms, message: message.into(), status: StatusCode::SERVICE_UNAVAILABLE }
+        Self { retry_after_ms, ..Self::new(StatusCode::SERVICE_UNAVAILABLE, message) }
+    }
+
+    /// Adds how long the request waited for the window of its service.
+    pub(crate) fn waited(self, waited_ms: u64) -> Self {
+        Self { waited_ms: Some(waited_ms), ..self }
     }
 
     pub(crate) fn of(refusal: Refusal) -> Self {
@@ -276,7 +283,7 @@
             "request": id, "status": error.status.as_u16(), "why": error.message,
             "route": route.map(|route| &route.name), "document_version": version,
             "document_age_ms": feed::age_ms(node, Subject::Operators),
-            "come_back_ms": error.retry_after_ms,
+            "come_back_ms": error.retry_after_ms, "waited_ms": error.waited_ms,
         }),
     );
     let reason = match error.status.as_u16() {
--- a/crates/serve/src/calls.rs
+++ b/crates/serve/src/calls.rs
@@ -1,5 +1,6 @@
 //! Calls: requests of callers that are answered by one complete answer of a target.
 
+use crate::admission::Admission;
 use crate::caller::{ErrorAnswer, error_of};
 use crate::clock;
 use crate::cold;
@@ -7,7 +8,7 @@
 use crate::forward::{self, AttemptFailure, Cause, ChosenTarget, CompleteAnswer, OutgoingRequest};
 use crate::node::Node;
 use crate::platform::Platform;
-use crate::wait_queue::{self, QueuePlace};
+use crate::retry_rounds;
 use catkinmast_dispatch::Route;
 use catkinmast_model::{UnixMs, Verdict};
 use http::StatusCode;
@@ -35,6 +36,7 @@
 ) -> Result<CompleteAnswer, ErrorAnswer> {
     let started_at = clock::now();
     let budget_ms = outgoing.deadline_at.since_ms(started_at);
+    let mut admission = Admission::begin(node, route, outgoing, started_at);
     let mut tried: Vec<String> = Vec::new();
     let mut possible_runs = 0;
     let mut may_have_run = false;
@@ -46,20 +48,32 @@
         }
         crashes::check(node, outgoing).map_err(|failure| final_error(&failure, may_have_run))?;
         let service = route.service(node.random_u64()).unwrap_or_default();
+        if can_send(node, service) {
+            admission.enter(service).await.map_err(|rejection| rejection.answer(may_have_run))?;
+        }
         let chosen = choose(node, service, &tried);
         let has_target = chosen.is_some();
-        let failure = match chosen {
-            Some(chosen) => {
-                tried.push(chosen.id.clone());
-                match forward::attempt(node, &chosen, outgoing).await {
-                    Ok(answer) => {
-                        wait_queue::request_served(node, service, outgoing.workspace.as_deref());
-                        return Ok(answer);
+        let failure = if let Some(chosen) = chosen {
+            tried.push(chosen.id.clone());
+            let sent_at = clock::now();
+            match forward::attempt(node, &chosen, outgoing).await {
+                Ok(answer) => {
+                    admission.answered(service, clock::now().since_ms(sent_at));
+                    return Ok(answer);
+                }
+                Err(failure) if admission.is_refusal_for_load(service, &chosen.id, &failure) => {
+                    let again = admission.refused(service);
+                    again.map_err(|rejection| rejection.answer(may_have_run))?;
+                    if all_tried(node, service, &tried) {
+                        tried.clear();
                     }
-                    Err(failure) => failure,
+                    continue;
                 }
+                Err(failure) => failure,
             }
-            None => no_target(node, service),
+        } else {
+            admission.leave();
+            no_target(node, service)
         };
         if failure.is_blocked() || failure.cause == Cause::Evacuated {
             return Err(final_error(&failure, may_have_run));
@@ -81,12 +95,7 @@
             tried.clear();
             sleep(RETRY_ROUND_PAUSE).await;
             if is_overloaded {
-                let workspace = outgoing.workspace.as_deref();
-                let place =
-                    QueuePlace::enqueue(node, service, started_at, workspace, outgoing.priority);
-                while !place.is_due() && clock::now() <= refuse_at {
-                    sleep(RETRY_ROUND_PAUSE).await;
-                }
+                retry_rounds::wait(node, service, outgoing, refuse_at).await;
             }
         }
     }
@@ -107,6 +116,11 @@
     error_of(failure)
 }
 
+/// Returns whether this node may send a request to any target of a service.
+fn can_send<P: Platform>(node: &Node<P>, service: &str) -> bool {
+    node.targets.borrow().usable(service).any(|entry| cold::may_send(node, entry))
+}
+
 fn all_tried<P: Platform>(node: &Node<P>, service: &str, tried: &[String]) -> bool {
     let targets = node.targets.borrow();
     let mut within_reach = targets.usable(service).filter(|entry| cold::may_send(node, entry));
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -15,6 +15,7 @@
 //! the store for all nodes.
 
 mod access;
+mod admission;
 mod batch_calls;
 mod batches;
 mod caller;
@@ -36,13 +37,13 @@
 mod pool;
 mod process;
 mod relay;
+mod retry_rounds;
 mod runs;
 mod scaling;
 mod settings;
 mod store;
 mod trail;
 mod usage;
-mod wait_queue;
 
 pub use platform::{
     BatchCall, CallerOptions, DecodeError, DutyCall, DutyRequest, EngineReport, OperatorRemoval,
--- a/crates/serve/src/metrics.rs
+++ b/crates/serve/src/metrics.rs
@@ -8,6 +8,7 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 use serde_json::Map;
+use std::sync::atomic::AtomicU64;
 
 /// Upper bounds of the latency buckets, in seconds: from a short lookup to a trainer's timeout.
 const LATENCY_BUCKETS_S: [f64; 10] = [0.01, 0.03, 0.06, 0.1, 0.15, 0.4, 1.0, 2.5, 7.5, 15.0];
@@ -21,6 +22,10 @@
 /// The counters, gauges and histograms of the process.
 #[derive(Debug)]
 pub(crate) struct Metrics {
+    pub admission: Family<Label, Counter>,
+    pub admission_wait_seconds: Histogram,
+    /// The smallest window of a service; 0 while none is limited.
+    pub admission_window: Gauge<f64, AtomicU64>,
     pub answers: Family<Label, Counter>,
     pub attempts: Family<Label, Counter>,
     pub batches_open: Gauge,
@@ -46,6 +51,9 @@
     pub(crate) fn open() -> Self {
         let mut registry = Registry::with_prefix("catkinmast");
         let metrics = Self {
+            admission: Family::default(),
+            admission_wait_seconds: Histogram::new(LATENCY_BUCKETS_S),
+            admission_window: Gauge::default(),
             answers: Family::default(),
             attempts: Family::default(),
             batches_open: Gauge::default(),
@@ -65,6 +73,17 @@
             registry: Registry::default(),
         };
         let m = &metrics;
+        registry.register("admission", "Callers' requests by decision", m.admission.clone());
+        registry.register(
+            "admission_wait_seconds",
+            "Time that requests waited for the window of their service",
+            m.admission_wait_seconds.clone(),
+        );
+        registry.register(
+            "admission_window",
+            "Smallest window of a service, 0 while none is limited",
+            m.admission_window.clone(),
+        );
         registry.register("answers", "Answers to callers by outcome", m.answers.clone());
         registry.register("attempts", "Attempts at targets by outcome", m.attempts.clone());
         registry.register("batches_open", "Batch submissions owned here", m.batches_open.clone());
--- a/crates/serve/src/node.rs
+++ b/crates/serve/src/node.rs
@@ -1,5 +1,6 @@
 //! The state of one process, and its calls to the store and to peers.
 
+use crate::admission::Gates;
 use crate::batches::Batches;
 use crate::clock;
 use crate::cold::{self, Cold};
@@ -10,6 +11,7 @@
 use crate::peers::{PACKED_ENCODING, PeerAnswer, PeerCall, RankCache};
 use crate::platform::Platform;
 use crate::pool::{Pool, read_body};
+use crate::retry_rounds::RetryRounds;
 use crate::runs::ModelTargets;
 use crate::settings::Settings;
 use crate::store::{StoreAnswer, StoreCall, StoreRefusal};
@@ -18,7 +20,7 @@
 use bytes::Bytes;
 use catkinmast_dispatch::{
     Candidate, Demand, Document, Item, LoadBalancer, LoadBalancerSettings, RunTimeEstimator,
-    TargetChange, TargetEntry, TargetTable, WaitQueue,
+    TargetChange, TargetEntry, TargetTable,
 };
 use catkinmast_feed::Recipient;
 use catkinmast_member::{Membership, NodeState};
@@ -75,6 +77,8 @@
     /// The configuration in force.
     pub document: RefCell<Option<Rc<Document>>>,
     pub feeds: Feeds,
+    /// Admits callers' requests to services.
+    pub gates: Gates,
     /// Number of requests of callers that are being answered.
     pub in_flight: Cell<usize>,
     /// When this node joined the fleet; none before.
@@ -103,12 +107,12 @@
     /// The incarnations of the nodes that were registered when this one started.
     pub registered: RefCell<IndexMap<Name, Incarnation>>,
     pub rng: RefCell<Pcg64Mcg>,
+    /// Requests that wait because no target of their service can be tried.
+    pub retry_rounds: RetryRounds,
     pub settings: RefCell<Rc<Settings>>,
     pub store_backoff_until: Cell<UnixMs>,
     pub targets: RefCell<TargetTable>,
     pub trail: Trail,
-    /// Requests that wait because all targets of their service are overloaded, by service.
-    pub wait_queues: RefCell<IndexMap<String, WaitQueue>>,
     /// Requests for which this node's evidence is not in the store yet.
     pub unsaved_crashes: RefCell<IndexSet<Fingerprint>>,
     /// The requests of workspaces, counted here and reported by other nodes.
@@ -137,6 +141,7 @@
             demand: RefCell::new(Demand::default()),
             document: RefCell::new(None),
             feeds: Feeds::default(),
+            gates: Gates::default(),
             in_flight: Cell::new(0),
             joined_at: Cell::new(None),
             // The platform provides no shared secret. With this fixed key the tag of a datagram
@@ -157,11 +162,11 @@
             recipients: RefCell::new(None),
             registered: RefCell::new(IndexMap::new()),
             rng: RefCell::new(Pcg64Mcg::from_os_rng()),
+            retry_rounds: RetryRounds::default(),
             settings: RefCell::new(Rc::new(settings)),
             store_backoff_until: Cell::new(UnixMs(0)),
             targets: RefCell::new(targets),
             trail,
-            wait_queues: RefCell::new(IndexMap::new()),
             unsaved_crashes: RefCell::new(IndexSet::new()),
             usage: Usage::default(),
             draining: RefCell::new(IndexMap::new()),
--- a/crates/serve/src/runs/score.rs
+++ b/crates/serve/src/runs/score.rs
@@ -1,6 +1,7 @@
 //! Scoring of items whose output is complete.
 
 use super::finish;
+use crate::admission;
 use crate::batches::{LocalBatch, Run};
 use crate::calls;
 use crate::clock;
@@ -96,9 +97,9 @@
             let route = document.route(&reward.host, &reward.path)?;
             let service = route.service(node.random_u64())?;
             let chosen = calls::choose(node, service, &tried)?;
-            Some((chosen, route.name.clone()))
+            Some((chosen, service.to_owned(), route.name.clone()))
         });
-        if let Some((chosen, route)) = chosen {
+        if let Some((chosen, service, route)) = chosen {
             match forward::attempt(node, &chosen, &score_request(reward, route)).await {
                 // The target's signature of its answer is the score.
                 Ok(answer) if answer.status.is_success() => return answer.metadata.signature,
@@ -120,7 +121,7 @@
                     pause_ms = SCORE_BLOCKED_PAUSE_MS;
                 }
                 // The attempt writes its own line to the audit trail.
-                Err(_) => {}
+                Err(failure) => admission::bypass_failed(node, &service, &chosen.id, &failure),
             }
             tried = vec![chosen.id];
         }
--- a/tests/all/dispatch/mod.rs
+++ b/tests/all/dispatch/mod.rs
@@ -10,7 +10,6 @@
 mod shares;
 mod stream;
 mod targets;
-mod wait_queue;
 
 use catkinmast_dispatch::{Demand, LoadOrder, RolloutTarget, WeightRollout};
 use catkinmast_model::UnixMs;
