A full queue gives up its last request for a more urgent one

Cause, found by reading: with 256 requests waiting, a newcomer was rejected whatever its workspace and priority, also if it would have been sent first.

Change: a request with 256 others ahead of it counts as hopeless, on arrival and when it is displaced. The new test was not run on the code before.

--- a/crates/admission/src/gate.rs
+++ b/crates/admission/src/gate.rs
@@ -144,7 +144,7 @@
         }
         let newcomer = self.waiter(arrival, goal_at);
         let ahead = self.queue.count_ahead(now, served, &newcomer);
-        if self.is_hopeless(now, &newcomer, ahead) || self.queue.len() >= QUEUE_MAX {
+        if self.is_hopeless(now, &newcomer, ahead) {
             return Decision::Rejected { retry_after_ms };
         }
         let id = self.queue.enqueue(newcomer.clone());
@@ -313,8 +313,11 @@
         self.window.room_in_ms(now, mean_ms) + ahead as f64 * self.window.interval_ms(mean_ms)
     }
 
-    /// Returns whether a waiting request is unlikely to be answered in time.
+    /// Returns whether a waiting request is unlikely to be answered in time, or exceeds the queue.
     fn is_hopeless(&self, now: UnixMs, waiter: &Waiter, ahead: usize) -> bool {
+        if ahead >= QUEUE_MAX {
+            return true;
+        }
         let latency_ms = match self.routes.get(&waiter.route).map(|route| route.mean) {
             Some(mean) => mean.ms().map(|ms| ms + mean.deviation_ms() * DEVIATIONS),
             None => self.mean.ms(),
--- a/tests/all/admission/gate.rs
+++ b/tests/all/admission/gate.rs
@@ -1,7 +1,9 @@
 //! The decisions of a gate.
 
 use super::{MIDDLE_DRAW, arrival, arrive};
-use catkinmast_admission::{Arrival, Decision, Gate, Outcome, ServedRecord, Turn, WaiterId};
+use catkinmast_admission::{
+    Arrival, Decision, Gate, Outcome, QUEUE_MAX, ServedRecord, Turn, WaiterId,
+};
 use catkinmast_model::UnixMs;
 use proptest::prelude::*;
 
@@ -206,6 +208,33 @@
     assert!(matches!(turns[..], [(id, Turn::Rejected { .. })] if Some(id) == last), "{turns:?}");
 }
 
+// Guards against a queue without a bound, and against an urgent request that is rejected because
+// less urgent ones fill the queue.
+#[test]
+fn a_full_queue_gives_up_its_last_request_for_a_more_urgent_one() {
+    let (mut gate, now_ms) = limited_gate();
+    let served = ServedRecord::default();
+    let patient = Arrival {
+        deadline_at: UnixMs(now_ms + 1_000_000),
+        goal_ms: 1_000_000,
+        priority: 1,
+        ..arrival(now_ms)
+    };
+    let arrive = |gate: &mut Gate, priority| {
+        let new = Arrival { priority, ..patient };
+        gate.arrive(UnixMs(now_ms), new, &served, MIDDLE_DRAW)
+    };
+    let ids: Vec<WaiterId> = (0..QUEUE_MAX).map(|_| queued(arrive(&mut gate, 1))).collect();
+
+    let equal = arrive(&mut gate, 1);
+    queued(arrive(&mut gate, 0));
+    let turns = next(&mut gate, now_ms);
+
+    assert!(matches!(equal, Decision::Rejected { .. }), "{equal:?}");
+    assert!(matches!(turns[..], [(id, Turn::Rejected { .. })] if Some(&id) == ids.last()));
+    assert_eq!(gate.queued(), QUEUE_MAX);
+}
+
 // Guards against callers that returned after a rejection and are answered late, in place of new
 // callers that could be answered in time: with one node, 0.08 of the lookups were in time under
 // overload instead of 0.80.
