Tests of admission with the real processes

Change: the stand-in worker gets slots and a queue (set_capacity) and counts its refusals. Three tests: a service with a third of the needed capacity rejects at once with Retry-After, its targets see fewer than 1.5 arrivals for each lookup, and the scoring calls of a batch pass; callers that disconnect give back their places in the window; targets that return are used again.

--- a/tests/all/site/mod.rs
+++ b/tests/all/site/mod.rs
@@ -11,6 +11,7 @@
 pub(crate) mod web;
 pub(crate) mod worker;
 
+mod admission;
 mod bad_input;
 mod batches;
 mod configuration;
--- a/tests/all/site/worker.rs
+++ b/tests/all/site/worker.rs
@@ -16,6 +16,7 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
+use tokio::sync::Semaphore;
 
 /// A request whose body starts with this text crashes each worker that starts to run it.
 pub(crate) const CRASHING_BODY: &str = "crash";
@@ -80,6 +81,13 @@
 
 struct State {
     abandoned: u64,
+    /// How many plain requests the worker accepts at once; none if there is no limit.
+    accepted_max: Option<usize>,
+    /// Plain requests that it runs or has queued.
+    accepted: usize,
+    /// Requests that it has refused because of overload.
+    refusals: u64,
+    slots: Arc<Semaphore>,
     cold_left_ms: u64,
     /// How long after a crash by a request the worker restarts, under another id.
     restart_after: Duration,
@@ -136,12 +144,37 @@
     }
 }
 
+/// A plain request's place among those that the worker has accepted.
+struct Place(Arc<Mutex<State>>);
+
+impl Place {
+    /// Accepts a request unless the worker is full.
+    fn take(state: &Arc<Mutex<State>>) -> Option<Self> {
+        let mut locked = state.lock().expect("no test panics while it holds a worker");
+        if locked.accepted_max.is_some_and(|accepted_max| locked.accepted >= accepted_max) {
+            return None;
+        }
+        locked.accepted += 1;
+        Some(Self(Arc::clone(state)))
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.0.lock().expect("no test panics while it holds a worker").accepted -= 1;
+    }
+}
+
 impl Worker {
     /// Starts a worker and registers it in the store.
     pub(crate) async fn start(store: &Store, runs: &Runs, service: &str, id: &str) -> Self {
         let versions = BTreeMap::from([("model-a".to_owned(), 1), ("model-b".to_owned(), 1)]);
         let state = Arc::new(Mutex::new(State {
             abandoned: 0,
+            accepted_max: None,
+            accepted: 0,
+            refusals: 0,
+            slots: Arc::new(Semaphore::new(Semaphore::MAX_PERMITS)),
             cold_left_ms: 0,
             restart_after: Duration::from_secs(3),
             started_at_ms: None,
@@ -246,6 +279,18 @@
         state.work_ms = work_ms;
     }
 
+    /// Makes the worker run `slots` plain requests at once, queue `queue` more and refuse others.
+    pub(crate) fn set_capacity(&self, slots: usize, queue: usize) {
+        let mut state = self.lock();
+        state.accepted_max = Some(slots + queue);
+        state.slots = Arc::new(Semaphore::new(slots));
+    }
+
+    /// Returns how many requests it has refused because of overload.
+    pub(crate) fn refusals(&self) -> u64 {
+        self.lock().refusals
+    }
+
     /// Returns the weight version that the worker has of a model.
     pub(crate) fn version(&self, model: &str) -> u64 {
         finish_due_order(&mut self.lock());
@@ -395,7 +440,10 @@
         (state.behaviour, state.busy_until.is_some(), state.work_ms, state.event_ms)
     };
     let streams = head.headers.contains_key("x-catkinmast-model");
-    if behaviour == Behaviour::Full || (busy && streams) {
+    let place = if streams { None } else { Place::take(state) };
+    let is_full = behaviour == Behaviour::Full || (busy && streams);
+    if is_full || (place.is_none() && !streams) {
+        state.lock().expect("no test panics while it holds a worker").refusals += 1;
         let mut refusal = answer(503, "");
         refusal.headers_mut().insert("x-catkinmast-not-run", "1".parse().ok()?);
         return Some(refusal);
@@ -409,6 +457,8 @@
         worker: id.to_owned(),
         workspaces: header_texts(&head, "x-catkinmast-tenant"),
     };
+    let slots = Arc::clone(&state.lock().expect("no test panics while it holds a worker").slots);
+    let slot = if streams { None } else { Some(slots.acquire_owned().await.ok()?) };
     context.runs.push(run);
     if body.starts_with(CRASHING_BODY.as_bytes()) {
         tokio::time::sleep(Duration::from_millis(work_ms)).await;
@@ -440,6 +490,7 @@
         guard.complete();
         answer(200, format!("{request} by {id}"))
     };
+    drop((slot, place));
     let echoed =
         if behaviour == Behaviour::WrongId { "another".to_owned() } else { request.clone() };
     response.headers_mut().insert("x-catkinmast-request-id", echoed.parse().ok()?);
