--- a/tests/all/admission/load.rs
+++ b/tests/all/admission/load.rs
@@ -113,9 +113,10 @@
             let mut latencies_ms = report.latencies_ms.clone();
             latencies_ms.sort_unstable();
             println!(
-                "{name}: within the goal {:.3}, value {:.3}, attempts per lookup {:.2}, refusals \
+                "{name}: calls {}, within the goal {:.3}, value {:.3}, attempts per lookup {:.2}, refusals \
                  {} of {}, rejections told in 50 ms {:.3}, p50 {} ms, p99 {} ms, windows {:.0?}, \
                  by second {:?}",
+                report.calls,
                 report.goal_share(),
                 report.value(),
                 report.attempts_per_lookup(),
