--- a/tests/all/dispatch/wait_queue.rs
+++ b/tests/all/admission/queue.rs
@@ -1,6 +1,6 @@
-//! Fair queueing while all targets refuse for load.
+//! The queue of requests that wait for a service: fair between workspaces, then by deadline.
 
-use catkinmast_dispatch::{WaitQueue, WaiterId};
+use catkinmast_admission::{RecentService, ServedRecord, WaitQueue, Waiter, WaiterId};
 use catkinmast_model::UnixMs;
 use indexmap::IndexMap;
 use proptest::prelude::*;
@@ -30,15 +30,28 @@
 }
 
 struct Request {
-    id: WaiterId,
     since: u64,
+    waiter: Waiter,
     workspace: usize,
 }
 
+fn waiter(queue: &WaitQueue, deadline_at: u64, workspace: Option<&str>, priority: u32) -> Waiter {
+    Waiter {
+        deadline_at: UnixMs(deadline_at),
+        goal_at: UnixMs(deadline_at),
+        id: queue.next_id(),
+        is_retry: false,
+        priority,
+        route: "lookups".to_owned(),
+        workspace: workspace.map(str::to_owned),
+    }
+}
+
 /// Simulates a node whose targets have `slots_per_tick` free slots every [`TICK_MS`]. Waiting
-/// requests take them in a seeded random order; with `is_fair`, only requests that are due may.
+/// requests take them in a seeded random order; with `is_fair`, only those of a round may.
 fn simulate(senders: &[Sender], slots_per_tick: usize, is_fair: bool) -> Vec<Outcomes> {
     let mut queue = WaitQueue::default();
+    let mut served = ServedRecord::default();
     let mut waiting: Vec<Request> = Vec::new();
     let mut results: Vec<Outcomes> = senders.iter().map(|_| Outcomes::default()).collect();
     let mut seed = 7_u64;
@@ -48,13 +61,18 @@
             let before = now_ms * sender.per_s / 1_000;
             let after = (now_ms + TICK_MS) * sender.per_s / 1_000;
             for _ in before..after {
-                let id = queue.enqueue(now, Some(&sender.name), sender.priority);
-                waiting.push(Request { id, since: now_ms, workspace });
+                let since = now_ms;
+                let waiter = waiter(&queue, since, Some(&sender.name), sender.priority);
+                queue.enqueue(waiter.clone());
+                waiting.push(Request { since, waiter, workspace });
             }
         }
-        let mut is_due = |request: &Request| !is_fair || queue.is_due(now, request.id);
-        let mut due: Vec<WaiterId> =
-            waiting.iter().filter(|request| is_due(request)).map(|request| request.id).collect();
+        let mut due: Vec<WaiterId> = if is_fair {
+            queue.pop_round(now, &served).iter().map(|waiter| waiter.id).collect()
+        } else {
+            waiting.iter().map(|request| request.waiter.id).collect()
+        };
+        let tried = due.clone();
         for index in (1..due.len()).rev() {
             seed = seed
                 .wrapping_mul(6_364_136_223_846_793_005)
@@ -62,17 +80,21 @@
             due.swap(index, (seed >> 33) as usize % (index + 1));
         }
         due.truncate(slots_per_tick);
-        waiting.retain(|request| {
-            let is_served = due.contains(&request.id);
+        waiting.retain_mut(|request| {
+            let id = request.waiter.id;
+            let is_served = due.contains(&id);
             let is_over = now_ms - request.since >= WAIT_MAX_MS;
             if is_served {
-                queue.record_served(now, Some(&senders[request.workspace].name));
+                served.record_served(now, Some(&senders[request.workspace].name));
                 results[request.workspace].served += 1;
             } else if is_over {
                 results[request.workspace].refused += 1;
             }
             if is_served || is_over {
-                queue.remove(request.id);
+                queue.remove(id);
+            } else if is_fair && tried.contains(&id) {
+                // A request that was tried in vain waits again.
+                request.waiter.id = queue.enqueue(request.waiter.clone());
             }
             !is_served && !is_over
         });
@@ -145,33 +167,70 @@
 }
 
 #[test]
-fn a_single_waiting_request_is_due_at_once() {
+fn a_single_waiting_request_is_in_the_next_round() {
     let mut queue = WaitQueue::default();
-    let id = queue.enqueue(UnixMs(5), None, 9);
+    let id = queue.enqueue(waiter(&queue, 5, None, 9));
 
-    assert!(queue.is_due(UnixMs(5), id));
+    let due = queue.pop_round(UnixMs(5), &ServedRecord::default());
+
+    assert_eq!(due.iter().map(|waiter| waiter.id).collect::<Vec<_>>(), [id]);
 }
 
 proptest! {
     #[test]
-    fn some_request_is_always_due(
+    fn some_request_is_in_each_round(
         waits in prop::collection::vec((0_u8..5, 0_u32..12, 0_u64..100, any::<bool>()), 1..30),
     ) {
         let mut queue = WaitQueue::default();
+        let mut served = ServedRecord::default();
         let mut held: IndexMap<WaiterId, ()> = IndexMap::new();
         for (workspace, priority, since, leaves) in waits {
             let name = format!("w{workspace}");
-            let id = queue.enqueue(UnixMs(since), Some(&name), priority);
+            let id = queue.enqueue(waiter(&queue, since, Some(&name), priority));
             held.insert(id, ());
             if leaves && held.len() > 1 {
                 queue.remove(id);
                 held.swap_remove(&id);
-                queue.record_served(UnixMs(since), Some(&name));
+                served.record_served(UnixMs(since), Some(&name));
             }
         }
 
-        let due = held.keys().filter(|id| queue.is_due(UnixMs(200), **id)).count();
+        let due = queue.pop_round(UnixMs(200), &served);
+
+        prop_assert_eq!(due.len(), held.len().div_ceil(2).min(4));
+        prop_assert!(due.iter().all(|waiter| held.contains_key(&waiter.id)));
+    }
+
+    // Guards against requests that are lost or sent twice, and against another order than the
+    // weight (recent service and priority) and then the earliest deadline.
+    #[test]
+    fn requests_leave_once_and_in_order_of_weight_and_deadline(
+        waits in prop::collection::vec((0_u8..3, 0_u32..4, 0_u64..100), 0..40),
+        served_count in 0_u8..4,
+    ) {
+        let now = UnixMs(200);
+        let mut queue = WaitQueue::default();
+        let mut served = ServedRecord::default();
+        (0..served_count).for_each(|_| served.record_served(now, Some("w0")));
+        for (workspace, priority, deadline_at) in &waits {
+            let name = format!("w{workspace}");
+            queue.enqueue(waiter(&queue, *deadline_at, Some(&name), *priority));
+        }
+
+        let mut left = Vec::new();
+        while let Some(waiter) = queue.pop(now, &served) {
+            left.push(waiter);
+        }
 
-        prop_assert_eq!(due, held.len().div_ceil(2).min(4));
+        let rank = |waiter: &Waiter| {
+            let recent = served.recent_service(now, waiter.workspace.as_deref());
+            let weight = (recent + 1.0) * f64::from(waiter.priority).exp2();
+            (weight, waiter.deadline_at)
+        };
+        prop_assert_eq!(left.len(), waits.len());
+        for pair in left.windows(2) {
+            let in_order = rank(&pair[0]) <= rank(&pair[1]);
+            prop_assert!(in_order, "{:?} before {:?}", pair[0], pair[1]);
+        }
     }
 }
