Hedge calls and scoring calls, and give attempts up

Change: serve::hedging sends the attempts of calls on idempotent routes and of scoring calls. The loser of two attempts is dropped, which closes its connection and counts as cancelled at the load balancer. An attempt is given up only if another may follow; the last one runs until the caller's deadline. After a timer it lets other tasks run once, so that a process that was paused reads the answers that have arrived before it hedges. A request under which a target has ended is not hedged: it would crash two targets at once. A target that backs off gets no hedge. The pool says when a request is handed to a connection, so that an attempt that is cancelled while its connection is being opened counts as not run in the usage and in the verdict. Before, an attempt of a caller that disconnected during that time counted as run.

--- a/crates/dispatch/src/wait_queue.rs
+++ b/crates/dispatch/src/wait_queue.rs
@@ -73,6 +73,11 @@
         id
     }
 
+    /// Returns whether no request waits.
+    pub const fn is_empty(&self) -> bool {
+        self.waiters.is_empty()
+    }
+
     /// Removes a request that no longer waits.
     pub fn remove(&mut self, id: WaiterId) {
         self.waiters.retain(|waiter| waiter.id != id);
--- a/crates/serve/src/calls.rs
+++ b/crates/serve/src/calls.rs
@@ -4,7 +4,8 @@
 use crate::clock;
 use crate::cold;
 use crate::crashes;
-use crate::forward::{self, AttemptFailure, Cause, ChosenTarget, CompleteAnswer, OutgoingRequest};
+use crate::forward::{AttemptFailure, Cause, ChosenTarget, CompleteAnswer, OutgoingRequest};
+use crate::hedging::{self, AttemptPlan};
 use crate::node::Node;
 use crate::platform::Platform;
 use crate::wait_queue::{self, QueuePlace};
@@ -36,7 +37,7 @@
     let started_at = clock::now();
     let budget_ms = outgoing.deadline_at.since_ms(started_at);
     let mut tried: Vec<String> = Vec::new();
-    let mut possible_runs = 0;
+    let mut plan = AttemptPlan::of_call(route);
     let mut may_have_run = false;
     loop {
         let left_ms = outgoing.deadline_at.since_ms(clock::now());
@@ -51,7 +52,9 @@
         let failure = match chosen {
             Some(chosen) => {
                 tried.push(chosen.id.clone());
-                match forward::attempt(node, &chosen, outgoing).await {
+                let attempt =
+                    hedging::attempt(node, &mut plan, service, &chosen, outgoing, &mut tried);
+                match attempt.await {
                     Ok(answer) => {
                         wait_queue::request_served(node, service, outgoing.workspace.as_deref());
                         return Ok(answer);
@@ -64,12 +67,9 @@
         if failure.is_blocked() || failure.cause == Cause::Evacuated {
             return Err(final_error(&failure, may_have_run));
         }
-        if failure.verdict.may_have_run() {
-            possible_runs += 1;
-            may_have_run = true;
-        }
+        may_have_run = plan.possible_runs() > 0;
         let repeatable = route.repeatable() || !may_have_run;
-        if possible_runs >= route.attempts.max(1) || !repeatable {
+        if plan.possible_runs() >= route.attempts.max(1) || !repeatable {
             return Err(error_of(&failure));
         }
         let refuse_at = refuse_at(outgoing.deadline_at, budget_ms);
--- a/crates/serve/src/crashes/mod.rs
+++ b/crates/serve/src/crashes/mod.rs
@@ -38,6 +38,16 @@
     status == RequestStatus::Allowed
 }
 
+/// Returns whether targets have ended while they ran this request. Such a request goes to one
+/// target at a time.
+pub(crate) fn is_suspected<P: Platform>(node: &Node<P>, outgoing: &OutgoingRequest) -> bool {
+    let quarantine = node.quarantine.borrow();
+    !quarantine.is_empty()
+        && quarantine
+            .evidence(outgoing.fingerprint())
+            .is_some_and(|evidence| evidence.unrefuted_count() > 0)
+}
+
 /// Fails if a request is blocked; called before a target is chosen or waited for.
 pub(crate) fn check<P: Platform>(
     node: &Node<P>,
--- a/crates/serve/src/forward.rs
+++ b/crates/serve/src/forward.rs
@@ -17,6 +17,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use serde_json::json;
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -101,6 +102,8 @@
     pub headers: HeaderMap,
     pub metadata: TargetResponseMetadata,
     pub status: StatusCode,
+    /// Id of the target that answered.
+    pub target: String,
 }
 
 /// The cause of a failed attempt.
@@ -212,6 +215,16 @@
     node: &Rc<Node<P>>,
     chosen: &ChosenTarget,
     outgoing: &OutgoingRequest,
+) -> Result<(Response<Incoming>, Connection, TargetResponseMetadata), AttemptFailure> {
+    open_marked(node, chosen, outgoing, &Cell::new(false)).await
+}
+
+/// Like [`open`]; sets `handed_over` while a connection may carry the request.
+async fn open_marked<P: Platform>(
+    node: &Rc<Node<P>>,
+    chosen: &ChosenTarget,
+    outgoing: &OutgoingRequest,
+    handed_over: &Cell<bool>,
 ) -> Result<(Response<Incoming>, Connection, TargetResponseMetadata), AttemptFailure> {
     crashes::admit(node, outgoing).await?;
     if !cold::admit(node, &chosen.id) {
@@ -222,7 +235,7 @@
     }
     let request = build_request::<P>(chosen, outgoing)
         .map_err(|error| AttemptFailure::not_run(Cause::Other, error.to_string()))?;
-    let sent = node.pool.send(chosen.address, request).await;
+    let sent = node.pool.send_marked(chosen.address, request, handed_over).await;
     let (response, connection) = sent.map_err(|error| {
         if error.verdict.may_have_run() {
             crashes::connection_broke(node, chosen, outgoing);
@@ -270,31 +283,59 @@
         .then(|| AttemptFailure::not_run(cause, format!("refused with {status}")))
 }
 
-/// Sends a request and reads its complete answer, within the caller's deadline.
+/// The usage of one attempt. It counts as not run if it is dropped while no connection may carry
+/// the request, for example because a hedge was answered while the connection was being opened.
+struct AttemptUsage<P: Platform> {
+    counted: Option<CountedRequest<P>>,
+    handed_over: Cell<bool>,
+}
+
+impl<P: Platform> AttemptUsage<P> {
+    fn begin(node: &Rc<Node<P>>, outgoing: &OutgoingRequest) -> Self {
+        let counted = CountedRequest::sent(node, outgoing.workspace.as_deref());
+        Self { counted, handed_over: Cell::new(false) }
+    }
+}
+
+impl<P: Platform> Drop for AttemptUsage<P> {
+    fn drop(&mut self) {
+        if let Some(counted) = self.counted.take()
+            && !self.handed_over.get()
+        {
+            counted.not_run();
+        }
+    }
+}
+
+/// Sends a request and reads its complete answer, within the caller's deadline. The attempt ends
+/// as failed once `given_up` completes.
 pub(crate) async fn attempt<P: Platform>(
     node: &Rc<Node<P>>,
     chosen: &ChosenTarget,
     outgoing: &OutgoingRequest,
+    given_up: impl Future<Output = ()>,
 ) -> Result<CompleteAnswer, AttemptFailure> {
     let in_flight = InFlight::begin(node, &chosen.id);
-    let usage = CountedRequest::sent(node, outgoing.workspace.as_deref());
+    let usage = AttemptUsage::begin(node, outgoing);
     let started_at = clock::now();
     let left_ms = outgoing.deadline_at.since_ms(started_at);
-    let exchange = exchange(node, chosen, outgoing);
-    let result = match timeout(Duration::from_millis(left_ms), exchange).await {
-        Ok(result) => result,
-        Err(_) => Err(AttemptFailure::may_have_run("no whole answer within the caller's time")),
+    let exchange = exchange(node, chosen, outgoing, &usage.handed_over);
+    let result = tokio::select! {
+        biased;
+        result = timeout(Duration::from_millis(left_ms), exchange) => result.unwrap_or_else(|_| {
+            Err(AttemptFailure::may_have_run("no whole answer within the caller's time"))
+        }),
+        () = given_up => Err(given_up_failure(usage.handed_over.get())),
     };
     let outcome = match &result {
         Ok(_) => CallOutcome::Answered { latency_ms: clock::now().since_ms(started_at) },
         Err(failure) => failure.outcome(),
     };
     in_flight.end(outcome);
-    if let (Some(usage), Err(failure)) = (usage, &result)
-        && failure.verdict == Verdict::NotRun
-    {
-        usage.not_run();
+    if result.as_ref().is_err_and(|failure| failure.verdict == Verdict::NotRun) {
+        usage.handed_over.set(false);
     }
+    drop(usage);
     let label = match &result {
         Ok(_) => "answered",
         Err(failure) if failure.is_blocked() => "barred",
@@ -319,12 +360,24 @@
     result
 }
 
+/// Returns the failure of an attempt that is given up.
+fn given_up_failure(handed_over: bool) -> AttemptFailure {
+    let message = "no whole answer within the attempt limit";
+    if handed_over {
+        AttemptFailure::may_have_run(message)
+    } else {
+        AttemptFailure::not_run(Cause::Other, message)
+    }
+}
+
 async fn exchange<P: Platform>(
     node: &Rc<Node<P>>,
     chosen: &ChosenTarget,
     outgoing: &OutgoingRequest,
+    handed_over: &Cell<bool>,
 ) -> Result<CompleteAnswer, AttemptFailure> {
-    let (response, connection, metadata) = open(node, chosen, outgoing).await?;
+    let opened = open_marked(node, chosen, outgoing, handed_over).await;
+    let (response, connection, metadata) = opened?;
     let (mut head, body) = response.into_parts();
     if head.status == StatusCode::MISDIRECTED_REQUEST {
         let change = node.targets.borrow_mut().mark_left(&chosen.id);
@@ -349,5 +402,11 @@
         crashes::answer_received(node, outgoing);
     }
     strip_hop_by_hop(&mut head.headers);
-    Ok(CompleteAnswer { body, headers: head.headers, metadata, status: head.status })
+    Ok(CompleteAnswer {
+        body,
+        headers: head.headers,
+        metadata,
+        status: head.status,
+        target: chosen.id.clone(),
+    })
 }
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -5,9 +5,9 @@
 //! carries out its decisions. The platform's names and formats are behind the [`Platform`] trait,
 //! which is chosen at compile time.
 //!
-//! A request passes `listener` → `caller` → `forward` → target → answer. A sample passes `caller` →
-//! `batch_calls` → `batches` (made durable) → `runs` (scheduled, run, scored) → `batches` (listed)
-//! → reader.
+//! A request passes `listener` → `caller` → `calls` → `hedging` → `forward` → target → answer. A
+//! sample passes `caller` → `batch_calls` → `batches` (made durable) → `runs` (scheduled, run,
+//! scored) → `batches` (listed) → reader.
 //!
 //! A duty is a job that one node at a time does for all nodes; `duty_lease` holds the lease of a
 //! duty. There are two: `orders` sends load orders to engines, and `duties` makes the calls to the
@@ -26,6 +26,7 @@
 mod duty_lease;
 mod feed;
 mod forward;
+mod hedging;
 mod listener;
 mod metrics;
 mod node;
--- a/crates/serve/src/metrics.rs
+++ b/crates/serve/src/metrics.rs
@@ -27,6 +27,7 @@
     pub connections_opened: Counter,
     pub document_version: Gauge,
     pub feed_age_ms: Family<Label, Gauge>,
+    pub hedges: Family<Label, Counter>,
     pub item_runs: Family<Label, Counter>,
     pub item_seconds: Histogram,
     /// Load orders to engines.
@@ -52,6 +53,7 @@
             connections_opened: Counter::default(),
             document_version: Gauge::default(),
             feed_age_ms: Family::default(),
+            hedges: Family::default(),
             item_runs: Family::default(),
             item_seconds: Histogram::new(LATENCY_BUCKETS_S),
             orders: Family::default(),
@@ -83,6 +85,7 @@
             "Milliseconds since what is known of the store was last known to be complete, by subject",
             m.feed_age_ms.clone(),
         );
+        registry.register("hedges", "Second attempts by what became of them", m.hedges.clone());
         registry.register("item_runs", "Runs of batch items by outcome", m.item_runs.clone());
         registry.register(
             "item_seconds",
--- a/crates/serve/src/node.rs
+++ b/crates/serve/src/node.rs
@@ -21,6 +21,7 @@
     TargetChange, TargetEntry, TargetTable, WaitQueue,
 };
 use catkinmast_feed::Recipient;
+use catkinmast_hedge::Hedging;
 use catkinmast_member::{Membership, NodeState};
 use catkinmast_model::{Incarnation, Name, UnixMs, Verdict};
 use catkinmast_quarantine::{Fingerprint, InterruptedRequests, Quarantine};
@@ -75,6 +76,7 @@
     /// The configuration in force.
     pub document: RefCell<Option<Rc<Document>>>,
     pub feeds: Feeds,
+    pub hedging: RefCell<Hedging>,
     /// Number of requests of callers that are being answered.
     pub in_flight: Cell<usize>,
     /// When this node joined the fleet; none before.
@@ -137,6 +139,7 @@
             demand: RefCell::new(Demand::default()),
             document: RefCell::new(None),
             feeds: Feeds::default(),
+            hedging: RefCell::new(Hedging::default()),
             in_flight: Cell::new(0),
             joined_at: Cell::new(None),
             // The platform provides no shared secret. With this fixed key the tag of a datagram
--- a/crates/serve/src/pool.rs
+++ b/crates/serve/src/pool.rs
@@ -16,7 +16,7 @@
 use indexmap::IndexMap;
 use prometheus_client::metrics::counter::Counter;
 use socket2::{SockRef, TcpKeepalive};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -104,6 +104,17 @@
         &self,
         address: SocketAddr,
         request: Request<Full<Bytes>>,
+    ) -> Result<(Response<Incoming>, Connection), CallError> {
+        self.send_marked(address, request, &Cell::new(false)).await
+    }
+
+    /// Like [`send`](Self::send); sets `handed_over` while a connection may carry the request. A
+    /// request that is cancelled before that has not run.
+    pub(crate) async fn send_marked(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        handed_over: &Cell<bool>,
     ) -> Result<(Response<Incoming>, Connection), CallError> {
         let mut request = request;
         loop {
@@ -111,10 +122,14 @@
                 Some(connection) => connection,
                 None => self.connect(address).await?,
             };
+            handed_over.set(true);
             match connection.sender.try_send_request(request).await {
                 Ok(response) => return Ok((response, connection)),
                 Err(mut error) => match error.take_message() {
-                    Some(unsent) if connection.reused => request = unsent,
+                    Some(unsent) if connection.reused => {
+                        handed_over.set(false);
+                        request = unsent;
+                    }
                     Some(_) => return Err(CallError::not_run(error.into_error().to_string())),
                     None => return Err(CallError::may_have_run(error.into_error().to_string())),
                 },
--- a/crates/serve/src/relay.rs
+++ b/crates/serve/src/relay.rs
@@ -177,7 +177,13 @@
     in_flight.end(CallOutcome::Answered { latency_ms });
     let body = read_body(body, forward::BUFFERED_ANSWER_MAX_BYTES).await.unwrap_or_default();
     node.pool.release(connection, &answer_headers);
-    let answer = CompleteAnswer { body, headers: head.headers, metadata, status: head.status };
+    let answer = CompleteAnswer {
+        body,
+        headers: head.headers,
+        metadata,
+        status: head.status,
+        target: chosen.id.clone(),
+    };
     Ok(pass_on_error(answer))
 }
 
--- a/crates/serve/src/runs/score.rs
+++ b/crates/serve/src/runs/score.rs
@@ -4,7 +4,8 @@
 use crate::batches::{LocalBatch, Run};
 use crate::calls;
 use crate::clock;
-use crate::forward::{self, OutgoingRequest};
+use crate::forward::OutgoingRequest;
+use crate::hedging::{self, AttemptPlan};
 use crate::node::Node;
 use crate::platform::Platform;
 use catkinmast_dispatch::{Item, ItemResult, ItemState, NextItem, Progress, RewardRequest};
@@ -96,16 +97,22 @@
             let route = document.route(&reward.host, &reward.path)?;
             let service = route.service(node.random_u64())?;
             let chosen = calls::choose(node, service, &tried)?;
-            Some((chosen, route.name.clone()))
+            let plan = AttemptPlan::of_scoring_call(route, tried.is_empty());
+            Some((chosen, plan, service.to_owned(), route.name.clone()))
         });
-        if let Some((chosen, route)) = chosen {
-            match forward::attempt(node, &chosen, &score_request(reward, route)).await {
+        if let Some((chosen, mut plan, service, route)) = chosen {
+            let request = score_request(reward, route);
+            tried = vec![chosen.id.clone()];
+            let attempt =
+                hedging::attempt(node, &mut plan, &service, &chosen, &request, &mut tried);
+            match attempt.await {
                 // The target's signature of its answer is the score.
                 Ok(answer) if answer.status.is_success() => return answer.metadata.signature,
                 Ok(answer) if answer.status == StatusCode::INTERNAL_SERVER_ERROR => {
                     failures += 1;
-                    let line =
-                        json!({ "request": reward.id, "target": chosen.id, "failures": failures });
+                    let line = json!({
+                        "request": reward.id, "target": answer.target, "failures": failures,
+                    });
                     node.note("score_failed", line);
                     if failures >= attempts {
                         return None;
@@ -122,7 +129,6 @@
                 // The attempt writes its own line to the audit trail.
                 Err(_) => {}
             }
-            tried = vec![chosen.id];
         }
         sleep(Duration::from_millis(pause_ms)).await;
         pause_ms = (pause_ms * 2).min(SCORE_RETRY_PAUSE_MAX_MS);
