Test that a hedge carries the time that its caller has left

Cause: requirement 6 of docs/design/contention.md had no test for a second attempt. Change: the stand-in worker records the deadline header of each run; one more test in site::hedges.

--- a/tests/all/site/hedges.rs
+++ b/tests/all/site/hedges.rs
@@ -76,6 +76,18 @@
     .await;
 }
 
+// Guards against a target that works on a hedge for longer than its caller waits.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_hedge_carries_the_time_that_its_caller_has_left() {
+    let site = start_with_hanging_target().await;
+
+    assert_eq!(status(&site, "/lookup/a", "q1").await, 200);
+
+    let given_ms: Vec<u64> = site.runs.of("q1").iter().filter_map(|run| run.deadline_ms).collect();
+    assert_eq!(given_ms.len(), 2, "{given_ms:?}");
+    assert!(given_ms[0] <= 3_000 && given_ms[1] < given_ms[0], "{given_ms:?}");
+}
+
 // Guards against a request that fails because both of its targets hang, although it may be sent to a
 // third.
 #[tokio::test(flavor = "multi_thread")]
--- a/tests/all/site/worker.rs
+++ b/tests/all/site/worker.rs
@@ -50,6 +50,8 @@
 pub(crate) struct Run {
     pub(crate) after: u64,
     pub(crate) at: Instant,
+    /// How much time the request had left, by its header.
+    pub(crate) deadline_ms: Option<u64>,
     /// Whether the request had an `Authorization` header, i.e. a caller's key.
     pub(crate) has_key: bool,
     pub(crate) request: String,
@@ -404,6 +406,7 @@
     let run = Run {
         after,
         at: Instant::now(),
+        deadline_ms: header_text(&head, "x-catkinmast-deadline-ms").and_then(|ms| ms.parse().ok()),
         has_key: head.headers.contains_key("authorization"),
         request: request.clone(),
         worker: id.to_owned(),
