--- a/crates/serve/src/admission.rs
+++ b/crates/serve/src/admission.rs
@@ -39,6 +39,12 @@
             None => act(&ServedRecord::default()),
         }
     }
+
+    /// Returns whether a second attempt of a request would delay no other request.
+    pub(crate) fn has_spare(&self, service: &str) -> bool {
+        let mut gates = self.0.borrow_mut();
+        gates.get_mut(service).is_none_or(|entry| entry.gate.has_spare(clock::now()))
+    }
 }
 
 #[derive(Debug)]
--- a/crates/serve/src/calls.rs
+++ b/crates/serve/src/calls.rs
@@ -5,7 +5,8 @@
 use crate::clock;
 use crate::cold;
 use crate::crashes;
-use crate::forward::{self, AttemptFailure, Cause, ChosenTarget, CompleteAnswer, OutgoingRequest};
+use crate::forward::{AttemptFailure, Cause, ChosenTarget, CompleteAnswer, OutgoingRequest};
+use crate::hedging::{self, AttemptPlan};
 use crate::node::Node;
 use crate::platform::Platform;
 use crate::retry_rounds;
@@ -38,7 +39,7 @@
     let budget_ms = outgoing.deadline_at.since_ms(started_at);
     let mut admission = Admission::begin(node, route, outgoing, started_at);
     let mut tried: Vec<String> = Vec::new();
-    let mut possible_runs = 0;
+    let mut plan = AttemptPlan::of_call(route);
     let mut may_have_run = false;
     loop {
         let left_ms = outgoing.deadline_at.since_ms(clock::now());
@@ -56,7 +57,10 @@
         let failure = if let Some(chosen) = chosen {
             tried.push(chosen.id.clone());
             let sent_at = clock::now();
-            match forward::attempt(node, &chosen, outgoing).await {
+            let attempt = hedging::attempt(node, &mut plan, service, &chosen, outgoing, &mut tried);
+            let result = attempt.await;
+            may_have_run = plan.possible_runs() > 0;
+            match result {
                 Ok(answer) => {
                     admission.answered(service, clock::now().since_ms(sent_at));
                     return Ok(answer);
@@ -78,12 +82,8 @@
         if failure.is_blocked() || failure.cause == Cause::Evacuated {
             return Err(final_error(&failure, may_have_run));
         }
-        if failure.verdict.may_have_run() {
-            possible_runs += 1;
-            may_have_run = true;
-        }
         let repeatable = route.repeatable() || !may_have_run;
-        if possible_runs >= route.attempts.max(1) || !repeatable {
+        if plan.possible_runs() >= route.attempts.max(1) || !repeatable {
             return Err(error_of(&failure));
         }
         let refuse_at = refuse_at(outgoing.deadline_at, budget_ms);
--- a/crates/serve/src/node.rs
+++ b/crates/serve/src/node.rs
@@ -23,6 +23,7 @@
     TargetChange, TargetEntry, TargetTable,
 };
 use catkinmast_feed::Recipient;
+use catkinmast_hedge::Hedging;
 use catkinmast_member::{Membership, NodeState};
 use catkinmast_model::{Incarnation, Name, UnixMs, Verdict};
 use catkinmast_quarantine::{Fingerprint, InterruptedRequests, Quarantine};
@@ -79,6 +80,7 @@
     pub feeds: Feeds,
     /// Admits callers' requests to services.
     pub gates: Gates,
+    pub hedging: RefCell<Hedging>,
     /// Number of requests of callers that are being answered.
     pub in_flight: Cell<usize>,
     /// When this node joined the fleet; none before.
@@ -142,6 +144,7 @@
             document: RefCell::new(None),
             feeds: Feeds::default(),
             gates: Gates::default(),
+            hedging: RefCell::new(Hedging::default()),
             in_flight: Cell::new(0),
             joined_at: Cell::new(None),
             // The platform provides no shared secret. With this fixed key the tag of a datagram
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -12,6 +12,7 @@
 mod capacity;
 mod dispatch;
 mod feed;
+mod hedge;
 mod lease_retake;
 mod membership;
 mod places;
--- a/tests/all/site/mod.rs
+++ b/tests/all/site/mod.rs
@@ -18,6 +18,7 @@
 mod crashes;
 mod duties;
 mod evacuation;
+mod hedges;
 mod orders;
 mod requests;
 mod soak;
