--- a/tests/all/site/trials.rs
+++ b/tests/all/site/trials.rs
@@ -109,12 +109,17 @@
     let answer = site.call_with(&site.nodes[1], "/check/a", "again", "body q").await;
 
     assert_eq!(answer.expect("an answer").status(), 200);
-    let trials = site.nodes[1].lines("request_trial");
-    assert_eq!(trials.len(), 1, "the node claims the trial once: {trials:?}");
     assert!(site.runs.of("refused").is_empty(), "a refused request does not run");
     let answer = site.call_with(&site.nodes[1], "/check/a", "blocked", "body p").await;
     assert_eq!(answer.expect("an answer").status(), 503);
     assert!(site.runs.of("blocked").is_empty(), "the other request is blocked");
+    // The log is written without waiting, so the line may come after the answers.
+    until("the trial is in the log", || async {
+        (!site.nodes[1].lines("request_trial").is_empty()).then_some(())
+    })
+    .await;
+    let trials = site.nodes[1].lines("request_trial");
+    assert_eq!(trials.len(), 1, "the node claims the trial once: {trials:?}");
 }
 
 // Guards against a healthy request that is refused for minutes: its target crashes twice, it is
