Test that a rejected request that may have run is not answered as not run

Change: one target runs requests and loses their answers, the other one is full; each request that has run is answered 502 or 504, each other one 503.

--- a/tests/all/site/admission.rs
+++ b/tests/all/site/admission.rs
@@ -171,3 +171,24 @@
     let limited = node.lines("admission_limited");
     assert!(limited.is_empty(), "{limited:?}");
 }
+
+// Guards against a request that is rejected as not run although a target has run it before: one
+// target runs requests and loses their answers, and the other one is full.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_rejected_request_that_may_have_run_is_not_answered_as_not_run() {
+    let site = Site::start(1, 0, 2).await;
+    site.plain[0].set_behaviour(Behaviour::LosesAnswers);
+    site.plain[1].set_behaviour(Behaviour::Full);
+
+    let outcomes = flood(&site, &site.nodes[0], 60, Duration::from_millis(20)).await;
+
+    let mut ran = 0;
+    for outcome in &outcomes {
+        let has_run = !site.runs.of(&outcome.id).is_empty();
+        ran += usize::from(has_run);
+        let expected: &[u16] = if has_run { &[502, 504] } else { &[503] };
+        assert!(expected.contains(&outcome.status), "run: {has_run}, {outcome:?}");
+    }
+    assert!(ran > 0, "some requests have run");
+    assert!(ran < outcomes.len(), "some requests have not run");
+}
