--- a/crates/admission/src/latency.rs
+++ b/crates/admission/src/latency.rs
@@ -117,8 +117,10 @@
         /// Half of the goal is left for the queue and the network.
         const GOAL_SHARE: f64 = 0.5;
         /// A route whose work takes longer than half of its goal is late only if it takes this many
-        /// times its usual time.
-        const LOWEST_FACTOR: f64 = 3.0;
+        /// times its usual time. A node with few requests may have seen none before an overload, and
+        /// takes the latency at full targets for the usual one: with three times that, its threshold
+        /// would exceed the goal.
+        const LOWEST_FACTOR: f64 = 1.5;
         let by_work_ms = self.lowest_ms().unwrap_or(0.0) * LOWEST_FACTOR;
         by_work_ms.max(self.goal_ms as f64 * GOAL_SHARE)
     }
