--- a/crates/serve/src/hedging.rs
+++ b/crates/serve/src/hedging.rs
@@ -11,7 +11,7 @@
 use crate::metrics::count;
 use crate::node::Node;
 use crate::platform::Platform;
-use catkinmast_dispatch::{Route, WaitQueue};
+use catkinmast_dispatch::Route;
 use catkinmast_hedge::HedgePermit;
 use catkinmast_model::UnixMs;
 use serde_json::json;
@@ -297,7 +297,8 @@
     if crashes::is_suspected(node, outgoing) {
         return None;
     }
-    let target = if has_spare(node, service) { other_target(node, service, tried) } else { None };
+    let target =
+        if node.gates.has_spare(service) { other_target(node, service, tried) } else { None };
     let permit = node.hedging.borrow_mut().may_hedge(clock::now(), target.is_some());
     match permit {
         HedgePermit::Granted => return target,
@@ -318,11 +319,6 @@
     (!backs_off && !tried.contains(&chosen.id)).then_some(chosen)
 }
 
-/// Returns whether a service has spare capacity: no request waits for its targets.
-fn has_spare<P: Platform>(node: &Node<P>, service: &str) -> bool {
-    node.wait_queues.borrow().get(service).is_none_or(WaitQueue::is_empty)
-}
-
 /// Returns the route whose latencies an attempt belongs to.
 fn route(outgoing: &OutgoingRequest) -> &str {
     outgoing.route.as_deref().unwrap_or_default()
--- a/crates/serve/src/runs/score.rs
+++ b/crates/serve/src/runs/score.rs
@@ -1,6 +1,7 @@
 //! Scoring of items whose output is complete.
 
 use super::finish;
+use crate::admission;
 use crate::batches::{LocalBatch, Run};
 use crate::calls;
 use crate::clock;
@@ -127,7 +128,7 @@
                     pause_ms = SCORE_BLOCKED_PAUSE_MS;
                 }
                 // The attempt writes its own line to the audit trail.
-                Err(_) => {}
+                Err(failure) => admission::bypass_failed(node, &service, &chosen.id, &failure),
             }
         }
         sleep(Duration::from_millis(pause_ms)).await;
