Report the refusal of one of two attempts to admission

Cause: if one of two attempts is refused and the other is answered, the caller's code sees the answer only, so the gate did not learn that a target is full. Change: such a refusal counts like that of a scoring call. The new test also covers a refused hedge that leaves the first attempt running.

--- a/crates/serve/src/admission.rs
+++ b/crates/serve/src/admission.rs
@@ -311,7 +311,7 @@
     }
 }
 
-/// Records the failure of an attempt that bypassed the gate, such as a scoring call.
+/// Records the failure of an attempt that bypassed the gate, such as a scoring call or a hedge.
 pub(crate) fn bypass_failed<P: Platform>(
     node: &Rc<Node<P>>,
     service: &str,
@@ -321,7 +321,7 @@
     // Without a gate, no caller's request has come by here that could make room.
     let has_gate = node.gates.0.borrow().contains_key(service);
     if has_gate && is_refusal_for_load(node, service, target, failure) {
-        with_gate(node, service, "a target refused a scoring call", |entry, now| {
+        with_gate(node, service, "a target refused an attempt outside the window", |entry, now| {
             entry.gate.bypass_refused(now);
         });
     }
--- a/crates/serve/src/hedging.rs
+++ b/crates/serve/src/hedging.rs
@@ -4,6 +4,7 @@
 //! its future, which closes the connection so that the target stops working on the request. Since a
 //! caller's handler owns both futures, a caller that disconnects ends both in the same way.
 
+use crate::admission;
 use crate::calls;
 use crate::clock;
 use crate::crashes;
@@ -102,7 +103,7 @@
                 repeats.allow(plan.may_repeat(2));
                 let second = pin!(limited_attempt(node, plan.goal_ms, &other, outgoing, &repeats));
                 let hedge = Hedge::begin(node, outgoing, [chosen, &other], sent_at);
-                return race(plan, &repeats, hedge, first, second).await;
+                return race(plan, service, &repeats, hedge, first, second).await;
             }
         },
     };
@@ -113,6 +114,7 @@
 /// Waits for the first answer of two attempts, or for the failure of both.
 async fn race<P: Platform>(
     plan: &mut AttemptPlan,
+    service: &str,
     repeats: &Repeats,
     mut hedge: Hedge<'_, P>,
     mut first: Pin<&mut impl Future<Output = Result<CompleteAnswer, AttemptFailure>>>,
@@ -140,7 +142,15 @@
     plan.record(&failure);
     plan.record(&other);
     let other_is_worse = other.as_ref().is_err_and(|other| other.verdict.may_have_run());
-    if other.is_ok() || other_is_worse { other } else { failure }
+    if other.is_err() && !other_is_worse {
+        return failure;
+    }
+    // The caller's code learns of the other attempt only, and a refusal is a sign of load.
+    if let Err(failure) = &failure {
+        let refused_by = &hedge.targets[usize::from(is_second)].id;
+        admission::bypass_failed(hedge.node, service, refused_by, failure);
+    }
+    other
 }
 
 /// Sends a request to a target, and gives the attempt up at its limit if the request may then be
--- a/tests/all/site/hedges.rs
+++ b/tests/all/site/hedges.rs
@@ -2,7 +2,7 @@
 //! before its deadline, and what may not run twice is not sent twice.
 
 use super::harness::{HOST, Node, Site, document, submission, until};
-use super::worker::Worker;
+use super::worker::{Behaviour, Worker};
 use serde_json::{Value, json};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
@@ -116,6 +116,26 @@
     assert_eq!(line_of(&site.nodes[0], "attempt_hedged", "q1").await["outcome"], "lost");
 }
 
+// Guards against a request that fails because its hedge was refused while the first attempt was
+// running, and against a refusal of which admission does not learn.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refused_hedge_leaves_the_first_attempt_running() {
+    let site = start_with_hanging_target().await;
+    site.plain[0].set_pace(10, 400);
+    site.plain[1].set_behaviour(Behaviour::Full);
+
+    let answered = status(&site, "/lookup/a", "q1").await;
+
+    assert_eq!(answered, 200);
+    let runs = site.runs.of("q1");
+    assert_eq!((runs.len(), runs[0].worker.as_str()), (1, "plain-0"));
+    assert_eq!(line_of(&site.nodes[0], "attempt_hedged", "q1").await["outcome"], "lost");
+    until("admission counts the refusal", || async {
+        (!site.nodes[0].lines("admission_limited").is_empty()).then_some(())
+    })
+    .await;
+}
+
 // Guards against samples that are late because the answer of their scoring call was lost: such a call
 // waited 3 s before it was repeated.
 #[tokio::test(flavor = "multi_thread")]
