--- a/tests/all/site/mod.rs
+++ b/tests/all/site/mod.rs
@@ -13,6 +13,7 @@
 
 mod bad_input;
 mod batches;
+mod capacity;
 mod configuration;
 mod crashes;
 mod duties;
