Soak: bursts beyond capacity, with cut-off nodes and lost answers

Cause: the soak had one caller and targets without a limit, so nothing in it exceeded what the targets can serve.

Change: the plain targets get 4 slots, 8 queue places and 25 ms of work. Two bursts of 50 to 99 callers play for 2.5 s: one among the other faults, one alone. During each, a node is cut off from the store, the same or another one is paused, and a target loses or withholds its answers. Refused callers retry once at another node as the deployments' callers do. WithholdsAnswers joins the random faults. Checked for each call: 503 only if it never ran (at the end, so later runs count too); a non-idempotent call ran at most once; no answer later than 300 ms after the caller's deadline unless its node was paused; answers are whole and their own; no other status than 200, 502, 503 and 504. After the second burst each node serves both routes within 5 s. The lookups of the old caller are checked for "refused and ran" as well.

--- a/tests/all/site/harness.rs
+++ b/tests/all/site/harness.rs
@@ -309,6 +309,11 @@
         log.iter().map(Value::to_string).collect::<Vec<_>>().join("\n")
     }
 
+    /// Returns a handle on the audit trail, which grows while the node runs.
+    pub(crate) fn log(&self) -> Arc<Mutex<Vec<Value>>> {
+        Arc::clone(&self.log)
+    }
+
     /// Returns the lines of the audit trail with this event and this duty.
     pub(crate) fn duty_lines(&self, event: &str, duty: &str) -> Vec<Value> {
         self.lines(event).into_iter().filter(|line| line["duty"] == duty).collect()
@@ -445,12 +450,24 @@
         path: &str,
         id: &str,
         body: &str,
+    ) -> reqwest::Result<reqwest::Response> {
+        self.call_within(node, path, id, body, 3_000).await
+    }
+
+    /// Sends a request with a body through a node, and gives it a time in which it is answered.
+    pub(crate) async fn call_within(
+        &self,
+        node: &Node,
+        path: &str,
+        id: &str,
+        body: &str,
+        deadline_ms: u64,
     ) -> reqwest::Result<reqwest::Response> {
         self.client
             .post(format!("http://{}{path}", node.callers))
             .header("Host", HOST)
             .header("X-Catkinmast-Request-Id", id)
-            .header("X-Catkinmast-Deadline-Ms", "3000")
+            .header("X-Catkinmast-Deadline-Ms", deadline_ms)
             .body(body.to_owned())
             .send()
             .await
--- a/tests/all/site/soak.rs
+++ b/tests/all/site/soak.rs
@@ -1,10 +1,19 @@
 //! A randomized soak test: runs the real processes under injected faults, and checks the guarantees
 //! from what callers and targets observe.
 //!
+//! Two bursts of calls exceed what the plain targets can serve: one among the other faults, and one
+//! alone, after which callers have to be served again. See [`burst`].
+//!
 //! A seed determines the faults, which overlap. CI runs a few seeds. To run more:
 //! `SOAK_SEEDS=50 cargo test --release --test all soak -- --nocapture`, with `SOAK_FROM` as the
-//! first seed. Seeds that have failed stay in [`FAILED_SEEDS`], each with its cause.
+//! first seed. A seed that fails writes the audit trails of its nodes to the folder for temporary
+//! files (`TMPDIR`). Seeds that have failed stay in [`FAILED_SEEDS`], each with its cause.
+
+mod burst;
+mod trails;
 
+use self::burst::{Burst, Pauses};
+use self::trails::TrailsOnFailure;
 use super::harness::{Site, complete_output, document, submission, until};
 use super::proxy::Link;
 use super::worker::{Behaviour, CRASHING_BODY};
@@ -28,6 +37,13 @@
 const ITEMS: usize = 8;
 /// How soon a target restarts after a crash.
 const RESTART_AFTER: Duration = Duration::from_millis(500);
+/// Slots, places in the queue and work time of a plain target. Both targets together hold 24
+/// requests and serve 320 a second, less than a burst sends.
+const PLAIN_SLOTS: usize = 4;
+const PLAIN_QUEUE_PLACES: usize = 8;
+const PLAIN_WORK_MS: u64 = 25;
+/// Duration of a burst: longer than the time after which a node refuses a call that waits.
+const BURST: Duration = Duration::from_millis(2_500);
 /// The time within which all nodes have to know of a blocked request.
 const BLOCKED_EVERYWHERE_WITHIN: Duration = Duration::from_secs(3);
 
@@ -37,6 +53,7 @@
     batches: RefCell<BTreeMap<String, Vec<Value>>>,
     refused_calls: RefCell<Vec<String>>,
     calls: RefCell<Vec<String>>,
+    pauses: Pauses,
     stopped: Cell<bool>,
 }
 
@@ -56,35 +73,49 @@
 
 async fn run_seed(seed: u64) {
     let mut site = Site::start_behind_proxies(NODES, ENGINES, PLAIN).await;
+    for worker in &mut site.plain {
+        worker.set_restart_after(RESTART_AFTER);
+        worker.set_pace(10, PLAIN_WORK_MS);
+        worker.set_capacity(PLAIN_SLOTS, PLAIN_QUEUE_PLACES);
+    }
     let mut rng = StdRng::seed_from_u64(seed);
+    let _trails = TrailsOnFailure::new(&site.nodes, seed);
     let observed = Observations::default();
     let faults: Vec<(u64, u64)> =
         (0..FAULTS).map(|_| (rng.random_range(50..700), rng.random())).collect();
     let faults_in_turn = async {
         for (pause_ms, draw) in faults {
             sleep(Duration::from_millis(pause_ms)).await;
-            inject_fault(&site, &mut StdRng::seed_from_u64(draw), seed);
+            inject_fault(&site, &observed.pauses, &mut StdRng::seed_from_u64(draw), seed);
         }
         observed.stopped.set(true);
     };
-    for worker in &site.plain {
-        worker.set_restart_after(RESTART_AFTER);
-    }
     let callers = futures::future::join4(
         trainer(&site, &observed, "a"),
         trainer(&site, &observed, "b"),
         caller(&site, &observed),
         crashing_caller(&site, &observed),
     );
-    let ((), _) = tokio::join!(faults_in_turn, callers);
+    let among_faults = Burst::new("x", BURST, rng.random());
+    let burst = among_faults.play(&site, &observed.pauses);
+    let ((), _, ()) = tokio::join!(faults_in_turn, callers, burst);
     end_all_faults(&mut site).await;
+    let alone = Burst::new("y", BURST, rng.random());
+    alone.play(&site, &observed.pauses).await;
+    burst::end_faults(&site);
+    burst::check_served_again(&site, seed).await;
     check_guarantees(&site, &observed, seed).await;
     check_blocked(&site, seed).await;
+    // Last, because a request that was refused must not run later either.
+    for burst in [among_faults, alone] {
+        burst.check(&site, &observed.pauses, seed);
+    }
 }
 
 /// Injects one fault; a lasting fault is ended by a task of its own, so that faults overlap.
-fn inject_fault(site: &Site, rng: &mut StdRng, seed: u64) {
-    let node = &site.nodes[rng.random_range(0..NODES)];
+fn inject_fault(site: &Site, pauses: &Pauses, rng: &mut StdRng, seed: u64) {
+    let number = rng.random_range(0..NODES);
+    let node = &site.nodes[number];
     let lasts = Duration::from_millis(rng.random_range(100..2_500));
     let worker = if rng.random() {
         &site.plain[rng.random_range(0..PLAIN)]
@@ -94,14 +125,7 @@
     match rng.random_range(0..10) {
         0 => node.kill_and_restart(lasts),
         1 => node.stop_and_restart(),
-        2 => {
-            node.signal("STOP");
-            let pid = node.pid();
-            tokio::spawn(async move {
-                sleep(lasts).await;
-                super::harness::signal(pid, "CONT");
-            });
-        }
+        2 => pauses.pause(site, number, lasts),
         3..=5 => {
             let link = [
                 Link::Resets,
@@ -109,12 +133,7 @@
                 Link::Silent { answers: true, requests: false },
                 Link::Silent { answers: true, requests: true },
             ][rng.random_range(0..4)];
-            node.store_link.set(link);
-            let proxy = node.store_link.clone();
-            tokio::spawn(async move {
-                sleep(lasts).await;
-                proxy.set(Link::Open);
-            });
+            burst::set_store_link(node, link, lasts);
         }
         6 => {
             // The count of store calls only rises, as versions have to.
@@ -133,8 +152,9 @@
                 Behaviour::OmitsStamp,
                 Behaviour::LosesAnswers,
                 Behaviour::SilentAfter(2),
+                Behaviour::WithholdsAnswers,
                 Behaviour::WrongId,
-            ][rng.random_range(0..5)];
+            ][rng.random_range(0..6)];
             worker.set_behaviour_for(behaviour, lasts);
         }
     }
@@ -193,11 +213,13 @@
         number += 1;
         let node = &site.nodes[number % NODES];
         let id = format!("l{number}");
-        if let Ok(answer) = site.call(node, "/lookup/a", &id).await
-            && answer.status() == 200
-        {
-            let body = answer.text().await.expect("a complete body");
-            assert!(body.starts_with(&format!("{id} by plain-")), "{id} was answered {body}");
+        match site.call(node, "/lookup/a", &id).await {
+            Ok(answer) if answer.status() == 200 => {
+                let body = answer.text().await.expect("a complete body");
+                assert!(body.starts_with(&format!("{id} by plain-")), "{id} was answered {body}");
+            }
+            Ok(answer) if answer.status() == 503 => observed.refused_calls.borrow_mut().push(id),
+            _ => {}
         }
         let id = format!("c{number}");
         observed.calls.borrow_mut().push(id.clone());
