Soak: callers that disconnect during a burst

Cause: nothing checked that work stops when a caller leaves while its call waits in the node or in a target's queue under load. Change: one call in eight of a burst is given up after 5 to 300 ms. No run of it may start later than 500 ms after that, unless its node was paused meanwhile.

--- a/tests/all/site/soak/burst.rs
+++ b/tests/all/site/soak/burst.rs
@@ -3,7 +3,7 @@
 //! During a burst one node is cut off from the store, one is paused, and one target loses or
 //! withholds its answers.
 
-use super::super::harness::{Node, Site, signal};
+use super::super::harness::{HANG_TIMEOUT, Node, Site, signal};
 use super::super::proxy::Link;
 use super::super::worker::{Behaviour, Worker};
 use rand::rngs::StdRng;
@@ -11,7 +11,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
-use tokio::time::{sleep, sleep_until};
+use tokio::time::{sleep, sleep_until, timeout};
 
 /// Callers of a burst, each with one call at a time: at least twice what both targets hold.
 const CALLERS: std::ops::Range<usize> = 50..100;
@@ -20,6 +20,12 @@
 /// How much later than its deadline a caller may be answered, because a busy machine runs the node or
 /// the caller's task late. The most in 110 seeds beside other builds was 85 ms.
 const LATE_MAX: Duration = Duration::from_millis(300);
+/// One of this many calls is given up by its caller before it is answered.
+const GIVEN_UP_ONE_IN: u32 = 8;
+/// When a caller gives up: while its call waits in the node, is queued at a target or runs.
+const GIVE_UP_AFTER_MS: std::ops::Range<u64> = 5..300;
+/// The time within which work on a request stops after its caller has disconnected.
+const STOPS_WITHIN: Duration = Duration::from_millis(500);
 /// The time within which each node serves callers again after a burst and its faults.
 const SERVED_AGAIN_WITHIN: Duration = Duration::from_secs(5);
 
@@ -40,11 +46,14 @@
         });
     }
 
-    /// Returns whether a call's node was paused during the call.
+    /// Returns whether a call's node was paused during the call or while the node still had to
+    /// learn that its caller has disconnected.
     fn overlap(&self, call: &Call) -> bool {
-        self.0.borrow().iter().any(|(node, from, until)| {
-            *node == call.node && *from <= call.ended_at && call.sent_at <= *until
-        })
+        let end = call.ended_at + if call.was_given_up { STOPS_WITHIN } else { Duration::ZERO };
+        self.0
+            .borrow()
+            .iter()
+            .any(|(node, from, until)| *node == call.node && *from <= end && call.sent_at <= *until)
     }
 }
 
@@ -69,31 +78,50 @@
     /// What the answer's `Retry-After` says.
     retry_after: Option<Duration>,
     sent_at: Instant,
-    /// The answer's status; none if the connection failed.
+    /// The answer's status; none if the connection failed or the caller gave up.
     status: Option<u16>,
+    /// Whether its caller disconnected before it was answered.
+    was_given_up: bool,
 }
 
 impl Call {
+    /// Sends a call; its caller disconnects after `give_up_after`.
     async fn send(
         site: &Site,
         node: usize,
         path: &'static str,
         id: String,
         deadline_ms: u64,
+        give_up_after: Duration,
     ) -> Self {
         let sent_at = Instant::now();
         let content = format!("question {id}");
-        let answer = site.call_within(&site.nodes[node], path, &id, &content, deadline_ms).await;
-        let (mut status, mut retry_after, mut body) = (None, None, None);
-        if let Ok(answer) = answer {
-            status = Some(answer.status().as_u16());
+        let answer = async {
+            let node = &site.nodes[node];
+            let answer = site.call_within(node, path, &id, &content, deadline_ms).await.ok()?;
             let seconds = answer.headers().get("retry-after");
             let seconds = seconds.and_then(|value| value.to_str().ok()?.parse().ok());
-            retry_after = seconds.map(Duration::from_secs_f64);
-            body = answer.text().await.ok();
-        }
+            let retry_after = seconds.map(Duration::from_secs_f64);
+            Some((answer.status().as_u16(), retry_after, answer.text().await.ok()))
+        };
+        let answer = timeout(give_up_after, answer).await;
+        let was_given_up = answer.is_err();
+        let answer = answer.ok().flatten();
+        let status = answer.as_ref().map(|(status, ..)| *status);
+        let (_, retry_after, body) = answer.unwrap_or_default();
         let ended_at = Instant::now();
-        Self { body, deadline_ms, ended_at, id, node, path, retry_after, sent_at, status }
+        Self {
+            body,
+            deadline_ms,
+            ended_at,
+            id,
+            node,
+            path,
+            retry_after,
+            sent_at,
+            status,
+            was_given_up,
+        }
     }
 
     /// Returns when to send a refused call again and how much time it has then, if `Retry-After`
@@ -157,12 +185,18 @@
             let node = rng.random_range(0..site.nodes.len());
             let path = if rng.random() { "/lookup/a" } else { "/check/a" };
             let id = format!("{name}n{number}");
-            let first = Call::send(site, node, path, id, rng.random_range(DEADLINE_MS)).await;
+            let deadline_ms = rng.random_range(DEADLINE_MS);
+            let give_up_after = if rng.random_ratio(1, GIVEN_UP_ONE_IN) {
+                Duration::from_millis(rng.random_range(GIVE_UP_AFTER_MS))
+            } else {
+                HANG_TIMEOUT
+            };
+            let first = Call::send(site, node, path, id, deadline_ms, give_up_after).await;
             if let Some((pause, left_ms)) = first.retry() {
                 sleep(pause).await;
                 let other = (node + 1) % site.nodes.len();
                 let id = format!("{}r", first.id);
-                let again = Call::send(site, other, path, id, left_ms).await;
+                let again = Call::send(site, other, path, id, left_ms, HANG_TIMEOUT).await;
                 self.calls.borrow_mut().push(again);
             }
             self.calls.borrow_mut().push(first);
@@ -172,15 +206,15 @@
 
     /// Checks what callers observed against what ran. Called once nothing can run any more.
     pub(super) fn check(&self, site: &Site, pauses: &Pauses, seed: u64) {
-        let mut runs: BTreeMap<String, usize> = BTreeMap::new();
+        let mut runs: BTreeMap<String, Vec<Instant>> = BTreeMap::new();
         for run in site.runs.all() {
-            *runs.entry(run.request).or_default() += 1;
+            runs.entry(run.request).or_default().push(run.at);
         }
         let calls = self.calls.borrow();
         self.print_summary(&calls, &runs, pauses, seed);
         for call in calls.iter() {
-            let ran = runs.get(&call.id).copied().unwrap_or(0);
-            check_call(call, ran, pauses, seed);
+            let starts = runs.get(&call.id).map(Vec::as_slice).unwrap_or_default();
+            check_call(call, starts, pauses, seed);
         }
         let served = calls.iter().filter(|call| call.status == Some(200)).count();
         assert!(served > 0, "seed {seed}: no call of the burst {} was served", self.name);
@@ -189,7 +223,7 @@
     fn print_summary(
         &self,
         calls: &[Call],
-        runs: &BTreeMap<String, usize>,
+        runs: &BTreeMap<String, Vec<Instant>>,
         pauses: &Pauses,
         seed: u64,
     ) {
@@ -197,11 +231,12 @@
         for call in calls {
             *statuses.entry(call.status).or_default() += 1;
         }
-        let ran: usize = calls.iter().filter_map(|call| runs.get(&call.id)).sum();
+        let ran: usize = calls.iter().filter_map(|call| runs.get(&call.id)).map(Vec::len).sum();
+        let given_up = calls.iter().filter(|call| call.was_given_up).count();
         let unpaused = calls.iter().filter(|call| !pauses.overlap(call));
         let late_ms = unpaused.map(|call| call.late().as_millis()).max().unwrap_or_default();
         println!(
-            "seed {seed} burst {}: {} calls, statuses {statuses:?}, {ran} runs, {} arrivals, {} \
+            "seed {seed} burst {}: {} calls, {given_up} given up, statuses {statuses:?}, {ran} runs, {} arrivals, {} \
              refusals, at most {late_ms} ms late",
             self.name,
             calls.len(),
@@ -211,9 +246,10 @@
     }
 }
 
-fn check_call(call: &Call, ran: usize, pauses: &Pauses, seed: u64) {
+/// Checks a call whose runs began at `starts`.
+fn check_call(call: &Call, starts: &[Instant], pauses: &Pauses, seed: u64) {
     let id = &call.id;
-    let (node, status) = (call.node, call.status);
+    let (node, ran, status) = (call.node, starts.len(), call.status);
     assert!(
         matches!(status, None | Some(200 | 502 | 503 | 504)),
         "seed {seed}: {id} was answered {status:?} by node {node}: {:?}",
@@ -231,6 +267,14 @@
         let is_whole = body.starts_with(&format!("{id} by plain-"));
         assert!(is_whole, "seed {seed}: {id} was answered {:?} by node {node}", call.body);
     }
+    if call.was_given_up {
+        let latest_at = call.ended_at + STOPS_WITHIN;
+        let is_stopped = starts.iter().all(|at| *at <= latest_at);
+        assert!(
+            is_stopped || pauses.overlap(call),
+            "seed {seed}: {id} ran long after its caller had disconnected from node {node}"
+        );
+    }
     let late = call.late();
     assert!(
         late <= LATE_MAX || pauses.overlap(call),
