--- a/tests/all/site/admission.rs
+++ b/tests/all/site/admission.rs
@@ -2,7 +2,7 @@
 //! targets are not flooded, and scoring calls pass.
 
 use super::harness::{HOST, Node, Site, complete_output, submission, until};
-use super::worker::{Behaviour, Worker};
+use super::worker::Behaviour;
 use futures::future::join_all;
 use std::time::{Duration, Instant};
 use tokio::time::sleep;
@@ -37,7 +37,7 @@
 }
 
 fn refusals(site: &Site) -> u64 {
-    site.plain.iter().map(Worker::refusals).sum()
+    site.plain.iter().map(|worker| worker.counts().refusals).sum()
 }
 
 // Guards against a flood of attempts at full targets (24 for each request) and against refusals that
@@ -46,12 +46,12 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_full_service_rejects_at_once_and_is_not_flooded() {
     const LOOKUPS: usize = 900;
-    let site = Site::start(1, 1, 2).await;
-    let node = &site.nodes[0];
-    for worker in &site.plain {
+    let mut site = Site::start(1, 1, 2).await;
+    for worker in &mut site.plain {
         worker.set_pace(10, 40);
         worker.set_capacity(2, 4);
     }
+    let node = &site.nodes[0];
     let flood = flood(&site, node, LOOKUPS, Duration::from_micros(3_333));
     let batch = async {
         sleep(Duration::from_millis(500)).await;
@@ -128,12 +128,12 @@
 // return.
 #[tokio::test(flavor = "multi_thread")]
 async fn targets_that_return_are_used_again() {
-    let site = Site::start(1, 0, 2).await;
-    let node = &site.nodes[0];
-    for worker in &site.plain {
+    let mut site = Site::start(1, 0, 2).await;
+    for worker in &mut site.plain {
         worker.set_pace(10, 40);
         worker.set_capacity(2, 4);
     }
+    let node = &site.nodes[0];
     site.plain[0].set_behaviour(Behaviour::Full);
     let during = flood(&site, node, 300, Duration::from_millis(5)).await;
     site.plain[0].set_behaviour(Behaviour::Normal);
--- a/tests/all/site/mod.rs
+++ b/tests/all/site/mod.rs
@@ -14,6 +14,7 @@
 mod admission;
 mod bad_input;
 mod batches;
+mod capacity;
 mod configuration;
 mod crashes;
 mod duties;
