Share target health between nodes: the decisions

Cause: a node makes about 0.2 calls a second to a plain service, so each of 66 nodes finds 26 dead targets by itself; 180 of 393 lookups were late in the two seconds after the targets had gone. `LoadBalancer` compares targets by one mean over all routes, so a target looks slow after a long scoring call, and it chooses the least cost, so nodes without another call in flight all choose the fastest target.

Ruled out: target ids in messages (they would take most of 300 B/s; a hash of 32 bits stands for them), probes by callers' calls alone (with 26 dead targets and 13 calls a second more than half of the calls would go to a dead target first, by an estimate; a connection is opened before a call is risked), renewals to three peers (beyond the budget), a whole call as the cost of an idle target (the fastest targets get nearly all calls of quiet nodes).

`choose` takes the preference and slowdown of a candidate from its caller, and counts recent calls like calls in flight. `choose_with_free_slot` is as it was.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -39,7 +39,7 @@
     Document, EngineConfig, Limits, Route, RouteKind, ServiceConfig, WeightedService,
 };
 pub use freshness::{ChangeBound, ConfirmationSource, Freshness, WATCHERS};
-pub use load::{CallOutcome, Candidate, LoadBalancer, LoadBalancerSettings};
+pub use load::{CallOutcome, CallPreference, Candidate, LoadBalancer, LoadBalancerSettings};
 pub use lookahead::Lookahead;
 pub use rollout::{LoadOrder, LoadOutcome, RolloutSettings, RolloutTarget, WeightRollout};
 pub use run_time::RunTimeEstimator;
--- a/crates/dispatch/src/load.rs
+++ b/crates/dispatch/src/load.rs
@@ -1,10 +1,12 @@
 //! Balances calls among targets by what this process observes of its own calls.
 //!
 //! A slow or dead target shows in our own calls seconds before the registry reports it. Calls go to
-//! the target with the least expected work: the calls in flight plus this one, weighted by the
-//! target's recent latency relative to the others. A target that fails backs off, with increasing
-//! backoff. If all targets back off, a call may go to any of them: a backoff is only a guess, and
-//! refusing every request on a guess would be worse. An item of a batch waits instead.
+//! the target with the least expected work: the calls in flight and those sent recently, weighted
+//! by how slow the target is. The caller states the slowdown of each candidate and whether it is
+//! to be avoided, which depend on the observations of other nodes too. A target that fails backs
+//! off, with increasing backoff. If all targets back off, a call may go to any of them: a backoff is
+//! only a guess, and refusing every request on a guess would be worse. An item of a batch waits
+//! instead. Items compare the targets' latencies directly, since they all take the same route.
 
 use catkinmast_model::UnixMs;
 use indexmap::IndexMap;
@@ -16,6 +18,17 @@
 /// are still tried: at six times, one call in flight there weighs as much as six elsewhere.
 const SLOWDOWN_MAX: u64 = 6;
 
+/// What a call costs at an idle target, in hundredths of a call. It weighs a slow idle target against
+/// a fast one with calls. If it were a whole call, the fastest targets would get nearly all calls
+/// of nodes that have no other in flight: 66 such nodes do not see each other's load.
+const IDLE_COST: u64 = 25;
+/// Part of the calls sent recently that counts like calls in flight, as one in this many. Calls that
+/// have ended count too because a node with few calls has none in flight when it chooses, and
+/// would send them all to one target.
+const RECENT_DIVISOR: u64 = 2;
+/// Time in which the count of recent calls halves: long enough to spread the calls of a node that
+/// makes a few a second, short enough that one with a call in five seconds keeps its connection.
+const RECENT_HALF_LIFE_MS: u64 = 2_000;
 /// Cost of a hop between data centres, in hundredths of a target's slots. It only decides between
 /// otherwise equal targets.
 const CROSS_DATA_CENTRE_COST: u64 = 2;
@@ -83,11 +96,46 @@
     in_flight: u32,
     latency_us: u64,
     loading_until: UnixMs,
+    recent: RecentCalls,
     backoff_until: UnixMs,
     /// Expected end of each item's run, by the number that [`LoadBalancer::run_started`] returned.
     run_ends: IndexMap<u64, UnixMs>,
 }
 
+/// The number of calls sent to a target, which halves with each [`RECENT_HALF_LIFE_MS`].
+#[derive(Clone, Copy, Debug, Default)]
+struct RecentCalls {
+    /// In hundredths of a call, at `counted_at`.
+    count: u64,
+    counted_at: UnixMs,
+}
+
+impl RecentCalls {
+    /// Returns the count, in hundredths of a call.
+    fn at(self, now: UnixMs) -> u64 {
+        let age_ms = now.since_ms(self.counted_at);
+        let (halvings, rest_ms) = (age_ms / RECENT_HALF_LIFE_MS, age_ms % RECENT_HALF_LIFE_MS);
+        let at_last_halving = self.count >> halvings.min(63);
+        at_last_halving * (2 * RECENT_HALF_LIFE_MS - rest_ms) / (2 * RECENT_HALF_LIFE_MS)
+    }
+
+    fn add_call(&mut self, now: UnixMs) {
+        *self = Self { count: self.at(now) + 100, counted_at: now };
+    }
+}
+
+/// Whether calls should go to a target, apart from its load.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum CallPreference {
+    /// It was reported as failing: it is chosen only if no other target has capacity.
+    Avoid,
+    /// It is chosen by its load.
+    #[default]
+    Normal,
+    /// The next call should find out whether it serves again.
+    Probe,
+}
+
 /// A target that a call may be sent to.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Candidate<'a> {
@@ -99,8 +147,12 @@
     pub same_data_centre: bool,
     /// Whether there is an idle connection to it.
     pub connected: bool,
+    /// What reports about it say.
+    pub preference: CallPreference,
     /// Number of requests that it runs at once.
     pub slots: u32,
+    /// How slow it is relative to other targets, in tenths, as far as calls are concerned.
+    pub slowdown_tenths: u64,
 }
 
 /// The load of all targets as this process observes it.
@@ -118,7 +170,8 @@
     }
 
     /// Chooses a target for a call, if possible one that is not in `tried`, and one that is not cold
-    /// before any that is. `draw` breaks ties.
+    /// before any that is. A target to be probed comes first, and one to be avoided last. `draw` breaks
+    /// ties.
     pub fn choose<'a>(
         &self,
         now: UnixMs,
@@ -131,20 +184,29 @@
             .filter(|candidate| !tried.iter().any(|id| id == candidate.id))
             .collect();
         let pool = if untried.is_empty() { candidates.iter().collect() } else { untried };
-        let available: Vec<&&Candidate<'a>> =
-            pool.iter().filter(|candidate| self.unavailable_until(candidate.id) <= now).collect();
-        let from: Vec<&Candidate<'a>> = if available.is_empty() {
-            pool.clone()
-        } else {
-            available.into_iter().copied().collect()
+        let is_available =
+            |candidate: &&&Candidate<'a>| self.unavailable_until(candidate.id) <= now;
+        if let Some(probed) = pool
+            .iter()
+            .filter(is_available)
+            .find(|candidate| candidate.preference == CallPreference::Probe)
+        {
+            return Some(**probed);
+        }
+        // A target that was only full shortly ago has capacity sooner than one that fails.
+        let class = |candidate: &Candidate<'a>| {
+            let is_normal = candidate.preference == CallPreference::Normal;
+            (!is_normal, self.unavailable_until(candidate.id) > now)
         };
-        let fastest_us = self.fastest_us(candidates);
+        let best_class = pool.iter().map(|candidate| class(candidate)).min()?;
+        let from: Vec<&Candidate<'a>> =
+            pool.into_iter().filter(|candidate| class(candidate) == best_class).collect();
         let count = from.len() as u64;
         from.iter()
             .enumerate()
             .min_by_key(|(index, candidate)| {
                 let tie_break = (*index as u64 + draw) % count.max(1);
-                (candidate.is_cold, self.cost(candidate, fastest_us), tie_break)
+                (candidate.is_cold, self.cost(now, candidate), tie_break)
             })
             .map(|(_, candidate)| **candidate)
     }
@@ -237,8 +299,20 @@
     }
 
     /// Counts a call as sent.
-    pub fn call_sent(&mut self, id: &str) {
-        self.entry(id).in_flight += 1;
+    pub fn call_sent(&mut self, now: UnixMs, id: &str) {
+        let stats = self.entry(id);
+        stats.in_flight += 1;
+        stats.recent.add_call(now);
+    }
+
+    /// Ends the backoff of a target that another node has seen answer after the failure.
+    pub fn serves_again(&mut self, id: &str) {
+        if let Some(stats) = self.stats.get_mut(id)
+            && stats.failures_in_row > 0
+        {
+            stats.failures_in_row = 0;
+            stats.backoff_until = UnixMs(0);
+        }
     }
 
     /// Counts the end of a call to a target that runs `slots` requests at once.
@@ -323,14 +397,15 @@
         (latency_us * SLOWDOWN_UNIT / fastest_us).clamp(SLOWDOWN_UNIT, SLOWDOWN_MAX * SLOWDOWN_UNIT)
     }
 
-    /// Returns the expected work of one more call, in hundredths of a target's slots, including
+    /// Returns the expected work at a target, in thousandths of its slots, including
     /// [`CROSS_DATA_CENTRE_COST`] and [`CONNECT_COST`] where they apply.
-    fn cost(&self, candidate: &Candidate<'_>, fastest_us: u64) -> u64 {
-        let in_flight = u64::from(self.in_flight(candidate.id));
-        let load = (in_flight + 1) * 100 / u64::from(candidate.slots.max(1));
-        load * self.slowdown(candidate.id, fastest_us) / SLOWDOWN_UNIT
-            + u64::from(!candidate.same_data_centre) * CROSS_DATA_CENTRE_COST
-            + u64::from(!candidate.connected) * CONNECT_COST
+    fn cost(&self, now: UnixMs, candidate: &Candidate<'_>) -> u64 {
+        let recent = self.stats.get(candidate.id).map_or(0, |stats| stats.recent.at(now));
+        let in_flight = u64::from(self.in_flight(candidate.id)) * 100;
+        let calls = in_flight + recent / RECENT_DIVISOR + IDLE_COST;
+        calls * candidate.slowdown_tenths / u64::from(candidate.slots.max(1))
+            + u64::from(!candidate.same_data_centre) * CROSS_DATA_CENTRE_COST * 10
+            + u64::from(!candidate.connected) * CONNECT_COST * 10
     }
 }
 
--- a/crates/serve/src/forward.rs
+++ b/crates/serve/src/forward.rs
@@ -170,7 +170,7 @@
 
 impl<P: Platform> InFlight<P> {
     pub(crate) fn begin(node: &Rc<Node<P>>, id: &str) -> Self {
-        node.balancer.borrow_mut().call_sent(id);
+        node.balancer.borrow_mut().call_sent(clock::now(), id);
         Self { ended: false, id: id.to_owned(), node: Rc::clone(node), run: None }
     }
 
--- a/crates/serve/src/node.rs
+++ b/crates/serve/src/node.rs
@@ -17,8 +17,8 @@
 use crate::usage::Usage;
 use bytes::Bytes;
 use catkinmast_dispatch::{
-    Candidate, Demand, Document, Item, LoadBalancer, LoadBalancerSettings, RunTimeEstimator,
-    TargetChange, TargetEntry, TargetTable, WaitQueue,
+    CallPreference, Candidate, Demand, Document, Item, LoadBalancer, LoadBalancerSettings,
+    RunTimeEstimator, TargetChange, TargetEntry, TargetTable, WaitQueue,
 };
 use catkinmast_feed::Recipient;
 use catkinmast_member::{Membership, NodeState};
@@ -323,8 +323,10 @@
                 connected: self.pool.has_idle(entry.address),
                 id: &entry.id,
                 is_cold: self.cold.is_cold(now, &entry.id),
+                preference: CallPreference::Normal,
                 same_data_centre: entry.data_centre == settings.data_centre,
                 slots: entry.slots,
+                slowdown_tenths: 10,
             })
             .collect();
         let id = choose(&self.balancer.borrow(), now, &picks)?;
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -11,6 +11,7 @@
 mod capacity;
 mod dispatch;
 mod feed;
+mod health;
 mod lease_retake;
 mod membership;
 mod places;
