--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -27,6 +27,7 @@
 mod duty_lease;
 mod feed;
 mod forward;
+mod health;
 mod hedging;
 mod listener;
 mod metrics;
--- a/crates/serve/src/metrics.rs
+++ b/crates/serve/src/metrics.rs
@@ -43,6 +43,9 @@
     pub store_failures: Family<Label, Counter>,
     /// Orders to the platform for a number of targets.
     pub target_orders: Family<Label, Counter>,
+    /// Hints about the health of targets.
+    pub target_hints: Family<Label, Counter>,
+    pub targets_avoided: Gauge,
     pub targets_ended: Family<Label, Counter>,
     pub usage_reports: Family<Label, Counter>,
     registry: Registry,
@@ -70,80 +73,118 @@
             store_calls: Family::default(),
             store_failures: Family::default(),
             target_orders: Family::default(),
+            target_hints: Family::default(),
+            targets_avoided: Gauge::default(),
             targets_ended: Family::default(),
             usage_reports: Family::default(),
             registry: Registry::default(),
         };
-        let m = &metrics;
-        registry.register("admission", "Callers' requests by decision", m.admission.clone());
+        metrics.register_calls(&mut registry);
+        metrics.register_batches(&mut registry);
+        metrics.register_targets(&mut registry);
+        metrics.register_process(&mut registry);
+        Self { registry, ..metrics }
+    }
+
+    fn register_calls(&self, registry: &mut Registry) {
+        registry.register("admission", "Callers' requests by decision", self.admission.clone());
         registry.register(
             "admission_wait_seconds",
             "Time that requests waited for the window of their service",
-            m.admission_wait_seconds.clone(),
+            self.admission_wait_seconds.clone(),
         );
         registry.register(
             "admission_window",
             "Smallest window of a service, 0 while none is limited",
-            m.admission_window.clone(),
-        );
-        registry.register("answers", "Answers to callers by outcome", m.answers.clone());
-        registry.register("attempts", "Attempts at targets by outcome", m.attempts.clone());
-        registry.register("batches_open", "Batch submissions owned here", m.batches_open.clone());
-        registry.register(
-            "connections_opened",
-            "Connections opened to targets, peers and the store",
-            m.connections_opened.clone(),
+            self.admission_window.clone(),
         );
+        registry.register("answers", "Answers to callers by outcome", self.answers.clone());
+        registry.register("attempts", "Attempts at targets by outcome", self.attempts.clone());
+        registry.register("hedges", "Second attempts by what became of them", self.hedges.clone());
         registry.register(
-            "document_version",
-            "Version of the configuration in force here",
-            m.document_version.clone(),
+            "request_seconds",
+            "Time from a request's head to its answer",
+            self.request_seconds.clone(),
         );
         registry.register(
-            "feed_age_ms",
-            "Milliseconds since what is known of the store was last known to be complete, by subject",
-            m.feed_age_ms.clone(),
+            "requests_barred",
+            "Requests that are sent to no target because targets ended under them",
+            self.requests_barred.clone(),
         );
-        registry.register("hedges", "Second attempts by what became of them", m.hedges.clone());
-        registry.register("item_runs", "Runs of batch items by outcome", m.item_runs.clone());
         registry.register(
-            "item_seconds",
-            "Time from a batch's acceptance to an item's result",
-            m.item_seconds.clone(),
+            "usage_reports",
+            "Reports of usage by what the platform answered",
+            self.usage_reports.clone(),
         );
-        registry.register("orders", "Orders to engines by outcome", m.orders.clone());
+    }
+
+    fn register_batches(&self, registry: &mut Registry) {
         registry.register(
-            "request_seconds",
-            "Time from a request's head to its answer",
-            m.request_seconds.clone(),
+            "batches_open",
+            "Batch submissions owned here",
+            self.batches_open.clone(),
         );
+        registry.register("item_runs", "Runs of batch items by outcome", self.item_runs.clone());
         registry.register(
-            "requests_barred",
-            "Requests that are sent to no target because targets ended under them",
-            m.requests_barred.clone(),
+            "item_seconds",
+            "Time from a batch's acceptance to an item's result",
+            self.item_seconds.clone(),
         );
+        registry.register("orders", "Orders to engines by outcome", self.orders.clone());
+    }
+
+    fn register_targets(&self, registry: &mut Registry) {
         registry.register(
             "target_orders",
             "Orders of numbers of targets by outcome",
-            m.target_orders.clone(),
+            self.target_orders.clone(),
         );
         registry.register(
-            "usage_reports",
-            "Reports of usage by what the platform answered",
-            m.usage_reports.clone(),
+            "target_hints",
+            "Hints between nodes about the health of targets",
+            self.target_hints.clone(),
         );
-        registry.register("store_calls", "Calls of the store by duty", m.store_calls.clone());
         registry.register(
-            "store_failures",
-            "Calls of the store that failed, by way",
-            m.store_failures.clone(),
+            "targets_avoided",
+            "Targets that get calls only if no other has capacity",
+            self.targets_avoided.clone(),
         );
         registry.register(
             "targets_ended",
             "Lives of targets that ended with a request of ours under way, by how that was seen",
-            m.targets_ended.clone(),
+            self.targets_ended.clone(),
         );
-        Self { registry, ..metrics }
+    }
+
+    fn register_process(&self, registry: &mut Registry) {
+        registry.register(
+            "connections_opened",
+            "Connections opened to targets, peers and the store",
+            self.connections_opened.clone(),
+        );
+        registry.register(
+            "document_version",
+            "Version of the configuration in force here",
+            self.document_version.clone(),
+        );
+        registry.register(
+            "feed_age_ms",
+            "Milliseconds since what is known of the store was last known to be complete, by subject",
+            self.feed_age_ms.clone(),
+        );
+        registry.register("store_calls", "Calls of the store by duty", self.store_calls.clone());
+        registry.register(
+            "store_failures",
+            "Calls of the store that failed, by way",
+            self.store_failures.clone(),
+        );
+    }
+
+    /// Adds to the count of hints.
+    pub(crate) fn count_hints(&self, reason: &'static str, number: u64) {
+        if number > 0 {
+            self.target_hints.get_or_create(&Label { reason }).inc_by(number);
+        }
     }
 
     /// Returns the number of calls of the store so far, by kind.
--- a/tests/all/admission/simulation.rs
+++ b/tests/all/admission/simulation.rs
@@ -2,7 +2,9 @@
 //! that return once after a rejection.
 
 use catkinmast_admission::{Arrival, Decision, Gate, Outcome, ServedRecord, Turn, WaiterId};
-use catkinmast_dispatch::{CallOutcome, Candidate, LoadBalancer, LoadBalancerSettings};
+use catkinmast_dispatch::{
+    CallOutcome, CallPreference, Candidate, LoadBalancer, LoadBalancerSettings,
+};
 use catkinmast_model::UnixMs;
 use indexmap::IndexMap;
 use rand::{Rng, SeedableRng};
@@ -319,14 +321,16 @@
             connected: true,
             id,
             is_cold: false,
+            preference: CallPreference::Normal,
             same_data_centre: true,
             slots: SLOTS as u32,
+            slowdown_tenths: 10,
         };
         let candidates: Vec<_> = names.iter().map(|id| candidate(id)).collect();
         let draw = self.rng.random();
         let balancer = &mut self.nodes[self.calls[call].gate].balancer;
         let chosen = balancer.choose(UnixMs(self.now), &candidates, &[], draw).expect("a target");
-        balancer.call_sent(chosen.id);
+        balancer.call_sent(UnixMs(self.now), chosen.id);
         let target = chosen.id.parse().expect("a number");
         self.sent.insert(call, (self.now, target));
         self.schedule(self.now + HOP_MS, Event::ReachesTarget(target, call));
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -12,6 +12,7 @@
 mod capacity;
 mod dispatch;
 mod feed;
+mod health;
 mod hedge;
 mod lease_retake;
 mod membership;
--- a/tests/all/site/mod.rs
+++ b/tests/all/site/mod.rs
@@ -19,6 +19,7 @@
 mod crashes;
 mod duties;
 mod evacuation;
+mod health;
 mod hedges;
 mod orders;
 mod requests;
