--- a/crates/health/src/table/mod.rs
+++ b/crates/health/src/table/mod.rs
@@ -242,6 +242,15 @@
     /// Records that a target refused a request for load. That is no sign of failure, and none that
     /// it serves, since it may be loading weights: the target stays as it is.
     pub fn refused(&mut self, now: UnixMs, id: &str) {
+        self.postpone_probe(now, id);
+    }
+
+    /// Records that a call is sent to a target.
+    pub fn sent(&mut self, now: UnixMs, id: &str) {
+        self.postpone_probe(now, id);
+    }
+
+    fn postpone_probe(&mut self, now: UnixMs, id: &str) {
         if let Some(target) = self.targets.get_mut(&TargetKey::of(id))
             && !target.reports.is_empty()
         {
@@ -249,12 +258,6 @@
         }
     }
 
-    /// Records that a call is sent to a target.
-    pub fn sent(&mut self, now: UnixMs, id: &str) {
-        // A sent call matters only for targets that were reported as failing.
-        self.refused(now, id);
-    }
-
     fn own_observation(&self, now: UnixMs, target: TargetKey, state: HintState) -> Observation {
         Observation { hops: 0, observed_at: now, observer: self.observer, state, target }
     }
