--- /dev/null
+++ b/tests/all/fairness/mod.rs
@@ -0,0 +1,7 @@
+//! Fair shares of workspaces across nodes.
+
+mod fleet;
+
+mod failure;
+mod input;
+mod load;
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -10,6 +10,7 @@
 mod bad_input;
 mod capacity;
 mod dispatch;
+mod fairness;
 mod feed;
 mod lease_retake;
 mod membership;
