Serve by fair shares of workspaces

Cause: crates/fairness decides; nothing asks it. Change: calls::serve asks before its loop and records how requests end; WorkspaceLoad is the last datagram, sent once a second to a random live peer where workspaces are configured; the line workspace_over_share, the metrics workspace_shares and workspace_load_datagrams. A datagram with an impossible value is dropped with a line that names field and value. One count for all services: the calls of workspaces mostly go to one service, and counts for each would take as many entries in the datagrams.

--- a/crates/serve/src/caller.rs
+++ b/crates/serve/src/caller.rs
@@ -85,6 +85,11 @@
         }
     }
 
+    /// Returns whether the request was refused or ran out of time, as under too much load.
+    pub(crate) const fn is_refused_or_late(&self) -> bool {
+        matches!(self.status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT)
+    }
+
     pub(crate) fn answer<P: Platform>(&self) -> Answer<P> {
         let body = json!({ "error": self.message }).to_string();
         let mut answer = json_answer(self.status, Bytes::from(body));
--- a/crates/serve/src/calls.rs
+++ b/crates/serve/src/calls.rs
@@ -4,6 +4,7 @@
 use crate::clock;
 use crate::cold;
 use crate::crashes;
+use crate::fairness;
 use crate::forward::{self, AttemptFailure, Cause, ChosenTarget, CompleteAnswer, OutgoingRequest};
 use crate::node::Node;
 use crate::platform::Platform;
@@ -32,6 +33,15 @@
     node: &Rc<Node<P>>,
     route: &Route,
     outgoing: &OutgoingRequest,
+) -> Result<CompleteAnswer, ErrorAnswer> {
+    let shares = fairness::admit(node, outgoing)?;
+    shares.record_end(attempt_targets(node, route, outgoing).await)
+}
+
+async fn attempt_targets<P: Platform>(
+    node: &Rc<Node<P>>,
+    route: &Route,
+    outgoing: &OutgoingRequest,
 ) -> Result<CompleteAnswer, ErrorAnswer> {
     let started_at = clock::now();
     let budget_ms = outgoing.deadline_at.since_ms(started_at);
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -24,6 +24,7 @@
 mod crashes;
 mod duties;
 mod duty_lease;
+mod fairness;
 mod feed;
 mod forward;
 mod listener;
--- a/crates/serve/src/metrics.rs
+++ b/crates/serve/src/metrics.rs
@@ -39,6 +39,10 @@
     pub target_orders: Family<Label, Counter>,
     pub targets_ended: Family<Label, Counter>,
     pub usage_reports: Family<Label, Counter>,
+    /// Messages of workspaces' loads between nodes.
+    pub workspace_load_datagrams: Family<Label, Counter>,
+    /// Requests of workspaces by the decision on their shares.
+    pub workspace_shares: Family<Label, Counter>,
     registry: Registry,
 }
 
@@ -62,6 +66,8 @@
             target_orders: Family::default(),
             targets_ended: Family::default(),
             usage_reports: Family::default(),
+            workspace_load_datagrams: Family::default(),
+            workspace_shares: Family::default(),
             registry: Registry::default(),
         };
         let m = &metrics;
@@ -110,6 +116,16 @@
             "Reports of usage by what the platform answered",
             m.usage_reports.clone(),
         );
+        registry.register(
+            "workspace_load_datagrams",
+            "Messages of workspaces' loads between nodes by direction",
+            m.workspace_load_datagrams.clone(),
+        );
+        registry.register(
+            "workspace_shares",
+            "Requests of workspaces by the decision on their shares",
+            m.workspace_shares.clone(),
+        );
         registry.register("store_calls", "Calls of the store by duty", m.store_calls.clone());
         registry.register(
             "store_failures",
--- a/crates/serve/src/node.rs
+++ b/crates/serve/src/node.rs
@@ -4,6 +4,7 @@
 use crate::clock;
 use crate::cold::{self, Cold};
 use crate::crashes;
+use crate::fairness::Fairness;
 use crate::feed::Feeds;
 use crate::metrics::{Metrics, count};
 use crate::outage::{self, Outage};
@@ -74,6 +75,8 @@
     pub demand: RefCell<Demand>,
     /// The configuration in force.
     pub document: RefCell<Option<Rc<Document>>>,
+    /// The shares of workspaces in what is served.
+    pub fairness: Fairness,
     pub feeds: Feeds,
     /// Number of requests of callers that are being answered.
     pub in_flight: Cell<usize>,
@@ -136,6 +139,7 @@
             datagrams,
             demand: RefCell::new(Demand::default()),
             document: RefCell::new(None),
+            fairness: Fairness::default(),
             feeds: Feeds::default(),
             in_flight: Cell::new(0),
             joined_at: Cell::new(None),
--- a/crates/serve/src/peers/messages.rs
+++ b/crates/serve/src/peers/messages.rs
@@ -6,6 +6,7 @@
 use crate::feed::Subject;
 use crate::store::{StoreAnswer, StoreCall, StoreRefusal, StoredItem};
 use catkinmast_dispatch::{ItemResult, Progress, Submission, TextUpdate};
+use catkinmast_fairness::Half;
 use catkinmast_feed::{Changes, HashSpan};
 use catkinmast_member::Message;
 use catkinmast_model::{Incarnation, Name, UnixMs};
@@ -89,6 +90,8 @@
     TargetLoading { started_at_unix_ms: Option<u64>, for_ms: u64, target: String },
     /// Changes of a feed that the node at `origin` has read, to be passed on within `span`.
     RelayedChanges { changes: Changes, origin: SocketAddr, span: HashSpan, subject: Subject },
+    /// One half of the sender's sums of the requests of workspaces.
+    WorkspaceLoad(Half),
 }
 
 /// An incarnation of a node, as the owner of batches or a candidate for a duty.
--- a/crates/serve/src/peers/mod.rs
+++ b/crates/serve/src/peers/mod.rs
@@ -13,6 +13,7 @@
 use crate::batches::{self, Acceptance};
 use crate::clock;
 use crate::crashes;
+use crate::fairness;
 use crate::feed;
 use crate::node::Node;
 use crate::outage;
@@ -185,6 +186,7 @@
                 set_target_loading(node, &target, for_ms);
             }
         }
+        Ok(Datagram::WorkspaceLoad(half)) => fairness::receive(node, half, from),
         Err(error) => {
             node.note("datagram_refused", json!({ "from": from, "why": error.to_string() }));
         }
--- a/crates/serve/src/process.rs
+++ b/crates/serve/src/process.rs
@@ -4,6 +4,7 @@
 use crate::clock;
 use crate::crashes;
 use crate::duties;
+use crate::fairness;
 use crate::feed::{self, Subject};
 use crate::listener::{self, ADDRESSES_TTL_MS};
 use crate::node::Node;
@@ -191,6 +192,7 @@
     spawn_local(runs::schedule(Rc::clone(&node)));
     spawn_local(orders::run_order_duty(Rc::clone(&node)));
     spawn_local(duties::serve(Rc::clone(&node)));
+    spawn_local(fairness::share_loads(Rc::clone(&node)));
 }
 
 /// Registers this node's address, and retries until that succeeds. The store's revision of that
