--- a/crates/fairness/src/contention.rs
+++ b/crates/fairness/src/contention.rs
@@ -18,9 +18,11 @@
 /// A smaller excess than this shows that the targets have spare capacity. Between the two, a node
 /// that sees few requests cannot tell.
 const SPARE_BELOW: f64 = 0.005;
-/// Standard deviations by which the requests not served must exceed the allowed part, unless the
-/// sums over all nodes in the last epoch show contention.
+/// Standard deviations by which the requests not served must exceed the allowed part.
 const DEVIATIONS: f64 = 2.0;
+/// The same if the sums over all nodes in the last epoch show contention. It is above zero, since
+/// those sums count rejected requests, and a single refusal by chance must not prolong contention.
+const DEVIATIONS_AGAIN: f64 = 1.0;
 /// Nodes whose requests a node's sums represent at least: the sums of the last seconds have been
 /// halved and sent on about once.
 const MIXED_NODES: f64 = 2.0;
@@ -162,7 +164,7 @@
         let unserved = self.unserved() * mixed;
         let served = f64::from(self.fleet.served) * mixed;
         let was_contended = served_part * (1.0 + BEGINS_ABOVE) < 1.0;
-        let deviations = if was_contended { 0.0 } else { DEVIATIONS };
+        let deviations = if was_contended { DEVIATIONS_AGAIN } else { DEVIATIONS };
         unserved > 0.0 && unserved - deviations * unserved.sqrt() > BEGINS_ABOVE * served
     }
 }
--- a/crates/fairness/src/means.rs
+++ b/crates/fairness/src/means.rs
@@ -9,9 +9,8 @@
 
 /// Cycles of epochs after which a workspace that was not averaged again is dropped.
 const KEPT_CYCLES: u32 = 3;
-/// Largest factor by which an older mean is changed for the present load of the fleet.
+/// Largest factor by which an older mean is raised for the present load of the fleet.
 const FACTOR_MAX: f64 = 10.0;
-
 /// How many times the mean a workspace must send to be limited before all workspaces are known: the
 /// level is not certain, and those that are not known yet are not limited either.
 const CERTAIN_FACTOR: f64 = 3.0;
@@ -80,8 +79,7 @@
     /// Returns a mean as a part of what the whole fleet is offered now, since that changes faster
     /// than the parts of its workspaces.
     fn now(&self, known: Known) -> Mean {
-        let factor =
-            (self.total.offered / known.total_offered).clamp(FACTOR_MAX.recip(), FACTOR_MAX);
+        let factor = (self.total.offered / known.total_offered).min(FACTOR_MAX);
         Mean { offered: known.mean.offered * factor, served: known.mean.served * factor }
     }
 
@@ -113,7 +111,8 @@
     ) -> f64 {
         // Nodes at which a workspace sends nothing know nothing of its priorities.
         let usual_weight = own.mean_weight();
-        let is_complete = self.epochs > groups.saturating_mul(2);
+        // A workspace may miss one cycle. With a single group, one epoch averages all.
+        let is_complete = self.epochs >= groups.saturating_mul(2).saturating_sub(1);
         let unknown = workspaces.saturating_sub(self.by_workspace.len());
         let unknown = if is_complete { 0 } else { unknown };
         let mut demands: Vec<Demand> = Vec::with_capacity(self.by_workspace.len() + unknown);
--- a/crates/fairness/src/shares.rs
+++ b/crates/fairness/src/shares.rs
@@ -151,8 +151,11 @@
         if age_ms < length_ms {
             return;
         }
-        // Loads of a node that did nothing for a whole epoch are too old.
-        if age_ms < 2 * length_ms {
+        // After an epoch without a request, or in which this node did nothing, what it knows is no
+        // longer about the workspaces that send now.
+        if self.epoch.is_empty() || age_ms >= 2 * length_ms {
+            self.means = Means::default();
+        } else {
             self.take_means(now);
         }
         self.epoch.start(now, self.epoch.number().wrapping_add(1), &mut self.own);
--- a/crates/serve/src/fairness.rs
+++ b/crates/serve/src/fairness.rs
@@ -37,7 +37,7 @@
 /// The shares of workspaces.
 #[derive(Debug, Default)]
 pub(crate) struct Fairness {
-    shares: RefCell<FairShares>,
+    pub shares: RefCell<FairShares>,
     /// When the last line about each workspace was written.
     noted_at: RefCell<IndexMap<String, UnixMs>>,
 }
