--- a/tests/all/site/worker.rs
+++ b/tests/all/site/worker.rs
@@ -94,6 +94,10 @@
     orders_seen: Vec<Value>,
     /// The listening server; `None` while the worker is down.
     server: Option<Server>,
+    /// Number of plain requests that run now.
+    running: usize,
+    /// Number of plain requests that may run at once; more are refused for load.
+    slots: usize,
     versions: BTreeMap<String, u64>,
     work_ms: u64,
     zone: String,
@@ -136,6 +140,22 @@
     }
 }
 
+/// Counts a plain request as running until it is dropped.
+struct Slot(Arc<Mutex<State>>);
+
+impl Slot {
+    fn take(state: &Arc<Mutex<State>>) -> Self {
+        state.lock().expect("no test panics while it holds a worker").running += 1;
+        Self(Arc::clone(state))
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.0.lock().expect("no test panics while it holds a worker").running -= 1;
+    }
+}
+
 impl Worker {
     /// Starts a worker and registers it in the store.
     pub(crate) async fn start(store: &Store, runs: &Runs, service: &str, id: &str) -> Self {
@@ -153,6 +173,8 @@
             orders: 0,
             orders_seen: Vec::new(),
             server: None,
+            running: 0,
+            slots: usize::MAX,
             versions,
             work_ms: 5,
             zone: "zone-a".to_owned(),
@@ -246,6 +268,11 @@
         state.work_ms = work_ms;
     }
 
+    /// Limits how many plain requests may run at once; more are refused for load.
+    pub(crate) fn set_slots(&self, slots: usize) {
+        self.lock().slots = slots;
+    }
+
     /// Returns the weight version that the worker has of a model.
     pub(crate) fn version(&self, model: &str) -> u64 {
         finish_due_order(&mut self.lock());
@@ -389,13 +416,14 @@
         _ => {}
     }
     let request = header_text(&head, "x-catkinmast-request-id").unwrap_or_default();
-    let (behaviour, busy, work_ms, event_ms) = {
+    let (behaviour, busy, full, work_ms, event_ms) = {
         let mut state = state.lock().expect("no test panics while it holds a worker");
         finish_due_order(&mut state);
-        (state.behaviour, state.busy_until.is_some(), state.work_ms, state.event_ms)
+        let full = state.running >= state.slots;
+        (state.behaviour, state.busy_until.is_some(), full, state.work_ms, state.event_ms)
     };
     let streams = head.headers.contains_key("x-catkinmast-model");
-    if behaviour == Behaviour::Full || (busy && streams) {
+    if behaviour == Behaviour::Full || (busy && streams) || (full && !streams) {
         let mut refusal = answer(503, "");
         refusal.headers_mut().insert("x-catkinmast-not-run", "1".parse().ok()?);
         return Some(refusal);
@@ -436,7 +464,9 @@
             .insert("x-catkinmast-weight-versions", version.to_string().parse().ok()?);
         response
     } else {
+        let slot = Slot::take(state);
         tokio::time::sleep(Duration::from_millis(work_ms)).await;
+        drop(slot);
         guard.complete();
         answer(200, format!("{request} by {id}"))
     };
