--- a/crates/serve/src/admission.rs
+++ b/crates/serve/src/admission.rs
@@ -11,8 +11,11 @@
 use crate::metrics::count;
 use crate::node::Node;
 use crate::platform::Platform;
-use catkinmast_admission::{Arrival, Decision, Gate, Outcome, ServedRecord, Turn, WaiterId};
+use catkinmast_admission::{
+    Arrival, Decision, Gate, Outcome, RecentService, ServedRecord, Turn, WaiterId,
+};
 use catkinmast_dispatch::{Route, RouteKind};
+use catkinmast_fairness::FairShares;
 use catkinmast_model::UnixMs;
 use http::StatusCode;
 use indexmap::IndexMap;
@@ -47,6 +50,19 @@
     }
 }
 
+/// The recent service of workspaces over all nodes; that of this node where nothing else is known.
+struct FleetService<'a> {
+    own: &'a ServedRecord,
+    shares: &'a FairShares,
+}
+
+impl RecentService for FleetService<'_> {
+    fn recent_service(&self, now: UnixMs, workspace: Option<&str>) -> f64 {
+        let own = self.own.recent_service(now, workspace);
+        workspace.map_or(own, |workspace| self.shares.recent_service(now, workspace).max(own))
+    }
+}
+
 #[derive(Debug)]
 struct ServiceGate {
     gate: Gate,
@@ -195,7 +211,9 @@
         let (sender, turn) = oneshot::channel();
         let draw = self.node.random_u64();
         let decision = with_gate(self.node, service, "", |entry, now| {
-            let decision = entry.gate.arrive(now, self.arrival(), &entry.served, draw);
+            let shares = self.node.fairness.shares.borrow();
+            let served = FleetService { own: &entry.served, shares: &shares };
+            let decision = entry.gate.arrive(now, self.arrival(), &served, draw);
             if let Decision::Queued(id) = decision {
                 entry.waiting.insert(id, sender);
             }
@@ -363,7 +381,12 @@
     let entry = &mut gates[service];
     let window_before = entry.gate.window();
     let result = act(entry, now);
-    for (id, turn) in entry.gate.next(now, &entry.served, node.random_u64()) {
+    let turns = {
+        let shares = node.fairness.shares.borrow();
+        let served = FleetService { own: &entry.served, shares: &shares };
+        entry.gate.next(now, &served, node.random_u64())
+    };
+    for (id, turn) in turns {
         if let Some(sender) = entry.waiting.swap_remove(&id) {
             // A receiver is dropped only together with the request's place in the queue.
             let _ = sender.send(turn);
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -25,6 +25,7 @@
 mod crashes;
 mod duties;
 mod duty_lease;
+mod fairness;
 mod feed;
 mod forward;
 mod health;
--- a/crates/serve/src/metrics.rs
+++ b/crates/serve/src/metrics.rs
@@ -48,6 +48,10 @@
     pub targets_avoided: Gauge,
     pub targets_ended: Family<Label, Counter>,
     pub usage_reports: Family<Label, Counter>,
+    /// Messages of workspaces' loads between nodes.
+    pub workspace_load_datagrams: Family<Label, Counter>,
+    /// Requests of workspaces by the decision on their shares.
+    pub workspace_shares: Family<Label, Counter>,
     registry: Registry,
 }
 
@@ -77,6 +81,8 @@
             targets_avoided: Gauge::default(),
             targets_ended: Family::default(),
             usage_reports: Family::default(),
+            workspace_load_datagrams: Family::default(),
+            workspace_shares: Family::default(),
             registry: Registry::default(),
         };
         metrics.register_calls(&mut registry);
@@ -116,6 +122,16 @@
             "Reports of usage by what the platform answered",
             self.usage_reports.clone(),
         );
+        registry.register(
+            "workspace_load_datagrams",
+            "Messages of workspaces' loads between nodes by direction",
+            self.workspace_load_datagrams.clone(),
+        );
+        registry.register(
+            "workspace_shares",
+            "Requests of workspaces by the decision on their shares",
+            self.workspace_shares.clone(),
+        );
     }
 
     fn register_batches(&self, registry: &mut Registry) {
--- a/crates/serve/src/node.rs
+++ b/crates/serve/src/node.rs
@@ -5,6 +5,7 @@
 use crate::clock;
 use crate::cold::{self, Cold};
 use crate::crashes;
+use crate::fairness::Fairness;
 use crate::feed::Feeds;
 use crate::health::{self, Health};
 use crate::metrics::{Metrics, count};
@@ -80,6 +81,8 @@
     pub demand: RefCell<Demand>,
     /// The configuration in force.
     pub document: RefCell<Option<Rc<Document>>>,
+    /// The shares of workspaces in what is served.
+    pub fairness: Fairness,
     pub feeds: Feeds,
     /// The health of targets, as this node and others have observed it.
     pub health: Health,
@@ -147,6 +150,7 @@
             datagrams,
             demand: RefCell::new(Demand::default()),
             document: RefCell::new(None),
+            fairness: Fairness::default(),
             feeds: Feeds::default(),
             health: Health::open(&settings.node),
             gates: Gates::default(),
--- a/crates/serve/src/peers/messages.rs
+++ b/crates/serve/src/peers/messages.rs
@@ -6,6 +6,7 @@
 use crate::feed::Subject;
 use crate::store::{StoreAnswer, StoreCall, StoreRefusal, StoredItem};
 use catkinmast_dispatch::{ItemResult, Progress, Submission, TextUpdate};
+use catkinmast_fairness::Half;
 use catkinmast_feed::{Changes, HashSpan};
 use catkinmast_health::TargetHint;
 use catkinmast_member::Message;
@@ -92,6 +93,8 @@
     RelayedChanges { changes: Changes, origin: SocketAddr, span: HashSpan, subject: Subject },
     /// What nodes have observed of targets.
     TargetHints { hints: Vec<TargetHint> },
+    /// One half of the sender's sums of the requests of workspaces.
+    WorkspaceLoad(Half),
 }
 
 /// An incarnation of a node, as the owner of batches or a candidate for a duty.
--- a/crates/serve/src/peers/mod.rs
+++ b/crates/serve/src/peers/mod.rs
@@ -13,6 +13,7 @@
 use crate::batches::{self, Acceptance};
 use crate::clock;
 use crate::crashes;
+use crate::fairness;
 use crate::feed;
 use crate::health;
 use crate::node::Node;
@@ -188,6 +189,7 @@
             }
         }
         Ok(Datagram::TargetHints { hints }) => health::receive(node, &hints),
+        Ok(Datagram::WorkspaceLoad(half)) => fairness::receive(node, half, from),
         Err(error) => {
             node.note("datagram_refused", json!({ "from": from, "why": error.to_string() }));
         }
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -11,6 +11,7 @@
 mod bad_input;
 mod capacity;
 mod dispatch;
+mod fairness;
 mod feed;
 mod health;
 mod hedge;
