--- a/tests/all/site/soak/burst.rs
+++ b/tests/all/site/soak/burst.rs
@@ -233,16 +233,25 @@
         }
         let ran: usize = calls.iter().filter_map(|call| runs.get(&call.id)).map(Vec::len).sum();
         let given_up = calls.iter().filter(|call| call.was_given_up).count();
-        let unpaused = calls.iter().filter(|call| !pauses.overlap(call));
-        let late_ms = unpaused.map(|call| call.late().as_millis()).max().unwrap_or_default();
         println!(
-            "seed {seed} burst {}: {} calls, {given_up} given up, statuses {statuses:?}, {ran} runs, {} arrivals, {} \
-             refusals, at most {late_ms} ms late",
+            "seed {seed} burst {}: {} calls, {given_up} given up, statuses {statuses:?}, {ran} \
+             runs, {} arrivals, {} refusals",
             self.name,
             calls.len(),
             self.arrivals.get(),
             self.refusals.get()
         );
+        let unpaused = calls.iter().filter(|call| !pauses.overlap(call));
+        if let Some(call) = unpaused.max_by_key(|call| call.late()) {
+            println!(
+                "at most {:?} late: {} with {} ms, status {:?}, node {}",
+                call.late(),
+                call.id,
+                call.deadline_ms,
+                call.status,
+                call.node
+            );
+        }
     }
 }
 
