--- a/tests/all/site/soak/burst.rs
+++ b/tests/all/site/soak/burst.rs
@@ -17,8 +17,9 @@
 const CALLERS: std::ops::Range<usize> = 50..100;
 /// The time that a caller gives a call. A target that is not full answers in far less.
 const DEADLINE_MS: std::ops::Range<u64> = 300..2_000;
-/// How much later than its deadline a caller may be answered, because a busy machine runs the node or
-/// the caller's task late. The most in 110 seeds beside other builds was 85 ms.
+/// How much later than its deadline a caller may be answered, because a busy machine runs the node
+/// or the caller's task late. In 427 seeds beside other builds it was 268 ms once and else at most
+/// 123 ms.
 const LATE_MAX: Duration = Duration::from_millis(300);
 /// One of this many calls is given up by its caller before it is answered.
 const GIVEN_UP_ONE_IN: u32 = 8;
