--- a/crates/admission/src/latency.rs
+++ b/crates/admission/src/latency.rs
@@ -114,8 +114,8 @@
 
     /// Returns the latency above which an answer counts as late, in milliseconds.
     pub(crate) fn threshold_ms(&self) -> f64 {
-        /// Half of the goal is left for the queue and the network.
-        const GOAL_SHARE: f64 = 0.5;
+        /// Most of the goal is left for the queue of the node, the network and a second attempt.
+        const GOAL_SHARE: f64 = 0.4;
         /// A route whose work takes longer than half of its goal is late only if it takes this many
         /// times its usual time. A node with few requests may have seen none before an overload, and
         /// takes the latency at full targets for the usual one: with three times that, its threshold
--- a/tests/all/admission/load.rs
+++ b/tests/all/admission/load.rs
@@ -1,5 +1,4 @@
-//! Admission under load and while half of the targets are gone. The bounds leave a margin to the
-//! measured values, which the design note lists.
+//! Admission under load and while half of the targets are gone.
 
 use super::simulation::{Plan, Report, run};
 
@@ -26,11 +25,14 @@
 #[test]
 fn a_quarter_more_than_the_targets_can_serve_leaves_most_answers_in_time() {
     for report in runs(OVERLOAD) {
-        assert!(report.value() > 0.72, "value {}", report.value());
+        assert!(report.value() >= 0.75, "value {}", report.value());
         assert!(report.goal_share() > 0.69, "share within the goal {}", report.goal_share());
         assert!(report.attempts_per_lookup() < 1.0, "{}", report.attempts_per_lookup());
         assert!(report.refusals * 20 < report.attempts, "{} refusals", report.refusals);
         assert!(report.told_within(50) > 0.98, "told in 50 ms: {}", report.told_within(50));
+        // Six targets hold 36 requests in slots and 144 in queues.
+        let windows = report.mean_window_sum().expect("all windows were limited");
+        assert!(windows < 180.0, "the windows add up to {windows}");
     }
 }
 
