--- a/crates/admission/src/gate.rs
+++ b/crates/admission/src/gate.rs
@@ -323,7 +323,15 @@
             None => self.mean.ms(),
         };
         let end_ms = self.expected_wait_ms(now, ahead) + latency_ms.unwrap_or(0.0);
-        end_ms > waiter.goal_at.min(waiter.deadline_at).since_ms(now) as f64
+        // If the work alone takes longer than the goal, no answer meets it, and callers have use for
+        // late ones.
+        let route = self.routes.get(&waiter.route);
+        let meets_goal = route.is_none_or(|route| {
+            route.lowest_ms().is_none_or(|lowest_ms| lowest_ms < route.goal_ms as f64)
+        });
+        let limit_at =
+            if meets_goal { waiter.goal_at.min(waiter.deadline_at) } else { waiter.deadline_at };
+        end_ms > limit_at.since_ms(now) as f64
     }
 
     /// Returns whether less time is left than the work itself takes. The lowest mean is used and
