Targets much slower than the fastest get calls only in need

Cause: calls were spread by speed, so with half of the plain targets six times slower one call in seven went to them and came late, although the fast half had capacity. Change: beyond three times the fastest, a slowdown counts with its cube.

--- a/crates/dispatch/src/load.rs
+++ b/crates/dispatch/src/load.rs
@@ -29,6 +29,10 @@
 /// Time in which the count of recent calls halves: long enough to spread the calls of a node that
 /// makes a few a second, short enough that one with a call in five seconds keeps its connection.
 const RECENT_HALF_LIFE_MS: u64 = 2_000;
+/// From this many times the slowdown of the fastest candidate on, a target counts as much slower still:
+/// its share of the calls by speed would be answered too late for their callers although others have
+/// capacity. Targets of usual speeds differ by less.
+const MUCH_SLOWER: u64 = 3;
 /// Cost of a hop between data centres, in hundredths of a target's slots. It only decides between
 /// otherwise equal targets.
 const CROSS_DATA_CENTRE_COST: u64 = 2;
@@ -202,11 +206,12 @@
         let from: Vec<&Candidate<'a>> =
             pool.into_iter().filter(|candidate| class(candidate) == best_class).collect();
         let count = from.len() as u64;
+        let fastest_tenths = from.iter().map(|candidate| candidate.slowdown_tenths).min()?;
         from.iter()
             .enumerate()
             .min_by_key(|(index, candidate)| {
                 let tie_break = (*index as u64 + draw) % count.max(1);
-                (candidate.is_cold, self.cost(now, candidate), tie_break)
+                (candidate.is_cold, self.cost(now, candidate, fastest_tenths), tie_break)
             })
             .map(|(_, candidate)| **candidate)
     }
@@ -399,16 +404,27 @@
 
     /// Returns the expected work at a target, in thousandths of its slots, including
     /// [`CROSS_DATA_CENTRE_COST`] and [`CONNECT_COST`] where they apply.
-    fn cost(&self, now: UnixMs, candidate: &Candidate<'_>) -> u64 {
+    fn cost(&self, now: UnixMs, candidate: &Candidate<'_>, fastest_tenths: u64) -> u64 {
         let recent = self.stats.get(candidate.id).map_or(0, |stats| stats.recent.at(now));
         let in_flight = u64::from(self.in_flight(candidate.id)) * 100;
         let calls = in_flight + recent / RECENT_DIVISOR + IDLE_COST;
-        calls * candidate.slowdown_tenths / u64::from(candidate.slots.max(1))
+        calls * effective_slowdown_tenths(candidate, fastest_tenths)
+            / u64::from(candidate.slots.max(1))
             + u64::from(!candidate.same_data_centre) * CROSS_DATA_CENTRE_COST * 10
             + u64::from(!candidate.connected) * CONNECT_COST * 10
     }
 }
 
+/// Returns a target's slowdown; beyond [`MUCH_SLOWER`] times the fastest it grows with the cube.
+fn effective_slowdown_tenths(candidate: &Candidate<'_>, fastest_tenths: u64) -> u64 {
+    let slowdown = candidate.slowdown_tenths;
+    let usual_max = fastest_tenths.max(1) * MUCH_SLOWER;
+    if slowdown <= usual_max {
+        return slowdown;
+    }
+    slowdown * slowdown / usual_max * slowdown / usual_max
+}
+
 /// Resolution of slowdowns: a tenth of the fastest latency.
 pub(crate) const SLOWDOWN_UNIT: u64 = 10;
 
--- a/tests/all/dispatch/load.rs
+++ b/tests/all/dispatch/load.rs
@@ -252,3 +252,33 @@
     let mean = work.iter().sum::<u64>() / 3;
     assert!(work.iter().all(|work| work * 10 <= mean * 12 && work * 10 >= mean * 8), "{work:?}");
 }
+
+// Guards against callers that are answered late while others have capacity: half of the targets are
+// six times slower for a while, and calls went to them by their speed, one for each six elsewhere.
+#[test]
+fn a_target_that_is_much_slower_gets_calls_only_if_the_others_are_busy() {
+    let mut balancer = LoadBalancer::open(LoadBalancerSettings::default());
+    let candidate = |id, slowdown_tenths| Candidate {
+        connected: true,
+        id,
+        is_cold: false,
+        preference: CallPreference::Normal,
+        same_data_centre: true,
+        slots: 6,
+        slowdown_tenths,
+    };
+    let candidates = [candidate("fast", 6), candidate("slow", 36)];
+    let mut calls_to_fast = 0;
+
+    let chosen = loop {
+        let chosen = balancer.choose(UnixMs(1_000), &candidates, &[], 0).expect("a target").id;
+        if chosen == "slow" || calls_to_fast == 100 {
+            break chosen;
+        }
+        balancer.call_sent(UnixMs(1_000), chosen);
+        calls_to_fast += 1;
+    };
+
+    assert_eq!(chosen, "slow", "a busy target is no better");
+    assert!(calls_to_fast >= 4, "{calls_to_fast}");
+}
