--- a/crates/dispatch/src/load.rs
+++ b/crates/dispatch/src/load.rs
@@ -162,6 +162,8 @@
 /// The load of all targets as this process observes it.
 #[derive(Clone, Debug, Default)]
 pub struct LoadBalancer {
+    /// Calls to all targets.
+    recent: RecentCalls,
     run_count: u64,
     stats: IndexMap<String, TargetStats>,
     settings: LoadBalancerSettings,
@@ -170,7 +172,7 @@
 impl LoadBalancer {
     /// Opens a load balancer that has observed no calls.
     pub fn open(settings: LoadBalancerSettings) -> Self {
-        Self { run_count: 0, stats: IndexMap::new(), settings }
+        Self { recent: RecentCalls::default(), run_count: 0, stats: IndexMap::new(), settings }
     }
 
     /// Chooses a target for a call, if possible one that is not in `tried`, and one that is not cold
@@ -305,11 +307,19 @@
 
     /// Counts a call as sent.
     pub fn call_sent(&mut self, now: UnixMs, id: &str) {
+        self.recent.add_call(now);
         let stats = self.entry(id);
         stats.in_flight += 1;
         stats.recent.add_call(now);
     }
 
+    /// Returns the recent rate of calls to all targets, in calls a second.
+    pub fn calls_per_s(&self, now: UnixMs) -> u64 {
+        /// The count that halves each 2 s, in hundredths, at one call a second.
+        const COUNT_AT_ONE_PER_S: u64 = 289;
+        self.recent.at(now) / COUNT_AT_ONE_PER_S
+    }
+
     /// Ends the backoff of a target that another node has seen answer after the failure.
     pub fn serves_again(&mut self, id: &str) {
         if let Some(stats) = self.stats.get_mut(id)
