--- a/crates/health/src/slowdown.rs
+++ b/crates/health/src/slowdown.rs
@@ -26,6 +26,9 @@
 const HALF_LIFE_MS: u64 = 10_000;
 /// Age from which observations no longer count.
 const MAX_AGE_MS: u64 = 60_000;
+/// Weight of the reports of others together, in hundredths of an observation. They are seconds old:
+/// with the weight of all their observations, calls went on to targets that had just become slow.
+const REPORTS_WEIGHT_MAX: u64 = 300;
 /// Most observations that count for one node, so that none outweighs the others. More add nothing,
 /// since the mean forgets earlier ones.
 const OBSERVATIONS_MAX: u64 = 16;
@@ -173,10 +176,16 @@
         let own_weight = self.own_observations.weight(now);
         let mut weights = PRIOR_OBSERVATIONS * 100 + own_weight;
         let mut sum = PRIOR_OBSERVATIONS * 100 * UNIT_TENTHS * 10 + own_weight * self.own.value;
+        let (mut reported_weights, mut reported_sum) = (0, 0);
         for held in &self.reported {
             let weight = held.observations.weight(now);
+            reported_weights += weight;
+            reported_sum += weight * held.tenths * 10;
+        }
+        if let Some(mean) = u64::checked_div(reported_sum, reported_weights) {
+            let weight = reported_weights.min(REPORTS_WEIGHT_MAX);
             weights += weight;
-            sum += weight * held.tenths * 10;
+            sum += weight * mean;
         }
         ((sum / weights + 5) / 10).clamp(TENTHS_MIN, TENTHS_MAX)
     }
