--- a/crates/admission/src/gate.rs
+++ b/crates/admission/src/gate.rs
@@ -21,9 +21,8 @@
 /// Callers ignore a `Retry-After` that is longer than this part of the time that they have left.
 const RETRY_AFTER_LEFT_DIVISOR: u64 = 3;
 /// How many times the mean deviation of the latency is added to its mean for the time that a queued
-/// request needs once it is sent. Under overload the queue is as long as this allows: in a simulated
-/// overload with capacity for 0.80 of the requests, 0.71 were within their goal with one deviation
-/// and 0.75 with two.
+/// request needs once it is sent. Under overload the queue is as long as this allows, so with fewer
+/// many of its requests would be late.
 const DEVIATIONS: f64 = 2.0;
 /// Most routes of a service whose latency is remembered.
 const ROUTES_MAX: usize = 64;
--- a/crates/admission/src/latency.rs
+++ b/crates/admission/src/latency.rs
@@ -5,9 +5,8 @@
 /// Number of answers that the mean latency covers.
 pub(crate) const MEAN_ANSWERS: u32 = 16;
 /// Number of answers that the lowest mean covers. A node with few requests sees only some answers
-/// before an overload slows the others: with 16, the lowest mean of 320 nodes that start into an
-/// overload of 1.25 times what the targets can serve already holds the wait at full targets, and
-/// they see 2.3 times as many refusals.
+/// before an overload slows the others; a mean over more of them would include the wait at full
+/// targets.
 const LOWEST_ANSWERS: u32 = 8;
 /// By which part of the difference the usual time limit of callers falls to a shorter one.
 const USUAL_LIMIT_FALL_DIVISOR: u64 = 64;
--- a/crates/admission/src/window.rs
+++ b/crates/admission/src/window.rs
@@ -20,7 +20,7 @@
 const SPARE_PART: f64 = 0.7;
 /// By how much a window above one grows with a windowful of answers in time, and shrinks with one of
 /// late answers. With one for each windowful, the windows of many nodes, which are between one and
-/// two, changed so much with each answer that 320 simulated nodes saw 2.8 times as many refusals.
+/// two, would change so much with each answer that targets refuse often.
 const STEP: f64 = 0.25;
 /// The same for growth by answers that take less than half of the threshold: targets have capacity
 /// to spare, and with the smaller step windows took seconds to grow after half of the targets had
--- a/crates/serve/src/node.rs
+++ b/crates/serve/src/node.rs
@@ -59,13 +59,11 @@
 /// Approximate time per stream event, to estimate the remaining time of a resumed run.
 const EVENT_MS: u64 = 40;
 /// Least number of targets with room among which a call chooses. A choice between two would do for an
-/// even load; more are needed where some fail or are slow. With three times as many, a node with few
-/// calls took longer to learn which targets had become slow: 564 of 5,386 lookups were late instead
-/// of 413.
+/// even load; more are needed where some fail or are slow, but a node with few calls learns of a slow
+/// target only by a call to it.
 const NEAR_TARGETS_MIN: usize = 16;
-/// Largest number, for a node that makes as many calls a second. A few nodes make most of the calls:
-/// in virtual time, with six nodes of 25 calls a second and 43 targets, the busiest target got 1.9 to
-/// 2.8 times the mean work when each chose among 16, and 1.1 times with 48.
+/// Largest number, for a node that makes as many calls a second. A few nodes make most of the calls,
+/// and with few targets each they would give some targets twice the mean work.
 const NEAR_TARGETS_MAX: usize = 48;
 /// Size limit of the answers of the store and of peers: a page of 1 MB in base64, with a margin.
 const ANSWER_MAX_BYTES: usize = 4 << 20;
