Choose a target by this process's own answers again, and by reports where there are none

Change: the expected work of a call is again the calls in flight, weighted by the own latency; a target that this process has no answer of counts as slow as others report. Failing targets are still avoided and probed, and one that serves again begins slowly.

--- a/crates/dispatch/src/load.rs
+++ b/crates/dispatch/src/load.rs
@@ -18,21 +18,6 @@
 /// are still tried: at six times, one call in flight there weighs as much as six elsewhere.
 const SLOWDOWN_MAX: u64 = 6;
 
-/// What a call costs at an idle target, in hundredths of a call. It weighs a slow idle target against
-/// a fast one with calls. If it were a whole call, the fastest targets would get nearly all calls
-/// of nodes that have no other in flight: 66 such nodes do not see each other's load.
-const IDLE_COST: u64 = 25;
-/// Part of the calls sent recently that counts like calls in flight, as one in this many. Calls that
-/// have ended count too because a node with few calls has none in flight when it chooses, and
-/// would send them all to one target.
-const RECENT_DIVISOR: u64 = 2;
-/// Time in which the count of recent calls halves: long enough to spread the calls of a node that
-/// makes a few a second, short enough that one with a call in five seconds keeps its connection.
-const RECENT_HALF_LIFE_MS: u64 = 2_000;
-/// From this many times the slowdown of the fastest candidate on, a target counts as much slower still:
-/// its share of the calls by speed would be answered too late for their callers although others have
-/// capacity. Targets of usual speeds differ by less.
-const MUCH_SLOWER: u64 = 3;
 /// Cost of a hop between data centres, in hundredths of a target's slots. It only decides between
 /// otherwise equal targets.
 const CROSS_DATA_CENTRE_COST: u64 = 2;
@@ -100,34 +85,11 @@
     in_flight: u32,
     latency_us: u64,
     loading_until: UnixMs,
-    recent: RecentCalls,
     backoff_until: UnixMs,
     /// Expected end of each item's run, by the number that [`LoadBalancer::run_started`] returned.
     run_ends: IndexMap<u64, UnixMs>,
 }
 
-/// The number of calls sent to a target, which halves with each [`RECENT_HALF_LIFE_MS`].
-#[derive(Clone, Copy, Debug, Default)]
-struct RecentCalls {
-    /// In hundredths of a call, at `counted_at`.
-    count: u64,
-    counted_at: UnixMs,
-}
-
-impl RecentCalls {
-    /// Returns the count, in hundredths of a call.
-    fn at(self, now: UnixMs) -> u64 {
-        let age_ms = now.since_ms(self.counted_at);
-        let (halvings, rest_ms) = (age_ms / RECENT_HALF_LIFE_MS, age_ms % RECENT_HALF_LIFE_MS);
-        let at_last_halving = self.count >> halvings.min(63);
-        at_last_halving * (2 * RECENT_HALF_LIFE_MS - rest_ms) / (2 * RECENT_HALF_LIFE_MS)
-    }
-
-    fn add_call(&mut self, now: UnixMs) {
-        *self = Self { count: self.at(now) + 100, counted_at: now };
-    }
-}
-
 /// Whether calls should go to a target, apart from its load.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum CallPreference {
@@ -162,8 +124,6 @@
 /// The load of all targets as this process observes it.
 #[derive(Clone, Debug, Default)]
 pub struct LoadBalancer {
-    /// Calls to all targets.
-    recent: RecentCalls,
     run_count: u64,
     stats: IndexMap<String, TargetStats>,
     settings: LoadBalancerSettings,
@@ -172,7 +132,7 @@
 impl LoadBalancer {
     /// Opens a load balancer that has observed no calls.
     pub fn open(settings: LoadBalancerSettings) -> Self {
-        Self { recent: RecentCalls::default(), run_count: 0, stats: IndexMap::new(), settings }
+        Self { run_count: 0, stats: IndexMap::new(), settings }
     }
 
     /// Chooses a target for a call, if possible one that is not in `tried`, and one that is not cold
@@ -208,12 +168,12 @@
         let from: Vec<&Candidate<'a>> =
             pool.into_iter().filter(|candidate| class(candidate) == best_class).collect();
         let count = from.len() as u64;
-        let fastest_tenths = from.iter().map(|candidate| candidate.slowdown_tenths).min()?;
+        let fastest_us = self.fastest_us(candidates);
         from.iter()
             .enumerate()
             .min_by_key(|(index, candidate)| {
                 let tie_break = (*index as u64 + draw) % count.max(1);
-                (candidate.is_cold, self.cost(now, candidate, fastest_tenths), tie_break)
+                (candidate.is_cold, self.cost(candidate, fastest_us), tie_break)
             })
             .map(|(_, candidate)| **candidate)
     }
@@ -306,18 +266,9 @@
     }
 
     /// Counts a call as sent.
-    pub fn call_sent(&mut self, now: UnixMs, id: &str) {
-        self.recent.add_call(now);
+    pub fn call_sent(&mut self, id: &str) {
         let stats = self.entry(id);
         stats.in_flight += 1;
-        stats.recent.add_call(now);
-    }
-
-    /// Returns the recent rate of calls to all targets, in calls a second.
-    pub fn calls_per_s(&self, now: UnixMs) -> u64 {
-        /// The count that halves each 2 s, in hundredths, at one call a second.
-        const COUNT_AT_ONE_PER_S: u64 = 289;
-        self.recent.at(now) / COUNT_AT_ONE_PER_S
     }
 
     /// Ends the backoff of a target that another node has seen answer after the failure.
@@ -327,6 +278,8 @@
         {
             stats.failures_in_row = 0;
             stats.backoff_until = UnixMs(0);
+            // Until it answers this process again, it is used as the reports say: slowly at first.
+            stats.latency_us = 0;
         }
     }
 
@@ -412,27 +365,26 @@
         (latency_us * SLOWDOWN_UNIT / fastest_us).clamp(SLOWDOWN_UNIT, SLOWDOWN_MAX * SLOWDOWN_UNIT)
     }
 
-    /// Returns the expected work at a target, in thousandths of its slots, including
+    /// Returns the expected work of one more call, in hundredths of a target's slots, including
     /// [`CROSS_DATA_CENTRE_COST`] and [`CONNECT_COST`] where they apply.
-    fn cost(&self, now: UnixMs, candidate: &Candidate<'_>, fastest_tenths: u64) -> u64 {
-        let recent = self.stats.get(candidate.id).map_or(0, |stats| stats.recent.at(now));
-        let in_flight = u64::from(self.in_flight(candidate.id)) * 100;
-        let calls = in_flight + recent / RECENT_DIVISOR + IDLE_COST;
-        calls * effective_slowdown_tenths(candidate, fastest_tenths)
-            / u64::from(candidate.slots.max(1))
-            + u64::from(!candidate.same_data_centre) * CROSS_DATA_CENTRE_COST * 10
-            + u64::from(!candidate.connected) * CONNECT_COST * 10
+    fn cost(&self, candidate: &Candidate<'_>, fastest_us: u64) -> u64 {
+        let in_flight = u64::from(self.in_flight(candidate.id));
+        let load = (in_flight + 1) * 100 / u64::from(candidate.slots.max(1));
+        load * self.call_slowdown(candidate, fastest_us) / SLOWDOWN_UNIT
+            + u64::from(!candidate.same_data_centre) * CROSS_DATA_CENTRE_COST
+            + u64::from(!candidate.connected) * CONNECT_COST
     }
-}
 
-/// Returns a target's slowdown; beyond [`MUCH_SLOWER`] times the fastest it grows with the cube.
-fn effective_slowdown_tenths(candidate: &Candidate<'_>, fastest_tenths: u64) -> u64 {
-    let slowdown = candidate.slowdown_tenths;
-    let usual_max = fastest_tenths.max(1) * MUCH_SLOWER;
-    if slowdown <= usual_max {
-        return slowdown;
+    /// Returns the slowdown of a target for calls: by this process's own answers, or as reported if
+    /// there are none. Reports are seconds old: where they went before own answers, calls went on to
+    /// targets that had just become slow.
+    fn call_slowdown(&self, candidate: &Candidate<'_>, fastest_us: u64) -> u64 {
+        let is_known = self.stats.get(candidate.id).is_some_and(|stats| stats.latency_us > 0);
+        if is_known {
+            return self.slowdown(candidate.id, fastest_us);
+        }
+        candidate.slowdown_tenths.clamp(SLOWDOWN_UNIT, SLOWDOWN_MAX * SLOWDOWN_UNIT)
     }
-    slowdown * slowdown / usual_max * slowdown / usual_max
 }
 
 /// Resolution of slowdowns: a tenth of the fastest latency.
--- a/crates/serve/src/forward.rs
+++ b/crates/serve/src/forward.rs
@@ -179,7 +179,7 @@
 impl<P: Platform> InFlight<P> {
     /// Counts a call.
     pub(crate) fn begin(node: &Rc<Node<P>>, id: &str, outgoing: &OutgoingRequest) -> Self {
-        node.balancer.borrow_mut().call_sent(clock::now(), id);
+        node.balancer.borrow_mut().call_sent(id);
         let call = Some(health::call_sent(node, id, outgoing));
         Self { call, ended: false, id: id.to_owned(), node: Rc::clone(node), run: None }
     }
--- a/crates/serve/src/node.rs
+++ b/crates/serve/src/node.rs
@@ -58,15 +58,9 @@
 const STORE_PEERS_MAX: usize = 2;
 /// Approximate time per stream event, to estimate the remaining time of a resumed run.
 const EVENT_MS: u64 = 40;
-/// Least number of targets with room among which a call chooses. A choice between two would do for an
-/// even load; more are needed where some fail or are slow. With three times as many, a node with few
-/// calls took longer to learn which targets had become slow: 564 of 5,386 lookups were late instead
-/// of 413.
-const NEAR_TARGETS_MIN: usize = 16;
-/// Largest number, for a node that makes as many calls a second. A few nodes make most of the calls:
-/// in virtual time, with six nodes of 25 calls a second and 43 targets, the busiest target got 1.9 to
-/// 2.8 times the mean work when each chose among 16, and 1.1 times with 48.
-const NEAR_TARGETS_MAX: usize = 48;
+/// Targets with room among which a call chooses. A choice between two would do for an even load;
+/// more are needed where some fail or are slow.
+const NEAR_TARGETS: usize = 16;
 /// Size limit of the answers of the store and of peers: a page of 1 MB in base64, with a margin.
 const ANSWER_MAX_BYTES: usize = 4 << 20;
 
@@ -318,8 +312,6 @@
         let mut with_room = 0;
         let near = {
             let balancer = self.balancer.borrow();
-            let wanted = balancer.calls_per_s(now) as usize;
-            let wanted = wanted.clamp(NEAR_TARGETS_MIN, NEAR_TARGETS_MAX);
             let mut near: Vec<(&TargetEntry, Advice)> = Vec::new();
             for entry in targets.usable_near(service) {
                 let advice = health::advice(self, &entry.id);
@@ -329,7 +321,7 @@
                     && balancer.has_room(now, &entry.id, entry.slots)
                     && cold::may_send(self, entry);
                 with_room += usize::from(has_room);
-                if with_room >= wanted {
+                if with_room >= NEAR_TARGETS {
                     break;
                 }
             }
--- a/tests/all/admission/simulation.rs
+++ b/tests/all/admission/simulation.rs
@@ -330,7 +330,7 @@
         let draw = self.rng.random();
         let balancer = &mut self.nodes[self.calls[call].gate].balancer;
         let chosen = balancer.choose(UnixMs(self.now), &candidates, &[], draw).expect("a target");
-        balancer.call_sent(UnixMs(self.now), chosen.id);
+        balancer.call_sent(chosen.id);
         let target = chosen.id.parse().expect("a number");
         self.sent.insert(call, (self.now, target));
         self.schedule(self.now + HOP_MS, Event::ReachesTarget(target, call));
--- a/tests/all/dispatch/load.rs
+++ b/tests/all/dispatch/load.rs
@@ -18,15 +18,15 @@
 }
 
 fn answered(balancer: &mut LoadBalancer, id: &str, latency_ms: u64) {
-    balancer.call_sent(UnixMs(0), id);
+    balancer.call_sent(id);
     balancer.call_ended(UnixMs(0), id, 4, CallOutcome::Answered { latency_ms });
 }
 
 #[test]
 fn the_least_loaded_target_is_chosen() {
     let mut balancer = LoadBalancer::open(LoadBalancerSettings::default());
-    balancer.call_sent(UnixMs(0), "a");
-    balancer.call_sent(UnixMs(0), "b");
+    balancer.call_sent("a");
+    balancer.call_sent("b");
 
     let chosen = balancer.choose(UnixMs(0), &candidates(), &[], 0).expect("a target");
 
@@ -46,7 +46,7 @@
     for draw in 0..3 {
         assert_eq!(balancer.choose(UnixMs(0), &candidates, &[], draw).expect("a target").id, "b");
     }
-    balancer.call_sent(UnixMs(0), "b");
+    balancer.call_sent("b");
 
     assert_ne!(balancer.choose(UnixMs(0), &candidates, &[], 0).expect("a target").id, "b");
 }
@@ -66,12 +66,12 @@
 #[test]
 fn a_failing_target_backs_off_increasingly_and_returns() {
     let mut balancer = LoadBalancer::open(LoadBalancerSettings::default());
-    balancer.call_sent(UnixMs(0), "a");
+    balancer.call_sent("a");
     balancer.call_ended(UnixMs(1_000), "a", 4, CallOutcome::Failed);
 
     assert!(balancer.is_unavailable(UnixMs(1_399), "a"));
     assert!(!balancer.is_unavailable(UnixMs(1_400), "a"));
-    balancer.call_sent(UnixMs(0), "a");
+    balancer.call_sent("a");
     balancer.call_ended(UnixMs(2_000), "a", 4, CallOutcome::Failed);
     assert!(balancer.is_unavailable(UnixMs(2_799), "a"));
     assert!(!balancer.is_unavailable(UnixMs(2_800), "a"));
@@ -81,7 +81,7 @@
 fn if_all_targets_back_off_all_may_be_chosen() {
     let mut balancer = LoadBalancer::open(LoadBalancerSettings::default());
     for id in ["a", "b", "c"] {
-        balancer.call_sent(UnixMs(0), id);
+        balancer.call_sent(id);
         balancer.call_ended(UnixMs(0), id, 4, CallOutcome::Failed);
     }
 
@@ -94,11 +94,11 @@
 #[test]
 fn a_target_that_refuses_with_free_slots_backs_off_longer_than_a_full_one() {
     let mut loading = LoadBalancer::open(LoadBalancerSettings::default());
-    loading.call_sent(UnixMs(0), "a");
+    loading.call_sent("a");
     loading.call_ended(UnixMs(0), "a", 4, CallOutcome::Overloaded);
     let mut full = LoadBalancer::open(LoadBalancerSettings::default());
     for _ in 0..4 {
-        full.call_sent(UnixMs(0), "a");
+        full.call_sent("a");
     }
     full.call_ended(UnixMs(0), "a", 4, CallOutcome::Overloaded);
 
@@ -113,7 +113,7 @@
     answered(&mut balancer, "b", 50);
     answered(&mut balancer, "c", 50);
     for _ in 0..4 {
-        balancer.call_sent(UnixMs(0), "b");
+        balancer.call_sent("b");
     }
 
     let chosen = balancer
@@ -128,7 +128,7 @@
     let mut balancer = LoadBalancer::open(LoadBalancerSettings::default());
     for candidate in candidates() {
         for _ in 0..4 {
-            balancer.call_sent(UnixMs(0), candidate.id);
+            balancer.call_sent(candidate.id);
         }
     }
 
@@ -143,7 +143,7 @@
 fn a_loading_target_gets_no_item_until_its_load_is_expected_to_end() {
     let mut balancer = LoadBalancer::open(LoadBalancerSettings::default());
     for id in ["b", "c"] {
-        balancer.call_sent(UnixMs(0), id);
+        balancer.call_sent(id);
     }
     balancer.record_loading_until("a", UnixMs(900));
 
@@ -165,7 +165,7 @@
     let mut candidates = candidates();
     candidates[0].preference = CallPreference::Avoid;
     candidates[1].preference = CallPreference::Avoid;
-    balancer.call_sent(UnixMs(0), "c");
+    balancer.call_sent("c");
     balancer.call_ended(UnixMs(0), "c", 4, CallOutcome::Overloaded);
 
     let others = balancer.choose(UnixMs(1), &candidates, &[], 0).expect("a target");
@@ -186,7 +186,7 @@
     candidates[2].slowdown_tenths = 40;
 
     let first = balancer.choose(UnixMs(0), &candidates, &[], 0).expect("a target");
-    balancer.call_sent(UnixMs(0), "c");
+    balancer.call_sent("c");
     balancer.call_ended(UnixMs(0), "c", 4, CallOutcome::Failed);
     let then = balancer.choose(UnixMs(1), &candidates, &[], 0).expect("a target");
 
@@ -199,9 +199,9 @@
 #[test]
 fn a_target_that_serves_others_again_no_longer_backs_off_after_failures_but_after_refusals() {
     let mut balancer = LoadBalancer::open(LoadBalancerSettings::default());
-    balancer.call_sent(UnixMs(0), "a");
+    balancer.call_sent("a");
     balancer.call_ended(UnixMs(0), "a", 4, CallOutcome::Failed);
-    balancer.call_sent(UnixMs(0), "b");
+    balancer.call_sent("b");
     balancer.call_ended(UnixMs(0), "b", 4, CallOutcome::Overloaded);
 
     balancer.serves_again("a");
@@ -242,7 +242,7 @@
     for number in 0..300 {
         let now = UnixMs(number * 50);
         let id = balancer.choose(now, &candidates, &[], number).expect("a target").id;
-        balancer.call_sent(now, id);
+        balancer.call_sent(id);
         balancer.call_ended(now.plus(20), id, 4, CallOutcome::Answered { latency_ms: 20 });
         calls[["a", "b", "c"].iter().position(|held| *held == id).expect("a candidate")] += 1;
     }
@@ -275,7 +275,7 @@
         if chosen == "slow" || calls_to_fast == 100 {
             break chosen;
         }
-        balancer.call_sent(UnixMs(1_000), chosen);
+        balancer.call_sent(chosen);
         calls_to_fast += 1;
     };
 
--- a/tests/all/health/fleet.rs
+++ b/tests/all/health/fleet.rs
@@ -241,7 +241,7 @@
         tried.push(target);
         let id = self.targets[target].id.clone();
         let sender = &mut self.nodes[node];
-        sender.balancer.call_sent(now, &id);
+        sender.balancer.call_sent(&id);
         sender.table.sent(now, &id);
         sender.calls += 1;
         sender.connections_opened += u64::from(sender.connected_until[target] <= now);
