Health: a test with the real processes

A target dies, one of four nodes finds out, and the others send it at most two calls in five seconds, in which it is checked several times. It listens again at its address, is used again within five seconds, and all nodes note that. A target that restarts under its id gets calls at once.

--- a/tests/all/site/mod.rs
+++ b/tests/all/site/mod.rs
@@ -17,6 +17,7 @@
 mod crashes;
 mod duties;
 mod evacuation;
+mod health;
 mod orders;
 mod requests;
 mod soak;
--- a/tests/all/site/worker.rs
+++ b/tests/all/site/worker.rs
@@ -4,6 +4,7 @@
 //! runs are recorded, so that a test can check what ran, how often, and from which event it
 //! resumed.
 
+use super::harness::until;
 use super::store::Store;
 use super::web::{Answer, AnswerBody, Server, answer};
 use bytes::Bytes;
@@ -16,6 +17,7 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
+use tokio::net::TcpSocket;
 
 /// A request whose body starts with this text crashes each worker that starts to run it.
 pub(crate) const CRASHING_BODY: &str = "crash";
@@ -284,6 +286,26 @@
         drop(server);
     }
 
+    /// Stops the worker without deregistering it, and returns a socket that refuses connections at
+    /// its address. While no socket holds the port, another connection of this machine may take it,
+    /// and the worker cannot listen there again.
+    pub(crate) async fn crash_and_hold_port(&self) -> TcpSocket {
+        let address = self.address();
+        self.crash();
+        until("the port is free", || async {
+            let socket = TcpSocket::new_v4().expect("a socket");
+            socket.set_reuseaddr(true).expect("the option is known");
+            socket.bind(address).is_ok().then_some(socket)
+        })
+        .await
+    }
+
+    /// Listens again at the address and under the id that it had before a crash.
+    pub(crate) async fn listen_again(&self, held_port: TcpSocket) {
+        let address = held_port.local_addr().expect("it is bound");
+        listen(&self.state, &self.context, &self.id, address).await;
+    }
+
     /// Returns the runs of this worker under its first id, i.e. those before the first crash by a
     /// request.
     pub(crate) fn ran(&self) -> Vec<Run> {
