Review: an item that ran on three crashed workers never runs again

Cause: three ends of workers are taken as proof that a request crashes its workers. It is then blocked for ten minutes, and with it every request with the same path and body.

Change: a case as a script, which becomes the first; the others move up, and the case of a batch that is handed over gives way to it.

--- a/review/standins/http.rs
+++ b/review/standins/http.rs
@@ -1,8 +1,9 @@
 //! A small HTTP/1.1 server and client with a thread for each connection.
 
 use std::io::{self, BufRead, BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 /// A request or the head and body of an answer.
@@ -136,16 +137,50 @@
     Close,
 }
 
-/// Serves requests on an address until the process ends.
-pub fn serve<H>(address: SocketAddr, handle: H) -> io::Result<SocketAddr>
+/// A listening server.
+#[derive(Clone)]
+pub struct Server {
+    pub address: SocketAddr,
+    is_down: Arc<AtomicBool>,
+    streams: Arc<Mutex<Vec<TcpStream>>>,
+}
+
+impl Server {
+    /// Closes the listener and all connections, as the end of a process does.
+    pub fn crash(&self) {
+        self.is_down.store(true, Ordering::SeqCst);
+        // Wakes the thread that accepts connections.
+        let _closed_at_once = TcpStream::connect(self.address);
+        if let Ok(mut streams) = self.streams.lock() {
+            for stream in streams.drain(..) {
+                let _already_closed = stream.shutdown(Shutdown::Both);
+            }
+        }
+    }
+
+    pub fn is_down(&self) -> bool {
+        self.is_down.load(Ordering::SeqCst)
+    }
+}
+
+/// Serves requests on an address until the process ends or the server crashes.
+pub fn serve<H>(address: SocketAddr, handle: H) -> io::Result<Server>
 where
     H: Fn(&Message, &mut TcpStream) -> io::Result<Next> + Send + Sync + 'static,
 {
     let listener = TcpListener::bind(address)?;
     let address = listener.local_addr()?;
+    let server = Server { address, is_down: Arc::default(), streams: Arc::default() };
     let handle = Arc::new(handle);
+    let accepting = server.clone();
     std::thread::spawn(move || {
         for stream in listener.incoming().flatten() {
+            if accepting.is_down() {
+                return;
+            }
+            if let (Ok(mut streams), Ok(clone)) = (accepting.streams.lock(), stream.try_clone()) {
+                streams.push(clone);
+            }
             let handle = Arc::clone(&handle);
             std::thread::spawn(move || {
                 let _nodelay = stream.set_nodelay(true);
@@ -159,7 +194,7 @@
             });
         }
     });
-    Ok(address)
+    Ok(server)
 }
 
 /// Opens a connection and sends a request on it.
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -33,8 +33,8 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     std::thread::spawn(watch_time);
     let outcome = match name.as_str() {
+        "crashes" => cases::crashes(trouble, Path::new(record)),
         "refused" => cases::refused(trouble, Path::new(record)),
-        "handover" => cases::handover(trouble, Path::new(record)),
         "stream" => cases::stream(trouble, Path::new(record)),
         _ => Err(std::io::Error::other("no such case")),
     };
--- a/review/standins/site.rs
+++ b/review/standins/site.rs
@@ -3,7 +3,7 @@
 use crate::http;
 use crate::json::{Json, quote};
 use crate::store::Store;
-use crate::worker::{self, Pace, Run, Runs};
+use crate::worker::{self, Pace, Run, Runs, Worker};
 use std::fs;
 use std::io::{self, BufRead, BufReader};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
@@ -133,6 +133,7 @@
 }
 
 pub struct Site {
+    pub engines: Vec<Worker>,
     pub record: Record,
     pub runs: Runs,
     pub store: Store,
@@ -217,14 +218,22 @@
                 &format!("{{\"model\":\"{model}\",\"version\":1}}"),
             );
         }
+        let mut engines = Vec::new();
         for number in 0..plan.engines {
-            worker::start(&store, &runs, "modeles", &format!("i-modeles-{number}"), plan.pace)?;
+            engines.push(Worker::start(&store, &runs, "modeles", number, plan.pace)?);
         }
         for number in 0..plan.plain {
-            worker::start(&store, &runs, "registre", &format!("i-registre-{number}"), plan.pace)?;
+            Worker::start(&store, &runs, "registre", number, plan.pace)?;
         }
-        let mut site =
-            Self { record, runs, store, fronts: Vec::new(), _standbys: Vec::new(), folder };
+        let mut site = Self {
+            engines,
+            record,
+            runs,
+            store,
+            fronts: Vec::new(),
+            _standbys: Vec::new(),
+            folder,
+        };
         let zones = ["salle-a", "salle-b", "salle-c"];
         for number in 0..plan.fronts {
             let zone = zones[number % 3];
