--- a/review/standins/cases.rs
+++ b/review/standins/cases.rs
@@ -12,10 +12,12 @@
 
 const PACE: Pace = Pace { event: Duration::from_millis(40), work: Duration::from_millis(25) };
 
-/// Returns a batch submission of groups of four items.
-fn submission(id: &str, model: &str, groups: usize, events: u8) -> String {
+/// Returns a batch submission of groups of four items. The first item is as long as `first_events`
+/// says, and all others as long as `events` says.
+fn submission(id: &str, model: &str, groups: usize, first_events: u8, events: u8) -> String {
     let items: Vec<String> = (0..groups * 4)
         .map(|number| {
+            let events = if number == 0 { first_events } else { events };
             let (item, reward) = (format!("{id}i{number:02}"), format!("{id}r{number:02}"));
             format!(
                 "{{\"id\":\"{item}\",\"path\":\"/pule252/prompt/{number}\",\
@@ -72,7 +74,7 @@
     // A first step in calm time shows which node runs the batches of this model. With these names
     // it is one of the two nodes that search the store for batches that nobody runs.
     let model = MODELS[1];
-    let first = submit(&site, 0, "aa01", &submission("aa01", model, 2, 5))?;
+    let first = submit(&site, 0, "aa01", &submission("aa01", model, 2, 5, 5))?;
     if first.status() != 202 {
         site.record.write(record)?;
         return Err(io::Error::other("the first step was not accepted"));
@@ -87,7 +89,7 @@
         site.store
             .plan_outage(Outage { key: "cm/h/".to_owned(), length: Duration::from_millis(2_500) });
     }
-    let body = submission("bb02", model, 2, 5);
+    let body = submission("bb02", model, 2, 5, 5);
     let mut statuses = Vec::new();
     for node in [others[0], others[1]] {
         let answer = submit(&site, node, "bb02", &body)?;
@@ -224,9 +226,9 @@
     const STEP: Duration = Duration::from_secs(12);
     const ITEMS: usize = 16;
     const IDLE_MS: u128 = 5_000;
-    let site = Site::start(&Plan { fronts: 3, engines: 12, plain: 3, pace: PACE })?;
+    let site = Site::start(&Plan { fronts: 3, engines: 9, plain: 3, pace: PACE })?;
     let model = MODELS[0];
-    let first = submit(&site, 0, "bb02", &submission("bb02", model, ITEMS / 4, 100))?;
+    let first = submit(&site, 0, "bb02", &submission("bb02", model, ITEMS / 4, 100, 15))?;
     if trouble {
         for run in 0..3 {
             crash_worker_of(&site, "bb02i00", run)?;
@@ -234,7 +236,7 @@
     }
     run_step(&site, "bb02", ITEMS, STEP)?;
     let sent_ms = site.record.now_ms();
-    let second = submit(&site, 1, "cc03", &submission("cc03", model, ITEMS / 4, 100))?;
+    let second = submit(&site, 1, "cc03", &submission("cc03", model, ITEMS / 4, 100, 15))?;
     if first.status() != 202 || second.status() != 202 {
         site.record.write(record)?;
         return Err(io::Error::other("the steps were not accepted"));
