Review: attempts that are given up reach workers seconds later

Cause: an attempt is given up by closing its connection, not by resetting it. Bytes that a cut link holds are sent again after that, and a reward call runs over three seconds after its batch's end was acknowledged.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -4,4 +4,4 @@
 for program in target/release/catkinmast-front target/release/catkinmast-standby target/review/review-case; do
     [ -x "$program" ] || { echo "$program is not built"; exit 2; }
 done
-exec target/review/review-case refused review/3/record.txt
+exec target/review/review-case stream review/3/record.txt
