Trail: what became of a submission's write, at each node that tried it

Seen by callers: the incident of refused batches that run. The trails could not tell its hypotheses apart: an owner that failed to accept a submission wrote no line, nor did the node that had passed it on, and the refusal of a store call did not say with which verdict each way had ended.

Change, no logic: submission_not_forwarded at the node that passed a submission on, submission_unconfirmed at each node whose write was not confirmed (verdict, attempts, reason), store_write_failed_at_peer for each peer that a write was passed to, a verdict beside each half of a store refusal's text, and the counter submissions{reason}.

--- a/crates/serve/src/batch_calls.rs
+++ b/crates/serve/src/batch_calls.rs
@@ -112,7 +112,9 @@
             item.headers.retain(|(name, _)| !name.eq_ignore_ascii_case(AUTHORIZATION.as_str()));
         }
     }
-    match batches::submit(node, &id, origin, submission).await {
+    let acceptance = batches::submit(node, &id, origin, submission).await;
+    count(&node.metrics.submissions, acceptance.label());
+    match acceptance {
         Acceptance::Accepted => {
             let ms = clock::now().since_ms(started_at);
             node.note("batch_accepted", json!({ "request": id, "route": route.name, "ms": ms }));
--- a/crates/serve/src/batches/accept.rs
+++ b/crates/serve/src/batches/accept.rs
@@ -11,12 +11,14 @@
 use crate::node::Node;
 use crate::peers::{self, Datagram, Owner, PeerAnswer, PeerCall};
 use crate::platform::Platform;
+use crate::pool::CallError;
 use crate::store::{Expectation, Put, StoreAnswer, StoreCall, StoreRefusal, StoredItem};
 use catkinmast_dispatch::{Batch, BatchPolicy, Chunk, ItemResult, Progress, Route, Submission};
 use catkinmast_model::{UnixMs, Verdict};
 use indexmap::IndexMap;
 use serde_json::json;
 use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
@@ -42,6 +44,18 @@
     Unknown(StoreRefusal),
 }
 
+impl Acceptance {
+    /// Returns its label in metrics.
+    pub(crate) const fn label(&self) -> &'static str {
+        match self {
+            Self::Accepted => "accepted",
+            Self::IdConflict => "id_conflict",
+            Self::Unknown(StoreRefusal { verdict: Verdict::NotRun, .. }) => "not_run",
+            Self::Unknown(_) => "may_have_run",
+        }
+    }
+}
+
 /// Returns the policy of a batch under a route. `slack_ms` is added to the time at which its items
 /// are given up.
 pub(super) fn policy(
@@ -93,6 +107,7 @@
         return accept(node, id, origin, submission).await;
     };
     let call = PeerCall::Submit { batch: id.to_owned(), origin, submission: Box::new(submission) };
+    let asked_at = clock::now();
     let answer = node.ask_peer(owner, &call, PEER_SUBMIT_TIMEOUT).await;
     match answer {
         Ok(PeerAnswer::Accepted) => return Acceptance::Accepted,
@@ -100,6 +115,7 @@
         Ok(PeerAnswer::NoBatch) => return Acceptance::IdConflict,
         _ => {}
     }
+    note_forwarding_failed(node, id, owner, asked_at, &answer);
     // The store creates a batch only once, so this node may try whatever the outcome of the call.
     let PeerCall::Submit { origin, submission, .. } = call else {
         unreachable!("the call was built as Submit above")
@@ -107,6 +123,26 @@
     accept(node, id, origin, *submission).await
 }
 
+/// Records that the owner of a model's batches did not accept a submission that this node passed on
+/// to it.
+fn note_forwarding_failed<P: Platform>(
+    node: &Node<P>,
+    id: &str,
+    owner: SocketAddr,
+    asked_at: UnixMs,
+    answer: &Result<PeerAnswer, CallError>,
+) {
+    let (why, verdict) = match answer {
+        Ok(_) => ("the owner did not confirm it", None),
+        Err(error) => (error.message.as_str(), Some(error.verdict)),
+    };
+    let ms = clock::now().since_ms(asked_at);
+    node.note(
+        "submission_not_forwarded",
+        json!({ "request": id, "owner": owner, "why": why, "verdict": verdict, "ms": ms }),
+    );
+}
+
 /// Accepts a submission: writes it to the store and becomes its owner.
 ///
 /// It runs as a task of its own, which completes after the caller has left. Cancelled halfway, it
@@ -155,7 +191,18 @@
     };
     let accepted_at = clock::now();
     let mut failure = None;
-    for _ in 0..STORE_ATTEMPTS {
+    let unconfirmed = |attempts: u32, refusal: StoreRefusal| {
+        let ms = clock::now().since_ms(accepted_at);
+        node.note(
+            "submission_unconfirmed",
+            json!({
+                "request": id, "verdict": refusal.verdict, "why": refusal.message,
+                "attempts": attempts, "ms": ms,
+            }),
+        );
+        Acceptance::Unknown(refusal)
+    };
+    for attempt in 1..=STORE_ATTEMPTS {
         match node.store(&call).await {
             Ok(StoreAnswer::Committed { revision }) => {
                 let source = BatchSource {
@@ -173,7 +220,7 @@
             }
             Ok(other) => failure = Some(unexpected_answer(&other)),
             Err(refusal) if refusal.verdict == Verdict::NotRun && failure.is_none() => {
-                return Acceptance::Unknown(refusal);
+                return unconfirmed(attempt, refusal);
             }
             Err(refusal) => failure = Some(refusal),
         }
@@ -181,7 +228,7 @@
     }
     let verdict = Verdict::MayHaveRun;
     let message = failure.map_or_else(String::new, |refusal| refusal.message);
-    Acceptance::Unknown(StoreRefusal { message, verdict })
+    unconfirmed(STORE_ATTEMPTS, StoreRefusal { message, verdict })
 }
 
 /// Builds the transaction that creates a batch: all of its keys or none, and only if it is new.
--- a/crates/serve/src/metrics.rs
+++ b/crates/serve/src/metrics.rs
@@ -39,6 +39,8 @@
     pub orders: Family<Label, Counter>,
     pub request_seconds: Histogram,
     pub requests_barred: Gauge,
+    /// Submissions of batches by outcome.
+    pub submissions: Family<Label, Counter>,
     pub store_calls: Family<Label, Counter>,
     pub store_failures: Family<Label, Counter>,
     /// Orders to the platform for a number of targets.
@@ -74,6 +76,7 @@
             orders: Family::default(),
             request_seconds: Histogram::new(LATENCY_BUCKETS_S),
             requests_barred: Gauge::default(),
+            submissions: Family::default(),
             store_calls: Family::default(),
             store_failures: Family::default(),
             target_orders: Family::default(),
@@ -147,6 +150,11 @@
             self.item_seconds.clone(),
         );
         registry.register("orders", "Orders to engines by outcome", self.orders.clone());
+        registry.register(
+            "submissions",
+            "Submissions of batches by outcome",
+            self.submissions.clone(),
+        );
     }
 
     fn register_targets(&self, registry: &mut Registry) {
--- a/crates/serve/src/node.rs
+++ b/crates/serve/src/node.rs
@@ -391,7 +391,11 @@
         second.map_err(|refusal| {
             let unsure = first.verdict.may_have_run() || refusal.verdict.may_have_run();
             let verdict = if unsure { Verdict::MayHaveRun } else { Verdict::NotRun };
-            StoreRefusal { message: format!("{}; {}", first.message, refusal.message), verdict }
+            let message = format!(
+                "{} ({}); {} ({})",
+                first.message, first.verdict, refusal.message, refusal.verdict
+            );
+            StoreRefusal { message, verdict }
         })
     }
 
@@ -491,7 +495,14 @@
                     self.batches.store_returned();
                     return Ok(answer);
                 }
-                Err(refusal) => last = refusal,
+                Err(refusal) => {
+                    if matches!(call, StoreCall::Transaction { .. }) {
+                        let (why, verdict) = (&refusal.message, refusal.verdict);
+                        let line = json!({ "peer": peer, "why": why, "verdict": verdict });
+                        self.note("store_write_failed_at_peer", line);
+                    }
+                    last = refusal;
+                }
             }
         }
         Err(last)
