Tests: refused batches that run, failing on the current code

Seen by callers: items and scoring calls run though each attempt to submit their batch was answered 503.

Reproduced over processes, with a stand-in of the store that carries out the write that creates a batch, does not answer it (connection closed, or silence), and refuses everything from then on for two seconds:

- later attempts at the same node and at others: 504, then 503 three times.
- accepted with 202 after the outage, and never run within a minute, because its owner does not know of its own record.

The sixth, a submission that was refused on every way, passes and stays as a guard.

--- a/tests/all/site/mod.rs
+++ b/tests/all/site/mod.rs
@@ -23,6 +23,7 @@
 mod health;
 mod hedges;
 mod orders;
+mod refusals;
 mod requests;
 mod soak;
 mod soak_keys;
--- a/tests/all/site/store.rs
+++ b/tests/all/site/store.rs
@@ -31,6 +31,15 @@
     Unresponsive,
 }
 
+/// How the answer to a write is lost.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum LostAnswer {
+    /// The connection is closed.
+    ConnectionCloses,
+    /// Nothing arrives, and the connection stays open.
+    Silent,
+}
+
 #[derive(Clone, Debug)]
 struct Item {
     created: u64,
@@ -48,6 +57,8 @@
     /// History up to this revision is dropped.
     compacted: u64,
     modes: Vec<Option<StoreMode>>,
+    /// The prefix of the key whose next write starts an outage, and how its answer is lost.
+    goes_down_after: Option<(String, LostAnswer)>,
     history: Vec<(u64, String, Option<Item>)>,
     items: BTreeMap<String, Item>,
     /// The TTL and the expiry of each lease.
@@ -143,6 +154,17 @@
         self.state().modes[endpoint] = Some(mode);
     }
 
+    /// Carries out the next transaction that creates a key under `prefix` without answering it;
+    /// from then on all endpoints refuse until their mode is set.
+    pub(crate) fn go_down_after_write(&self, prefix: &str, lost: LostAnswer) {
+        self.state().goes_down_after = Some((prefix.to_owned(), lost));
+    }
+
+    /// Changes how the store answers at all endpoints.
+    pub(crate) fn set_all_modes(&self, mode: StoreMode) {
+        self.state().modes.fill(Some(mode));
+    }
+
     /// Writes a key, as an operator or a worker does.
     pub(crate) fn put(&self, key: &str, value: &Value) {
         let mut state = self.state();
@@ -256,6 +278,7 @@
         let query = head.uri.query().unwrap_or_default().to_owned();
         let body: Value = serde_json::from_slice(&body).unwrap_or(Value::Null);
         let id = head.uri.path().rsplit('/').next().and_then(|id| id.parse().ok()).unwrap_or(0);
+        let lost_answer = if name == "kv-txn" { self.start_outage(&body) } else { None };
         let (status, value) = match name.as_str() {
             "kv-watch" => {
                 let changes = self.watch(&query).await?;
@@ -271,15 +294,34 @@
             "kv-txn" => self.transaction(&body),
             _ => self.lease(&name, id, &body),
         };
-        if mode == StoreMode::LosesWriteAnswers && name == "kv-txn" {
+        let closes = mode == StoreMode::LosesWriteAnswers && name == "kv-txn";
+        if closes || lost_answer == Some(LostAnswer::ConnectionCloses) {
             return None;
         }
-        if mode == StoreMode::LeavesWritesUnanswered && name == "kv-txn" {
+        let is_silent = mode == StoreMode::LeavesWritesUnanswered && name == "kv-txn";
+        if is_silent || lost_answer == Some(LostAnswer::Silent) {
             std::future::pending::<()>().await;
         }
         Some(answer(status, value.to_string()))
     }
 
+    /// Starts the outage that [`Self::go_down_after_write`] has announced, if a transaction is the
+    /// one that it waits for. Returns how the answer is lost.
+    fn start_outage(&self, transaction: &Value) -> Option<LostAnswer> {
+        let mut state = self.state();
+        let (prefix, lost) = state.goes_down_after.clone()?;
+        let is_created = |put: &Value| {
+            let key = put["key"].as_str().unwrap_or_default();
+            key.starts_with(&prefix) && !state.items.contains_key(key)
+        };
+        if !transaction["puts"].as_array().is_some_and(|puts| puts.iter().any(is_created)) {
+            return None;
+        }
+        state.goes_down_after = None;
+        state.modes.fill(Some(StoreMode::Refuses));
+        Some(lost)
+    }
+
     fn key(&self, query: &str) -> (u16, Value) {
         let state = self.state();
         let key = parameter(query, "key");
