A submission is refused only if its owner's try cannot have been stored either

Callers saw: items and scoring calls ran though each attempt to submit their batch was answered 503.

Cause: a node passes a submission to the owner of the model's batches and tries the store itself if the owner does not accept it. The owner answered "unavailable" whatever the verdict of its write, and the time-out of the call to it was ignored. So the caller was told the verdict of the entry node's own try, made while the store refused, although the owner's write had been carried out and not answered. When the store was back, the owner found its own record and ran the batch.

Evidence: the trail of site::refusals: the owner's submission_unconfirmed says may_have_run after 456 ms, the entry node's not_run after 0 ms, request_ended 503, batch_taken_over by the owner from itself 2.3 s later.

Change: the owner's answer carries its refusal with the verdict (PeerAnswer::Unconfirmed, added last: the order of variants is the format), a failed call to it counts by its own verdict, and the entry node's refusal is combined with it: "not run" only if neither try may have been carried out (Verdict::combined_with). An unconfirmed submission is answered 504, as before at the owner itself, now with the time to come back.

Why it works: a 503 for a submission now needs a verdict "not run" of every try.

--- a/crates/model/src/verdict.rs
+++ b/crates/model/src/verdict.rs
@@ -25,6 +25,17 @@
     pub const fn may_have_run(self) -> bool {
         !matches!(self, Self::NotRun)
     }
+
+    /// Returns the verdict of a request that was attempted twice: it has not run only if neither
+    /// attempt has.
+    #[must_use]
+    pub const fn combined_with(self, other: Self) -> Self {
+        match (self, other) {
+            (Self::Ran, _) | (_, Self::Ran) => Self::Ran,
+            (Self::NotRun, Self::NotRun) => Self::NotRun,
+            _ => Self::MayHaveRun,
+        }
+    }
 }
 
 /// The refusal of a request.
--- a/crates/serve/src/batch_calls.rs
+++ b/crates/serve/src/batch_calls.rs
@@ -130,7 +130,7 @@
             let error_answer = if refusal.verdict == Verdict::NotRun {
                 ErrorAnswer::not_run(refusal.message, RETRY_AFTER_MS)
             } else {
-                ErrorAnswer::new(StatusCode::GATEWAY_TIMEOUT, refusal.message)
+                ErrorAnswer::unconfirmed(refusal.message, RETRY_AFTER_MS)
             };
             end_with_error(node, Some(&id), Some(route), &error_answer)
         }
--- a/crates/serve/src/batches/accept.rs
+++ b/crates/serve/src/batches/accept.rs
@@ -18,7 +18,6 @@
 use indexmap::IndexMap;
 use serde_json::json;
 use std::cell::RefCell;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
@@ -108,39 +107,34 @@
     };
     let call = PeerCall::Submit { batch: id.to_owned(), origin, submission: Box::new(submission) };
     let asked_at = clock::now();
-    let answer = node.ask_peer(owner, &call, PEER_SUBMIT_TIMEOUT).await;
-    match answer {
+    let owners_refusal = match node.ask_peer(owner, &call, PEER_SUBMIT_TIMEOUT).await {
         Ok(PeerAnswer::Accepted) => return Acceptance::Accepted,
         // The id belongs to a batch of another workspace.
         Ok(PeerAnswer::NoBatch) => return Acceptance::IdConflict,
-        _ => {}
-    }
-    note_forwarding_failed(node, id, owner, asked_at, &answer);
-    // The store creates a batch only once, so this node may try whatever the outcome of the call.
-    let PeerCall::Submit { origin, submission, .. } = call else {
-        unreachable!("the call was built as Submit above")
+        Ok(PeerAnswer::Unconfirmed(refusal)) => refusal,
+        Ok(_) => StoreRefusal {
+            message: "the owner did not confirm it".to_owned(),
+            verdict: Verdict::MayHaveRun,
+        },
+        Err(CallError { message, verdict }) => StoreRefusal { message, verdict },
     };
-    accept(node, id, origin, *submission).await
-}
-
-/// Records that the owner of a model's batches did not accept a submission that this node passed on
-/// to it.
-fn note_forwarding_failed<P: Platform>(
-    node: &Node<P>,
-    id: &str,
-    owner: SocketAddr,
-    asked_at: UnixMs,
-    answer: &Result<PeerAnswer, CallError>,
-) {
-    let (why, verdict) = match answer {
-        Ok(_) => ("the owner did not confirm it", None),
-        Err(error) => (error.message.as_str(), Some(error.verdict)),
-    };
-    let ms = clock::now().since_ms(asked_at);
     node.note(
         "submission_not_forwarded",
-        json!({ "request": id, "owner": owner, "why": why, "verdict": verdict, "ms": ms }),
+        json!({
+            "request": id, "owner": owner, "why": owners_refusal.message,
+            "verdict": owners_refusal.verdict, "ms": clock::now().since_ms(asked_at),
+        }),
     );
+    // The store creates a batch only once, so this node may try whatever the outcome of the call.
+    let PeerCall::Submit { origin, submission, .. } = call else {
+        unreachable!("the call was built as Submit above")
+    };
+    match accept(node, id, origin, *submission).await {
+        // The owner's write may have been carried out, or may still be, although this node's was
+        // refused.
+        Acceptance::Unknown(refusal) => Acceptance::Unknown(refusal.after(&owners_refusal)),
+        accepted => accepted,
+    }
 }
 
 /// Accepts a submission: writes it to the store and becomes its owner.
--- a/crates/serve/src/caller.rs
+++ b/crates/serve/src/caller.rs
@@ -80,6 +80,13 @@
         Self { retry_after_ms, ..Self::new(StatusCode::SERVICE_UNAVAILABLE, message) }
     }
 
+    /// A request that may have run. A caller that may repeat it should come back after
+    /// `retry_after_ms`.
+    pub(crate) fn unconfirmed(message: impl Into<String>, retry_after_ms: u64) -> Self {
+        let retry_after_ms = Some(retry_after_ms);
+        Self { retry_after_ms, ..Self::new(StatusCode::GATEWAY_TIMEOUT, message) }
+    }
+
     /// Adds how long the request waited for the window of its service.
     pub(crate) fn waited(self, waited_ms: u64) -> Self {
         Self { waited_ms: Some(waited_ms), ..self }
--- a/crates/serve/src/node.rs
+++ b/crates/serve/src/node.rs
@@ -388,15 +388,7 @@
         } else {
             self.store_via_peers(call).await
         };
-        second.map_err(|refusal| {
-            let unsure = first.verdict.may_have_run() || refusal.verdict.may_have_run();
-            let verdict = if unsure { Verdict::MayHaveRun } else { Verdict::NotRun };
-            let message = format!(
-                "{} ({}); {} ({})",
-                first.message, first.verdict, refusal.message, refusal.verdict
-            );
-            StoreRefusal { message, verdict }
-        })
+        second.map_err(|refusal| refusal.after(&first))
     }
 
     /// Calls the store directly from this instance.
--- a/crates/serve/src/peers/messages.rs
+++ b/crates/serve/src/peers/messages.rs
@@ -69,6 +69,8 @@
     Unavailable,
     /// A page of a feed's keys, and how long ago the sender's view was last confirmed as complete.
     Keys { as_of: u64, confirmed_ms_ago: u64, items: Vec<StoredItem>, truncated: bool },
+    /// A submission was not confirmed as stored; the verdict says whether it may have been stored.
+    Unconfirmed(StoreRefusal),
 }
 
 /// A datagram between nodes.
--- a/crates/serve/src/peers/mod.rs
+++ b/crates/serve/src/peers/mod.rs
@@ -342,7 +342,7 @@
             match batches::accept(&node, &batch, origin, *submission).await {
                 Acceptance::Accepted => PeerAnswer::Accepted,
                 Acceptance::IdConflict => PeerAnswer::NoBatch,
-                Acceptance::Unknown(_) => PeerAnswer::Unavailable,
+                Acceptance::Unknown(refusal) => PeerAnswer::Unconfirmed(refusal),
             }
         }
         PeerCall::Read { after, batch, scope, wait_ms } => {
--- a/crates/serve/src/store.rs
+++ b/crates/serve/src/store.rs
@@ -156,3 +156,14 @@
 }
 
 impl std::error::Error for StoreRefusal {}
+
+impl StoreRefusal {
+    /// Returns the refusal of a call that was refused as `earlier` says before it was made again.
+    pub(crate) fn after(self, earlier: &Self) -> Self {
+        let message = format!(
+            "{} ({}); {} ({})",
+            earlier.message, earlier.verdict, self.message, self.verdict
+        );
+        Self { message, verdict: earlier.verdict.combined_with(self.verdict) }
+    }
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -29,3 +29,4 @@
 mod site;
 mod trail;
 mod usage;
+mod verdicts;
