A store call by way of two peers has not run only if neither peer's has

Callers saw: a batch that was answered 503 is in the store and runs.

Cause: where the store refuses a node, its call goes by way of up to two peers, and the verdict was that of the last one. The first peer's write may have been carried out without an answer as the store went down; the second was refused with 503. It also concerned every other conditional write (records, results, leases, duties).

Evidence: site::refusals::a_batch_that_one_of_two_peers_may_have_stored_is_not_refused; its trail shows store_write_failed_at_peer twice, may_have_run and not_run, and then submission_unconfirmed with not_run.

Change: the refusals of the peers are combined.

--- a/crates/serve/src/node.rs
+++ b/crates/serve/src/node.rs
@@ -480,7 +480,7 @@
         let wait_ms = if let StoreCall::Watch { wait_ms, .. } = call { *wait_ms } else { 0 };
         let timeout_after = STORE_TIMEOUT + Duration::from_millis(wait_ms + WATCH_SLACK_MS);
         let peers = if wait_ms > 0 { 1 } else { STORE_PEERS_MAX };
-        let mut last = no_live_peer();
+        let mut refused: Option<StoreRefusal> = None;
         for peer in self.live_peers().into_iter().take(peers) {
             match self.store_via(peer, call, timeout_after).await {
                 Ok(answer) => {
@@ -493,11 +493,14 @@
                         let line = json!({ "peer": peer, "why": why, "verdict": verdict });
                         self.note("store_write_failed_at_peer", line);
                     }
-                    last = refusal;
+                    refused = Some(match &refused {
+                        Some(earlier) => refusal.after(earlier),
+                        None => refusal,
+                    });
                 }
             }
         }
-        Err(last)
+        Err(refused.unwrap_or_else(no_live_peer))
     }
 
     /// Calls the store once, via one live peer.
