A node remembers submissions whose write it has not seen confirmed

Callers saw (in a test): a batch is answered 504, then 503 by the same node and by the others, though the first attempt's write is in the store. Each 503 promises that no part of the batch runs.

Cause: the verdict of a submission covered the tries of one attempt only. The node that had an unanswered write of the batch, and the node that had passed it on, forgot that when the next attempt arrived.

A refused later attempt is then answered 504. The tries to create a record are one function that returns what became of them.

Limit: a node that neither owns the model's batches nor had an earlier attempt, and does not reach the owner, can only speak for its own try.

--- a/crates/serve/src/batches/accept.rs
+++ b/crates/serve/src/batches/accept.rs
@@ -129,9 +129,10 @@
     let PeerCall::Submit { origin, submission, .. } = call else {
         unreachable!("the call was built as Submit above")
     };
+    if owners_refusal.verdict.may_have_run() {
+        node.batches.unconfirmed.borrow_mut().insert(clock::now(), id);
+    }
     match accept(node, id, origin, *submission).await {
-        // The owner's write may have been carried out, or may still be, although this node's was
-        // refused.
         Acceptance::Unknown(refusal) => Acceptance::Unknown(refusal.after(&owners_refusal)),
         accepted => accepted,
     }
@@ -184,45 +185,83 @@
         Err(refusal) => return Acceptance::Unknown(refusal),
     };
     let accepted_at = clock::now();
-    let mut failure = None;
-    let unconfirmed = |attempts: u32, refusal: StoreRefusal| {
-        let ms = clock::now().since_ms(accepted_at);
-        node.note(
-            "submission_unconfirmed",
-            json!({
-                "request": id, "verdict": refusal.verdict, "why": refusal.message,
-                "attempts": attempts, "ms": ms,
-            }),
-        );
-        Acceptance::Unknown(refusal)
-    };
+    match create_record(node, id, &call).await {
+        Ok(Creation::New { revision }) => {
+            let source = BatchSource {
+                record,
+                record_revision: revision,
+                results: Vec::new(),
+                submission,
+                outputs: Vec::new(),
+            };
+            start_owning(node, id, source, accepted_at, 0, &[]);
+            Acceptance::Accepted
+        }
+        Ok(Creation::Exists { items }) => {
+            resolve_existing_record(node, id, &record, submission, accepted_at, &items)
+        }
+        Err(refusal) => Acceptance::Unknown(refusal),
+    }
+}
+
+/// The outcome of the transaction that creates a batch.
+enum Creation {
+    /// A record exists already; these are the keys that it expected to be absent.
+    Exists { items: Vec<StoredItem> },
+    /// The batch was created at this revision.
+    New { revision: u64 },
+}
+
+/// Makes the transaction that creates a batch until its outcome is known, up to [`STORE_ATTEMPTS`]
+/// times; once if the store refuses it.
+///
+/// # Errors
+///
+/// The verdict also covers earlier submissions of the batch at this node.
+async fn create_record<P: Platform>(
+    node: &Node<P>,
+    id: &str,
+    call: &StoreCall,
+) -> Result<Creation, StoreRefusal> {
+    let started_at = clock::now();
+    // Recorded before the write, so that a submission that arrives meanwhile is not refused either.
+    let was_unconfirmed = node.batches.unconfirmed.borrow_mut().insert(started_at, id);
+    let mut refused: Option<StoreRefusal> = None;
     for attempt in 1..=STORE_ATTEMPTS {
-        match node.store(&call).await {
+        let refusal = match node.store(call).await {
             Ok(StoreAnswer::Committed { revision }) => {
-                let source = BatchSource {
-                    record,
-                    record_revision: revision,
-                    results: Vec::new(),
-                    submission,
-                    outputs: Vec::new(),
-                };
-                start_owning(node, id, source, accepted_at, 0, &[]);
-                return Acceptance::Accepted;
+                node.batches.unconfirmed.borrow_mut().remove(id);
+                return Ok(Creation::New { revision });
             }
             Ok(StoreAnswer::Conflict { items }) => {
-                return resolve_existing_record(node, id, &record, submission, accepted_at, &items);
+                node.batches.unconfirmed.borrow_mut().remove(id);
+                return Ok(Creation::Exists { items });
             }
-            Ok(other) => failure = Some(unexpected_answer(&other)),
-            Err(refusal) if refusal.verdict == Verdict::NotRun && failure.is_none() => {
-                return unconfirmed(attempt, refusal);
-            }
-            Err(refusal) => failure = Some(refusal),
+            Ok(other) => unexpected_answer(&other),
+            Err(refusal) => refusal,
+        };
+        let refusal = refusal.after_any(refused.as_ref());
+        let is_known = !refusal.verdict.may_have_run();
+        refused = Some(refusal);
+        if is_known || attempt == STORE_ATTEMPTS {
+            break;
         }
         sleep(RETRY_PAUSE).await;
     }
-    let verdict = Verdict::MayHaveRun;
-    let message = failure.map_or_else(String::new, |refusal| refusal.message);
-    unconfirmed(STORE_ATTEMPTS, StoreRefusal { message, verdict })
+    let mut refusal = refused.unwrap_or_else(|| unreachable!("at least one attempt is made"));
+    if was_unconfirmed {
+        refusal.verdict = refusal.verdict.combined_with(Verdict::MayHaveRun);
+    } else if !refusal.verdict.may_have_run() {
+        node.batches.unconfirmed.borrow_mut().remove(id);
+    }
+    node.note(
+        "submission_unconfirmed",
+        json!({
+            "request": id, "verdict": refusal.verdict, "why": refusal.message,
+            "was_unconfirmed": was_unconfirmed, "ms": clock::now().since_ms(started_at),
+        }),
+    );
+    Err(refusal)
 }
 
 /// Builds the transaction that creates a batch: all of its keys or none, and only if it is new.
--- a/crates/serve/src/node.rs
+++ b/crates/serve/src/node.rs
@@ -493,10 +493,7 @@
                         let line = json!({ "peer": peer, "why": why, "verdict": verdict });
                         self.note("store_write_failed_at_peer", line);
                     }
-                    refused = Some(match &refused {
-                        Some(earlier) => refusal.after(earlier),
-                        None => refusal,
-                    });
+                    refused = Some(refusal.after_any(refused.as_ref()));
                 }
             }
         }
--- a/crates/serve/src/store.rs
+++ b/crates/serve/src/store.rs
@@ -166,4 +166,12 @@
         );
         Self { message, verdict: earlier.verdict.combined_with(self.verdict) }
     }
+
+    /// Like [`after`](Self::after), if there was an earlier refusal.
+    pub(crate) fn after_any(self, earlier: Option<&Self>) -> Self {
+        match earlier {
+            Some(earlier) => self.after(earlier),
+            None => self,
+        }
+    }
 }
