An owner runs a batch that the store names as its own although it did not know of it

Callers saw (in a test): a batch is accepted with 202 after an outage and no item of it runs within a minute.

Cause: the owner's write that created the batch was carried out and not answered, so the owner has a record and no batch. A later submission finds the record and acknowledges it; the node that found it wakes the owner, but not if the owner is that node itself. Only nodes that search the store, or a restart, would have run it. An unanswered write was again taken for one that was not done.

Change: the owner takes over a batch whose record names it (this incarnation or an earlier one) and that it does not run, when it is submitted again and in each search of the batches it knows of.

--- a/crates/serve/src/batches/accept.rs
+++ b/crates/serve/src/batches/accept.rs
@@ -5,6 +5,7 @@
     unexpected_answer,
 };
 use super::standby::send_copies;
+use super::takeover::{is_own_incarnation, start_takeover};
 use super::write::{RETRY_PAUSE, save_partial_outputs, write_results};
 use super::{LocalBatch, REUSABLE_OUTPUT_TTL_MS};
 use crate::clock;
@@ -311,8 +312,8 @@
             };
             start_owning(node, id, source, accepted_at, 0, &[]);
         } else {
-            if !stored.ended {
-                notify_owner(node, id, &stored.owner);
+            if !stored.ended && node.batches.get(id).is_none() {
+                wake_owner(node, id, &stored.owner);
             }
             node.batches.note_owner(id, stored.owner);
         }
@@ -320,10 +321,11 @@
     Acceptance::Accepted
 }
 
-/// Notifies the owner that the store names: it may not know that its own write was committed.
-fn notify_owner<P: Platform>(node: &Rc<Node<P>>, id: &str, owner: &Owner) {
-    if peers::me(node).is_none_or(|me| me == *owner) {
-        return;
+/// Makes the owner that the store names run the batch: it may not know that its own write was
+/// committed.
+fn wake_owner<P: Platform>(node: &Rc<Node<P>>, id: &str, owner: &Owner) {
+    if peers::me(node).is_some_and(|me| is_own_incarnation(&me, owner)) {
+        return start_takeover(node, id);
     }
     let call = PeerCall::Adopt { batch: id.to_owned(), texts: Vec::new() };
     let (node, id, owner) = (Rc::clone(node), id.to_owned(), owner.clone());
--- a/crates/serve/src/batches/takeover.rs
+++ b/crates/serve/src/batches/takeover.rs
@@ -100,9 +100,8 @@
     let Some(me) = peers::me(node) else { return };
     stop_obsolete_interim(node);
     for (id, owner) in node.batches.recently_reported_owners(clock::now()) {
-        let of_former_incarnation = owner.node == me.node && owner.incarnation < me.incarnation;
-        let is_responsible =
-            of_former_incarnation || (is_dead(node, &owner) && peers::is_first_for(node, &id));
+        let is_responsible = is_own_incarnation(&me, &owner)
+            || (is_dead(node, &owner) && peers::is_first_for(node, &id));
         if is_responsible && node.batches.get(&id).is_none() {
             start_takeover(node, &id);
         }
@@ -197,7 +196,7 @@
     }
 }
 
-fn start_takeover<P: Platform>(node: &Rc<Node<P>>, id: &str) {
+pub(super) fn start_takeover<P: Platform>(node: &Rc<Node<P>>, id: &str) {
     if !node.batches.takeovers.borrow_mut().insert(id.to_owned()) {
         return;
     }
@@ -233,7 +232,7 @@
 
 /// Returns whether the owner is this incarnation of the node or an earlier one. This incarnation
 /// counts, because a takeover that fails after its record was written is repeated.
-fn is_own_incarnation(me: &Owner, owner: &Owner) -> bool {
+pub(super) fn is_own_incarnation(me: &Owner, owner: &Owner) -> bool {
     me.node == owner.node && me.incarnation >= owner.incarnation
 }
 
