A batch that is handed over as the store goes down has an owner soon after

Callers saw (a review, and a test): the items of a batch whose owner stops as planned are at no target until the trainer gives up.

The successor that fails to read a batch handed to it did not try again, and a handover whose write was carried out and not answered was taken for one that was not made, so the successor was not told. In both cases the record names a live node that does not know of the batch, which no search takes from it.

Change: the successor repeats the takeover until the store answers; a handover that may have been written is told to the successor too (it reads the record and leaves the batch alone if it has another live owner); a call to the successor that fails is made once more. batch_not_handed_over says its verdict.

--- a/crates/serve/src/batches/takeover.rs
+++ b/crates/serve/src/batches/takeover.rs
@@ -17,7 +17,7 @@
 use crate::platform::Platform;
 use crate::store::{StoreAnswer, StoreCall, StoreRefusal, StoredItem};
 use catkinmast_dispatch::Progress;
-use catkinmast_model::UnixMs;
+use catkinmast_model::{UnixMs, Verdict};
 use serde_json::json;
 use std::cell::RefCell;
 use std::pin::pin;
@@ -335,18 +335,36 @@
         Ok(RecordWrite::Done(revision) | RecordWrite::Changed(_, revision)) => {
             apply_record(node, local, record, revision);
             node.note("batch_handed_over", json!({ "request": id, "to": successor.node }));
-            let call = PeerCall::Adopt { batch: id, texts: outputs };
-            // If this call is lost, the successor takes the batch over when it is submitted again,
-            // when the successor restarts, or when it searches the store as a searching node.
-            drop(node.ask_peer(successor.address, &call, OWNER_CALL_SLACK).await);
         }
         Err(refusal) => {
-            node.note("batch_not_handed_over", json!({ "request": id, "why": refusal.message }));
+            let (why, verdict) = (refusal.message, refusal.verdict);
+            let line = json!({ "request": id, "why": why, "verdict": verdict });
+            node.note("batch_not_handed_over", line);
+            // Otherwise the record may name the successor, which then has to know of it.
+            if verdict == Verdict::NotRun {
+                return;
+            }
         }
     }
+    tell_successor(node, &successor, PeerCall::Adopt { batch: id, texts: outputs }).await;
 }
 
-/// Accepts a batch that its owner hands over to this node.
+/// Notifies the successor of a batch, a second time if the first call fails.
+async fn tell_successor<P: Platform>(node: &Node<P>, successor: &Owner, call: PeerCall) {
+    for _ in 0..2 {
+        let Err(error) = node.ask_peer(successor.address, &call, OWNER_CALL_SLACK).await else {
+            return;
+        };
+        node.note(
+            "owner_unreachable",
+            json!({ "owner": successor.node, "why": error.message,
+                    "reached": !peers::cannot_have_run(&error) }),
+        );
+    }
+}
+
+/// Accepts a batch that its owner hands over to this node; repeats the takeover while the store does
+/// not answer, because no other node would take over a batch whose record names a live owner.
 pub(crate) fn accept_handover<P: Platform>(
     node: &Rc<Node<P>>,
     batch: String,
@@ -359,8 +377,12 @@
     }
     let node = Rc::clone(node);
     tokio::task::spawn_local(async move {
-        if let Err(refusal) = take_over(&node, &batch, outputs).await {
+        while let Err(refusal) = take_over(&node, &batch, outputs.clone()).await {
             node.note("batch_untaken", json!({ "request": batch, "why": refusal.message }));
+            sleep(TAKEOVER_RETRY_PAUSE).await;
+            if node.leaving.get() {
+                break;
+            }
         }
         node.batches.takeovers.borrow_mut().swap_remove(&batch);
     });
--- a/tests/all/site/batches.rs
+++ b/tests/all/site/batches.rs
@@ -2,7 +2,7 @@
 //! fails.
 
 use super::harness::{Site, complete_output, submission, until};
-use super::store::StoreMode;
+use super::store::{LastAnswer, StoreMode};
 use super::worker::{Behaviour, Worker};
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
@@ -498,3 +498,40 @@
     assert_eq!(accepted, 202);
     assert_eq!(site.read_all(&site.nodes[other], "b2", 4).await.len(), 4);
 }
+
+// Guards against a batch without an owner: the store goes down as its owner hands it over, so the
+// successor cannot read it, or is not told because the answer to the handover's write is lost.
+#[yare::parameterized(
+    read_fails = { LastAnswer::Arrives },
+    answer_closed = { LastAnswer::ConnectionCloses },
+    answer_silent = { LastAnswer::Silent },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread"))]
+async fn a_batch_that_is_handed_over_in_an_outage_has_an_owner_soon_after_it(answer: LastAnswer) {
+    // The longest time without an owner after the store's return.
+    const OWNED_WITHIN: Duration = Duration::from_secs(2);
+    let site = Site::start(6, 3, 1).await;
+    for engine in &site.engines {
+        engine.set_pace(100, 5);
+    }
+    assert_eq!(site.submit(&site.nodes[0], "b1", &submission("b1", 6, 80, 1)).await, 202);
+    let owner = site.owner_of("b1").await;
+    let others: Vec<usize> = (0..6).filter(|number| *number != owner).collect();
+    let is_taken = || {
+        let taken = |number: &usize| !site.nodes[*number].lines("batch_taken_over").is_empty();
+        others.iter().any(taken)
+    };
+    site.store.go_down_after_write("cm/h/b1", answer);
+
+    site.nodes[owner].signal("TERM");
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    assert!(!is_taken(), "no node can take the batch over during the outage");
+    site.store.set_all_modes(StoreMode::Normal);
+    let returned_at = Instant::now();
+
+    until("another node owns the batch", || async { is_taken().then_some(()) }).await;
+    let waited = returned_at.elapsed();
+    let trails: String = site.nodes.iter().map(|node| node.audit_trail() + "\n").collect();
+    assert!(waited < OWNED_WITHIN, "without an owner for {waited:?}\n{trails}");
+    assert_complete(&site.read_all(&site.nodes[others[0]], "b1", 6).await, 80);
+}
--- a/tests/all/site/refusals.rs
+++ b/tests/all/site/refusals.rs
@@ -1,7 +1,7 @@
 //! Refused submissions: a batch whose submission was refused at every attempt never runs.
 
 use super::harness::{Node, Site, submission, until};
-use super::store::{LostAnswer, StoreMode};
+use super::store::{LastAnswer, StoreMode};
 use std::time::Duration;
 
 const ITEMS: usize = 4;
@@ -43,16 +43,16 @@
 // Guards against a refused batch that runs: its owner's write was carried out as the store went
 // down, and the node that passed the submission on answers by its own refused attempt alone.
 #[yare::parameterized(
-    closed = { LostAnswer::ConnectionCloses },
-    silent = { LostAnswer::Silent },
+    closed = { LastAnswer::ConnectionCloses },
+    silent = { LastAnswer::Silent },
 )]
 #[test_macro(tokio::test(flavor = "multi_thread"))]
-async fn a_batch_whose_owner_may_have_stored_it_is_not_refused(lost: LostAnswer) {
+async fn a_batch_whose_owner_may_have_stored_it_is_not_refused(answer: LastAnswer) {
     let site = Site::start(3, 3, 1).await;
     let owner = owner_index(&site).await;
     let others: Vec<usize> = (0..3).filter(|number| *number != owner).collect();
     let batch = submission("b2", ITEMS, 2, 1);
-    site.store.go_down_after_write("cm/h/b2", lost);
+    site.store.go_down_after_write("cm/h/b2", answer);
 
     let first = site.submit(&site.nodes[others[0]], "b2", &batch).await;
     let second = site.submit(&site.nodes[others[1]], "b2", &batch).await;
@@ -71,7 +71,7 @@
     let site = Site::start(3, 3, 1).await;
     let owner = owner_index(&site).await;
     site.store.set_mode(site.nodes[owner].store_endpoint, StoreMode::Refuses);
-    site.store.go_down_after_write("cm/h/b2", LostAnswer::ConnectionCloses);
+    site.store.go_down_after_write("cm/h/b2", LastAnswer::ConnectionCloses);
 
     let status = site.submit(&site.nodes[owner], "b2", &submission("b2", ITEMS, 2, 1)).await;
     end_outage(&site).await;
@@ -85,7 +85,7 @@
     let site = Site::start(3, 3, 1).await;
     let owner = owner_index(&site).await;
     let batch = submission("b2", ITEMS, 2, 1);
-    site.store.go_down_after_write("cm/h/b2", LostAnswer::ConnectionCloses);
+    site.store.go_down_after_write("cm/h/b2", LastAnswer::ConnectionCloses);
 
     let mut statuses = Vec::new();
     for node in [owner, owner, (owner + 1) % 3, (owner + 2) % 3] {
@@ -122,7 +122,7 @@
     let owner = owner_index(&site).await;
     let entry = (owner + 1) % site.nodes.len();
     let batch = submission("b2", ITEMS, 2, 1);
-    site.store.go_down_after_write("cm/h/b2", LostAnswer::ConnectionCloses);
+    site.store.go_down_after_write("cm/h/b2", LastAnswer::ConnectionCloses);
     site.submit(&site.nodes[entry], "b2", &batch).await;
     tokio::time::sleep(OUTAGE).await;
     site.store.set_all_modes(StoreMode::Normal);
--- a/tests/all/site/store.rs
+++ b/tests/all/site/store.rs
@@ -31,9 +31,11 @@
     Unresponsive,
 }
 
-/// How the answer to a write is lost.
+/// What becomes of the answer to the write after which the store goes down.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum LostAnswer {
+pub(crate) enum LastAnswer {
+    /// It is sent.
+    Arrives,
     /// The connection is closed.
     ConnectionCloses,
     /// Nothing arrives, and the connection stays open.
@@ -57,8 +59,8 @@
     /// History up to this revision is dropped.
     compacted: u64,
     modes: Vec<Option<StoreMode>>,
-    /// The prefix of the key whose next write starts an outage, and how its answer is lost.
-    goes_down_after: Option<(String, LostAnswer)>,
+    /// The prefix of the key whose next write starts an outage, and what becomes of its answer.
+    goes_down_after: Option<(String, LastAnswer)>,
     history: Vec<(u64, String, Option<Item>)>,
     items: BTreeMap<String, Item>,
     /// The TTL and the expiry of each lease.
@@ -154,10 +156,10 @@
         self.state().modes[endpoint] = Some(mode);
     }
 
-    /// Carries out the next transaction that creates a key under `prefix` without answering it;
-    /// from then on all endpoints refuse until their mode is set.
-    pub(crate) fn go_down_after_write(&self, prefix: &str, lost: LostAnswer) {
-        self.state().goes_down_after = Some((prefix.to_owned(), lost));
+    /// Carries out the next transaction that writes a key under `prefix`; from then on all
+    /// endpoints refuse until their mode is set.
+    pub(crate) fn go_down_after_write(&self, prefix: &str, answer: LastAnswer) {
+        self.state().goes_down_after = Some((prefix.to_owned(), answer));
     }
 
     /// Changes how the store answers at all endpoints.
@@ -278,7 +280,7 @@
         let query = head.uri.query().unwrap_or_default().to_owned();
         let body: Value = serde_json::from_slice(&body).unwrap_or(Value::Null);
         let id = head.uri.path().rsplit('/').next().and_then(|id| id.parse().ok()).unwrap_or(0);
-        let lost_answer = if name == "kv-txn" { self.start_outage(&body) } else { None };
+        let last_answer = if name == "kv-txn" { self.start_outage(&body) } else { None };
         let (status, value) = match name.as_str() {
             "kv-watch" => {
                 let changes = self.watch(&query).await?;
@@ -295,31 +297,29 @@
             _ => self.lease(&name, id, &body),
         };
         let closes = mode == StoreMode::LosesWriteAnswers && name == "kv-txn";
-        if closes || lost_answer == Some(LostAnswer::ConnectionCloses) {
+        if closes || last_answer == Some(LastAnswer::ConnectionCloses) {
             return None;
         }
         let is_silent = mode == StoreMode::LeavesWritesUnanswered && name == "kv-txn";
-        if is_silent || lost_answer == Some(LostAnswer::Silent) {
+        if is_silent || last_answer == Some(LastAnswer::Silent) {
             std::future::pending::<()>().await;
         }
         Some(answer(status, value.to_string()))
     }
 
     /// Starts the outage that [`Self::go_down_after_write`] has announced, if a transaction is the
-    /// one that it waits for. Returns how the answer is lost.
-    fn start_outage(&self, transaction: &Value) -> Option<LostAnswer> {
+    /// one that it waits for. Returns what becomes of its answer.
+    fn start_outage(&self, transaction: &Value) -> Option<LastAnswer> {
         let mut state = self.state();
-        let (prefix, lost) = state.goes_down_after.clone()?;
-        let is_created = |put: &Value| {
-            let key = put["key"].as_str().unwrap_or_default();
-            key.starts_with(&prefix) && !state.items.contains_key(key)
-        };
-        if !transaction["puts"].as_array().is_some_and(|puts| puts.iter().any(is_created)) {
+        let (prefix, answer) = state.goes_down_after.clone()?;
+        let key = |put: &Value| put["key"].as_str().unwrap_or_default().to_owned();
+        let mut puts = transaction["puts"].as_array().into_iter().flatten();
+        if !puts.any(|put| key(put).starts_with(&prefix)) {
             return None;
         }
         state.goes_down_after = None;
         state.modes.fill(Some(StoreMode::Refuses));
-        Some(lost)
+        Some(answer)
     }
 
     fn key(&self, query: &str) -> (u16, Value) {
