A batch whose owner does not know of it is found when it is read

Callers saw (in a test): a trainer whose submission was answered 504 reads its batch after the outage; the store has the batch, and nobody runs it.

The node that is asked for results finds the record, hears from the owner that it owns no such batch, and answers with the results in the store, of which there will never be one.

Change: a node that learns so while it reads wakes the owner, as a node does that finds the record of a batch submitted again. An end does not: it writes the record itself.

--- a/crates/serve/src/batches/accept.rs
+++ b/crates/serve/src/batches/accept.rs
@@ -312,7 +312,7 @@
             };
             start_owning(node, id, source, accepted_at, 0, &[]);
         } else {
-            if !stored.ended && node.batches.get(id).is_none() {
+            if !stored.ended {
                 wake_owner(node, id, &stored.owner);
             }
             node.batches.note_owner(id, stored.owner);
@@ -323,9 +323,12 @@
 
 /// Makes the owner that the store names run the batch: it may not know that its own write was
 /// committed.
-fn wake_owner<P: Platform>(node: &Rc<Node<P>>, id: &str, owner: &Owner) {
+pub(super) fn wake_owner<P: Platform>(node: &Rc<Node<P>>, id: &str, owner: &Owner) {
     if peers::me(node).is_some_and(|me| is_own_incarnation(&me, owner)) {
-        return start_takeover(node, id);
+        if node.batches.get(id).is_none() {
+            start_takeover(node, id);
+        }
+        return;
     }
     let call = PeerCall::Adopt { batch: id.to_owned(), texts: Vec::new() };
     let (node, id, owner) = (Rc::clone(node), id.to_owned(), owner.clone());
--- a/crates/serve/src/batches/end.rs
+++ b/crates/serve/src/batches/end.rs
@@ -108,8 +108,10 @@
         OwnerReply::Answer(_) => {
             return Lookup::Unavailable("the owner could not write it".to_owned());
         }
-        OwnerReply::Record(record, _) if !scope.covers(&record.origin) => return Lookup::Missing,
-        OwnerReply::Record(record, revision) => (record, revision),
+        OwnerReply::Record { record, .. } if !scope.covers(&record.origin) => {
+            return Lookup::Missing;
+        }
+        OwnerReply::Record { record, revision, .. } => (record, revision),
         OwnerReply::Unavailable(why) => return Lookup::Unavailable(why),
     };
     if record.ended {
--- a/crates/serve/src/batches/read.rs
+++ b/crates/serve/src/batches/read.rs
@@ -1,5 +1,6 @@
 //! Reads of results and item bodies, of any batch at any node.
 
+use super::accept::wake_owner;
 use super::keys::{Record, Scope, chunk_prefix, decode_chunks, read_record, read_stored_batch};
 use crate::clock;
 use crate::feed;
@@ -88,8 +89,15 @@
         }
         OwnerReply::Answer(PeerAnswer::NoBatch) | OwnerReply::Missing => return Lookup::Missing,
         OwnerReply::Answer(_) => return Lookup::Unavailable("the owner cannot tell".to_owned()),
-        OwnerReply::Record(record, _) if !scope.covers(&record.origin) => return Lookup::Missing,
-        OwnerReply::Record(record, _) => record,
+        OwnerReply::Record { record, .. } if !scope.covers(&record.origin) => {
+            return Lookup::Missing;
+        }
+        OwnerReply::Record { is_unowned, record, .. } => {
+            if is_unowned {
+                wake_owner(node, batch, &record.owner);
+            }
+            record
+        }
         OwnerReply::Unavailable(why) => return Lookup::Unavailable(why),
     };
     match feed::read_all(node, &chunk_prefix(batch)).await {
@@ -122,9 +130,14 @@
 /// The outcome of a call to a batch's owner.
 pub(super) enum OwnerReply {
     Answer(PeerAnswer),
-    /// The owner cannot be reached or is not the owner; this is the batch's record and its
-    /// revision.
-    Record(Record, u64),
+    /// The owner cannot be reached or is not the owner.
+    Record {
+        /// Whether the owner that the store names says that it is not the owner.
+        is_unowned: bool,
+        record: Record,
+        /// The revision of the record.
+        revision: u64,
+    },
     Missing,
     Unavailable(String),
 }
@@ -138,10 +151,13 @@
 ) -> OwnerReply {
     let max = Duration::from_millis(wait_ms) + OWNER_CALL_SLACK;
     let known_owner = node.batches.owner_of(batch);
-    if let Some(owner) = &known_owner
-        && let Some(answer) = call_owner(node, owner, call, max).await
-    {
-        return OwnerReply::Answer(answer);
+    let mut denied_by = None;
+    if let Some(owner) = &known_owner {
+        match call_owner(node, owner, call, max).await {
+            OwnerCall::Answered(answer) => return OwnerReply::Answer(answer),
+            OwnerCall::Denied => denied_by = Some(owner.clone()),
+            OwnerCall::Unreached => {}
+        }
     }
     let (record, revision) = match read_record(node, batch).await {
         Ok(Some(found)) => found,
@@ -149,38 +165,49 @@
         Err(refusal) => return OwnerReply::Unavailable(refusal.message),
     };
     node.batches.note_owner(batch, record.owner.clone());
-    if known_owner.as_ref() != Some(&record.owner)
-        && let Some(answer) = call_owner(node, &record.owner, call, max).await
-    {
-        return OwnerReply::Answer(answer);
+    if known_owner.as_ref() != Some(&record.owner) {
+        match call_owner(node, &record.owner, call, max).await {
+            OwnerCall::Answered(answer) => return OwnerReply::Answer(answer),
+            OwnerCall::Denied => denied_by = Some(record.owner.clone()),
+            OwnerCall::Unreached => {}
+        }
     }
-    OwnerReply::Record(record, revision)
+    let is_unowned = !record.ended && denied_by.as_ref() == Some(&record.owner);
+    OwnerReply::Record { is_unowned, record, revision }
+}
+
+/// The outcome of a call to an owner.
+enum OwnerCall {
+    Answered(PeerAnswer),
+    /// It says that it does not own the batch.
+    Denied,
+    /// It is dead or does not answer.
+    Unreached,
 }
 
-/// Calls an owner; none if it is this node or dead, does not answer, or says that it is not the
-/// owner.
-pub(super) async fn call_owner<P: Platform>(
+/// Calls an owner. This node itself is called before, see [`read_owned`].
+async fn call_owner<P: Platform>(
     node: &Rc<Node<P>>,
     owner: &Owner,
     call: &PeerCall,
     max: Duration,
-) -> Option<PeerAnswer> {
+) -> OwnerCall {
     if peers::me(node).as_ref() == Some(owner) {
-        return None;
+        return OwnerCall::Denied;
     }
     if peers::owner_status(node, owner) == OwnerStatus::Ended {
-        return None;
+        return OwnerCall::Unreached;
     }
     match node.ask_peer(owner.address, call, max).await {
-        Ok(PeerAnswer::NotOwner) => None,
-        Ok(answer) => Some(answer),
+        Ok(PeerAnswer::NotOwner) => OwnerCall::Denied,
+        Ok(answer) => OwnerCall::Answered(answer),
         Err(error) => {
             node.note(
                 "owner_unreachable",
                 json!({ "owner": owner.node, "why": error.message,
                         "reached": !peers::cannot_have_run(&error) }),
             );
-            None
+            OwnerCall::Unreached
         }
     }
 }
@@ -225,8 +252,8 @@
         }
         OwnerReply::Answer(_) => Lookup::Unavailable("the owner cannot tell".to_owned()),
         OwnerReply::Unavailable(why) => Lookup::Unavailable(why),
-        OwnerReply::Record(record, _) if !scope.covers(&record.origin) => Lookup::Missing,
-        OwnerReply::Record(..) => match read_stored_batch(node, batch).await {
+        OwnerReply::Record { record, .. } if !scope.covers(&record.origin) => Lookup::Missing,
+        OwnerReply::Record { .. } => match read_stored_batch(node, batch).await {
             Ok(kept) => kept
                 .submission
                 .items
--- a/tests/all/site/refusals.rs
+++ b/tests/all/site/refusals.rs
@@ -136,3 +136,19 @@
     assert_eq!(status, 202);
     assert_eq!(site.read_all(&site.nodes[entry], "b2", ITEMS).await.len(), ITEMS);
 }
+
+// Guards against a batch that nobody runs: its owner's write was carried out and not answered, and
+// its trainer, whose own answer was lost, reads results without submitting it again.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_batch_whose_owner_knows_of_no_record_runs_when_it_is_read() {
+    let site = Site::start(6, 3, 1).await;
+    let owner = owner_index(&site).await;
+    let entry = (owner + 1) % site.nodes.len();
+    site.store.go_down_after_write("cm/h/b2", LastAnswer::ConnectionCloses);
+    site.submit(&site.nodes[entry], "b2", &submission("b2", ITEMS, 2, 1)).await;
+    tokio::time::sleep(OUTAGE).await;
+
+    site.store.set_all_modes(StoreMode::Normal);
+
+    assert_eq!(site.read_all(&site.nodes[entry], "b2", ITEMS).await.len(), ITEMS);
+}
