An end that may have stopped its batch is not answered 503

Callers saw (in a test): an end is answered 503, which promises that it has not run and will not, although its batch is stopped and the end may be in the store.

Cause: the class of the refused batches that run. Each call about a batch that got no certain answer was answered like a read that may be repeated. For an end that is wrong: the owner stops the batch before it writes the end, the write may have been carried out, and the verdict of a call to the owner is not kept.

Change: such an end is answered 504 with the time to come back.

Before -> after: site::refusals::an_end_that_may_have_stopped_its_batch_is_not_refused (unanswered, refused): [503, 503] -> pass.

--- a/crates/serve/src/batch_calls.rs
+++ b/crates/serve/src/batch_calls.rs
@@ -33,6 +33,7 @@
             return end_with_error(node, id.as_deref(), None, &ErrorAnswer::of(refusal));
         }
     };
+    let is_end = matches!(call, BatchCall::End { .. });
     let (batch, call_name, result) = match call {
         BatchCall::Read { after, batch, wait_ms } => {
             let found = batches::read(node, &batch, &scope, after, wait_ms).await;
@@ -65,7 +66,13 @@
                 "batch_call_unsure",
                 json!({ "request": batch, "call": call_name, "why": why, "ms": ms }),
             );
-            ErrorAnswer::not_run(why, RETRY_AFTER_MS).answer()
+            let error_answer = if is_end {
+                // The batch may be stopped already, and its end written.
+                ErrorAnswer::unconfirmed(why, RETRY_AFTER_MS)
+            } else {
+                ErrorAnswer::not_run(why, RETRY_AFTER_MS)
+            };
+            error_answer.answer()
         }
     }
 }
--- a/tests/all/site/refusals.rs
+++ b/tests/all/site/refusals.rs
@@ -96,6 +96,29 @@
     assert!(!statuses.iter().copied().any(is_refusal), "{statuses:?}\n{}", trails(&site));
 }
 
+// Guards against a refusal of an end that stops the batch: the end was written and not answered, or
+// the owner has stopped the batch before the store refused the write.
+#[yare::parameterized(
+    unanswered = { Some(LastAnswer::ConnectionCloses) },
+    refused = { None },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread"))]
+async fn an_end_that_may_have_stopped_its_batch_is_not_refused(answer: Option<LastAnswer>) {
+    let site = Site::start(3, 3, 1).await;
+    let owner = owner_index(&site).await;
+    match answer {
+        Some(answer) => site.store.go_down_after_write("cm/h/b1", answer),
+        None => site.store.set_all_modes(StoreMode::Refuses),
+    }
+
+    let mut statuses = Vec::new();
+    for node in [(owner + 1) % 3, owner] {
+        statuses.push(site.end(&site.nodes[node], "b1").await);
+    }
+
+    assert!(!statuses.iter().copied().any(is_refusal), "{statuses:?}\n{}", trails(&site));
+}
+
 // Guards against a true refusal that is lost with the fix: nothing was written, and nothing runs.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_batch_that_the_store_refused_on_every_way_is_refused_and_never_runs() {
