--- a/tests/all/site/batches.rs
+++ b/tests/all/site/batches.rs
@@ -2,7 +2,7 @@
 //! fails.
 
 use super::harness::{Site, complete_output, submission, until};
-use super::store::{LastAnswer, StoreMode};
+use super::store::{LastWrite, Outage, StoreMode};
 use super::worker::{Behaviour, Worker};
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
@@ -502,12 +502,12 @@
 // Guards against a batch without an owner: the store goes down as its owner hands it over, so the
 // successor cannot read it, or is not told because the answer to the handover's write is lost.
 #[yare::parameterized(
-    read_fails = { LastAnswer::Arrives },
-    answer_closed = { LastAnswer::ConnectionCloses },
-    answer_silent = { LastAnswer::Silent },
+    read_fails = { LastWrite::Answered },
+    answer_closed = { LastWrite::Closed },
+    answer_silent = { LastWrite::Silent },
 )]
 #[test_macro(tokio::test(flavor = "multi_thread"))]
-async fn a_batch_that_is_handed_over_in_an_outage_has_an_owner_soon_after_it(answer: LastAnswer) {
+async fn a_batch_that_is_handed_over_in_an_outage_has_an_owner_soon_after_it(write: LastWrite) {
     // The longest time without an owner after the store's return.
     const OWNED_WITHIN: Duration = Duration::from_secs(2);
     let site = Site::start(6, 3, 1).await;
@@ -521,12 +521,13 @@
         let taken = |number: &usize| !site.nodes[*number].lines("batch_taken_over").is_empty();
         others.iter().any(taken)
     };
-    site.store.go_down_after_write("cm/h/b1", answer);
+    let outage = Outage { needs_creation: false, write, ..Outage::default() };
+    site.store.go_down_after_write_with("cm/h/b1", outage);
 
     site.nodes[owner].signal("TERM");
     tokio::time::sleep(Duration::from_secs(2)).await;
     assert!(!is_taken(), "no node can take the batch over during the outage");
-    site.store.set_all_modes(StoreMode::Normal);
+    site.store.end_outage();
     let returned_at = Instant::now();
 
     until("another node owns the batch", || async { is_taken().then_some(()) }).await;
--- a/tests/all/site/refusals.rs
+++ b/tests/all/site/refusals.rs
@@ -1,7 +1,7 @@
 //! Refused submissions: a batch whose submission was refused at every attempt never runs.
 
 use super::harness::{Node, Site, submission, until};
-use super::store::{LastAnswer, StoreMode};
+use super::store::{LastWrite, Outage, StoreMode};
 use std::time::Duration;
 
 const ITEMS: usize = 4;
@@ -21,7 +21,7 @@
 /// Ends an outage that has lasted for [`OUTAGE`], and waits for what runs then.
 async fn end_outage(site: &Site) {
     tokio::time::sleep(OUTAGE).await;
-    site.store.set_all_modes(StoreMode::Normal);
+    site.store.end_outage();
     tokio::time::sleep(WATCHED).await;
 }
 
@@ -43,16 +43,16 @@
 // Guards against a refused batch that runs: its owner's write was carried out as the store went
 // down, and the node that passed the submission on answers by its own refused attempt alone.
 #[yare::parameterized(
-    closed = { LastAnswer::ConnectionCloses },
-    silent = { LastAnswer::Silent },
+    closed = { LastWrite::Closed },
+    silent = { LastWrite::Silent },
 )]
 #[test_macro(tokio::test(flavor = "multi_thread"))]
-async fn a_batch_whose_owner_may_have_stored_it_is_not_refused(answer: LastAnswer) {
+async fn a_batch_whose_owner_may_have_stored_it_is_not_refused(write: LastWrite) {
     let site = Site::start(3, 3, 1).await;
     let owner = owner_index(&site).await;
     let others: Vec<usize> = (0..3).filter(|number| *number != owner).collect();
     let batch = submission("b2", ITEMS, 2, 1);
-    site.store.go_down_after_write("cm/h/b2", answer);
+    site.store.go_down_after_write_with("cm/h/b2", Outage { write, ..Outage::default() });
 
     let first = site.submit(&site.nodes[others[0]], "b2", &batch).await;
     let second = site.submit(&site.nodes[others[1]], "b2", &batch).await;
@@ -71,7 +71,7 @@
     let site = Site::start(3, 3, 1).await;
     let owner = owner_index(&site).await;
     site.store.set_mode(site.nodes[owner].store_endpoint, StoreMode::Refuses);
-    site.store.go_down_after_write("cm/h/b2", LastAnswer::ConnectionCloses);
+    site.store.go_down_after_write("cm/h/b2");
 
     let status = site.submit(&site.nodes[owner], "b2", &submission("b2", ITEMS, 2, 1)).await;
     end_outage(&site).await;
@@ -85,7 +85,7 @@
     let site = Site::start(3, 3, 1).await;
     let owner = owner_index(&site).await;
     let batch = submission("b2", ITEMS, 2, 1);
-    site.store.go_down_after_write("cm/h/b2", LastAnswer::ConnectionCloses);
+    site.store.go_down_after_write("cm/h/b2");
 
     let mut statuses = Vec::new();
     for node in [owner, owner, (owner + 1) % 3, (owner + 2) % 3] {
@@ -99,15 +99,18 @@
 // Guards against a refusal of an end that stops the batch: the end was written and not answered, or
 // the owner has stopped the batch before the store refused the write.
 #[yare::parameterized(
-    unanswered = { Some(LastAnswer::ConnectionCloses) },
+    unanswered = { Some(LastWrite::Closed) },
     refused = { None },
 )]
 #[test_macro(tokio::test(flavor = "multi_thread"))]
-async fn an_end_that_may_have_stopped_its_batch_is_not_refused(answer: Option<LastAnswer>) {
+async fn an_end_that_may_have_stopped_its_batch_is_not_refused(write: Option<LastWrite>) {
     let site = Site::start(3, 3, 1).await;
     let owner = owner_index(&site).await;
-    match answer {
-        Some(answer) => site.store.go_down_after_write("cm/h/b1", answer),
+    match write {
+        Some(write) => {
+            let outage = Outage { needs_creation: false, write, ..Outage::default() };
+            site.store.go_down_after_write_with("cm/h/b1", outage);
+        }
         None => site.store.set_all_modes(StoreMode::Refuses),
     }
 
@@ -145,10 +148,10 @@
     let owner = owner_index(&site).await;
     let entry = (owner + 1) % site.nodes.len();
     let batch = submission("b2", ITEMS, 2, 1);
-    site.store.go_down_after_write("cm/h/b2", LastAnswer::ConnectionCloses);
+    site.store.go_down_after_write("cm/h/b2");
     site.submit(&site.nodes[entry], "b2", &batch).await;
     tokio::time::sleep(OUTAGE).await;
-    site.store.set_all_modes(StoreMode::Normal);
+    site.store.end_outage();
 
     let status = until("it is accepted", || async {
         let status = site.submit(&site.nodes[entry], "b2", &batch).await;
@@ -167,11 +170,11 @@
     let site = Site::start(6, 3, 1).await;
     let owner = owner_index(&site).await;
     let entry = (owner + 1) % site.nodes.len();
-    site.store.go_down_after_write("cm/h/b2", LastAnswer::ConnectionCloses);
+    site.store.go_down_after_write("cm/h/b2");
     site.submit(&site.nodes[entry], "b2", &submission("b2", ITEMS, 2, 1)).await;
     tokio::time::sleep(OUTAGE).await;
 
-    site.store.set_all_modes(StoreMode::Normal);
+    site.store.end_outage();
 
     assert_eq!(site.read_all(&site.nodes[entry], "b2", ITEMS).await.len(), ITEMS);
 }
--- a/tests/all/site/store.rs
+++ b/tests/all/site/store.rs
@@ -17,6 +17,8 @@
 /// How the store answers at an endpoint.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum StoreMode {
+    /// Carries out no call, and closes their connections without an answer.
+    Closes,
     /// Writes are neither carried out nor answered; their connections are closed.
     DropsWrites,
     /// Writes are carried out, and their connections are closed without an answer.
@@ -31,17 +33,47 @@
     Unresponsive,
 }
 
-/// What becomes of the answer to the write after which the store goes down.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum LastAnswer {
-    /// It is sent.
-    Arrives,
-    /// The connection is closed.
-    ConnectionCloses,
-    /// Nothing arrives, and the connection stays open.
+/// What becomes of the write with which an outage begins.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(crate) enum LastWrite {
+    /// It is carried out and answered.
+    Answered,
+    /// It is carried out, and its connection is closed.
+    #[default]
+    Closed,
+    /// Its connection is closed, and it is carried out after this time if its conditions hold then.
+    Late(Duration),
+    /// It is carried out, and its connection stays open.
     Silent,
 }
 
+/// An outage that begins with a write. By default all endpoints refuse all calls.
+#[derive(Clone, Debug)]
+pub(crate) struct Outage {
+    /// How the endpoints answer that do not go on as before.
+    pub(crate) mode: StoreMode,
+    /// Whether only the creation of a key begins it, not a change.
+    pub(crate) needs_creation: bool,
+    /// Whether leases do not expire during the outage.
+    pub(crate) pauses_leases: bool,
+    /// The endpoints that go on as before.
+    pub(crate) spared: Vec<usize>,
+    pub(crate) write: LastWrite,
+}
+
+impl Default for Outage {
+    fn default() -> Self {
+        let write = LastWrite::default();
+        Self {
+            mode: StoreMode::Refuses,
+            needs_creation: true,
+            pauses_leases: false,
+            spared: Vec::new(),
+            write,
+        }
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Item {
     created: u64,
@@ -59,12 +91,13 @@
     /// History up to this revision is dropped.
     compacted: u64,
     modes: Vec<Option<StoreMode>>,
-    /// The prefix of the key whose next write starts an outage, and what becomes of its answer.
-    goes_down_after: Option<(String, LastAnswer)>,
     history: Vec<(u64, String, Option<Item>)>,
     items: BTreeMap<String, Item>,
     /// The TTL and the expiry of each lease.
     leases: BTreeMap<u64, (Duration, Instant)>,
+    leases_paused_at: Option<Instant>,
+    /// The prefix of the keys whose next write begins an outage.
+    next_outage: Option<(String, Outage)>,
     revision: u64,
     /// Raised to cut all watches.
     watch_epoch: u64,
@@ -96,7 +129,27 @@
         }
     }
 
+    /// Begins the outage that waits for a transaction with these puts, if there is one.
+    fn begin_outage(&mut self, puts: &[Value]) -> Option<LastWrite> {
+        let key = |put: &Value| put["key"].as_str().unwrap_or_default().to_owned();
+        let (_, outage) = self.next_outage.take_if(|(prefix, outage)| {
+            let mut keys = puts.iter().map(key).filter(|key| key.starts_with(prefix.as_str()));
+            keys.any(|key| !outage.needs_creation || !self.items.contains_key(&key))
+        })?;
+        for (endpoint, mode) in self.modes.iter_mut().enumerate() {
+            if !outage.spared.contains(&endpoint) {
+                *mode = Some(outage.mode);
+            }
+        }
+        self.leases_paused_at = outage.pauses_leases.then(Instant::now);
+        self.watch_epoch += 1;
+        Some(outage.write)
+    }
+
     fn expire_leases(&mut self) {
+        if self.leases_paused_at.is_some() {
+            return;
+        }
         let now = Instant::now();
         let over: Vec<u64> = self
             .leases
@@ -156,17 +209,40 @@
         self.state().modes[endpoint] = Some(mode);
     }
 
-    /// Carries out the next transaction that writes a key under `prefix`; from then on all
-    /// endpoints refuse until their mode is set.
-    pub(crate) fn go_down_after_write(&self, prefix: &str, answer: LastAnswer) {
-        self.state().goes_down_after = Some((prefix.to_owned(), answer));
-    }
-
     /// Changes how the store answers at all endpoints.
     pub(crate) fn set_all_modes(&self, mode: StoreMode) {
         self.state().modes.fill(Some(mode));
     }
 
+    /// Lets an outage begin with the next transaction that creates a key under `prefix`: it is
+    /// carried out, its connection is closed without an answer, and all endpoints refuse all calls
+    /// from then on.
+    pub(crate) fn go_down_after_write(&self, prefix: &str) {
+        self.go_down_after_write_with(prefix, Outage::default());
+    }
+
+    /// Like [`Self::go_down_after_write`], with another kind of outage.
+    pub(crate) fn go_down_after_write_with(&self, prefix: &str, outage: Outage) {
+        self.state().next_outage = Some((prefix.to_owned(), outage));
+    }
+
+    /// Returns whether an outage still waits for its write.
+    pub(crate) fn awaits_outage(&self) -> bool {
+        self.state().next_outage.is_some()
+    }
+
+    /// Ends an outage, or prevents the next one if it has not begun. All endpoints answer normally.
+    pub(crate) fn end_outage(&self) {
+        let mut state = self.state();
+        state.next_outage = None;
+        state.modes.fill(Some(StoreMode::Normal));
+        if let Some(paused_at) = state.leases_paused_at.take() {
+            for (_, expires_at) in state.leases.values_mut() {
+                *expires_at += paused_at.elapsed();
+            }
+        }
+    }
+
     /// Writes a key, as an operator or a worker does.
     pub(crate) fn put(&self, key: &str, value: &Value) {
         let mut state = self.state();
@@ -271,6 +347,7 @@
         match mode {
             StoreMode::Refuses => return Some(answer(503, "")),
             StoreMode::Unresponsive => std::future::pending().await,
+            StoreMode::Closes => return None,
             StoreMode::DropsWrites if name == "kv-txn" => return None,
             StoreMode::Normal
             | StoreMode::LosesWriteAnswers
@@ -280,7 +357,6 @@
         let query = head.uri.query().unwrap_or_default().to_owned();
         let body: Value = serde_json::from_slice(&body).unwrap_or(Value::Null);
         let id = head.uri.path().rsplit('/').next().and_then(|id| id.parse().ok()).unwrap_or(0);
-        let last_answer = if name == "kv-txn" { self.start_outage(&body) } else { None };
         let (status, value) = match name.as_str() {
             "kv-watch" => {
                 let changes = self.watch(&query).await?;
@@ -293,35 +369,22 @@
             }
             "kv-key" => self.key(&query),
             "kv-range" => self.range(&query),
-            "kv-txn" => self.transaction(&body),
+            "kv-txn" => match self.transaction(&body) {
+                Ok(answer) => answer,
+                Err(LastWrite::Silent) => std::future::pending().await,
+                Err(_) => return None,
+            },
             _ => self.lease(&name, id, &body),
         };
-        let closes = mode == StoreMode::LosesWriteAnswers && name == "kv-txn";
-        if closes || last_answer == Some(LastAnswer::ConnectionCloses) {
+        if mode == StoreMode::LosesWriteAnswers && name == "kv-txn" {
             return None;
         }
-        let is_silent = mode == StoreMode::LeavesWritesUnanswered && name == "kv-txn";
-        if is_silent || last_answer == Some(LastAnswer::Silent) {
+        if mode == StoreMode::LeavesWritesUnanswered && name == "kv-txn" {
             std::future::pending::<()>().await;
         }
         Some(answer(status, value.to_string()))
     }
 
-    /// Starts the outage that [`Self::go_down_after_write`] has announced, if a transaction is the
-    /// one that it waits for. Returns what becomes of its answer.
-    fn start_outage(&self, transaction: &Value) -> Option<LastAnswer> {
-        let mut state = self.state();
-        let (prefix, answer) = state.goes_down_after.clone()?;
-        let key = |put: &Value| put["key"].as_str().unwrap_or_default().to_owned();
-        let mut puts = transaction["puts"].as_array().into_iter().flatten();
-        if !puts.any(|put| key(put).starts_with(&prefix)) {
-            return None;
-        }
-        state.goes_down_after = None;
-        state.modes.fill(Some(StoreMode::Refuses));
-        Some(answer)
-    }
-
     fn key(&self, query: &str) -> (u16, Value) {
         let state = self.state();
         let key = parameter(query, "key");
@@ -385,7 +448,7 @@
         }
     }
 
-    fn transaction(&self, body: &Value) -> (u16, Value) {
+    fn transaction(&self, body: &Value) -> Result<(u16, Value), LastWrite> {
         let mut state = self.state();
         let rows = body["expected"].as_array().cloned().unwrap_or_default();
         let held = |state: &State, key: &str| state.items.get(key).map_or(0, |item| item.revision);
@@ -398,12 +461,23 @@
                     None => json!({ "key": key(row), "revision": 0 }),
                 })
                 .collect();
-            return (412, json!({ "items": items }));
+            return Ok((412, json!({ "items": items })));
         }
         let puts = body["puts"].as_array().cloned().unwrap_or_default();
         let lease = |put: &Value| put["lease"].as_u64().unwrap_or(0);
         if puts.iter().any(|put| lease(put) != 0 && !state.leases.contains_key(&lease(put))) {
-            return (404, json!({}));
+            return Ok((404, json!({})));
+        }
+        let last_write = state.begin_outage(&puts);
+        if let Some(LastWrite::Late(delay)) = last_write {
+            let (store, body) = (self.clone(), body.clone());
+            tokio::spawn(async move {
+                tokio::time::sleep(delay).await;
+                store.transaction(&body)
+            });
+            drop(state);
+            self.changed.notify_waiters();
+            return Err(LastWrite::Late(delay));
         }
         state.revision += 1;
         for put in &puts {
@@ -416,7 +490,10 @@
         let revision = state.revision;
         drop(state);
         self.changed.notify_waiters();
-        (200, json!({ "revision": revision }))
+        match last_write {
+            None | Some(LastWrite::Answered) => Ok((200, json!({ "revision": revision }))),
+            Some(unanswered) => Err(unanswered),
+        }
     }
 
     fn lease(&self, name: &str, id: u64, body: &Value) -> (u16, Value) {
