Items and scoring calls are not blocked by crashes of targets

What callers saw: an item of a batch that ran on three engines that crashed within two seconds was sent to no engine for ten minutes, though all was calm and engines idle; its step ran out of time. Each later item with its path and body shared its fate, also under another owner. So did scoring calls.

Cause: the quarantine takes three ends of targets under one fingerprint for certain if nothing else explains them. That holds for a request that crashes its targets, and also for an item that is interrupted by a burst of crashes: it goes on at another engine within 100 ms and meets the next crash. Work that is handed in for later never crashes targets by itself (the users' newest words), so that it is no suspect.

Ruled out: the back-off of targets (3.2 s at most), the group's preferred engine, cold and evacuated engines: the trail says "barred" each second until the step ends.

Change: a request has a source. Requests of batches (items, second runs, scoring calls) are not recorded as interrupted and are admitted whatever was recorded, also by nodes of an earlier build, in facts or in the store. Calls and streams are guarded as before; an answer to an item still clears a caller's request with the same content.

Tests: an_item_under_which_three_engines_ended_is_run_to_its_end, a_scoring_call_under_which_three_targets_ended_gets_its_score, a_new_owner_runs_an_item_under_which_three_engines_ended and stored_evidence_stops_neither_items_nor_scoring_calls failed before: no result within 4 s (12 s after the loss of the owner). The test with a restart of all nodes passed before, too: the item runs before the records are read.

--- a/crates/quarantine/src/interrupted.rs
+++ b/crates/quarantine/src/interrupted.rs
@@ -1,6 +1,6 @@
 //! Requests whose connection broke, until it is known whether their target ended.
 
-use crate::{Fingerprint, TargetIncarnation};
+use crate::{Fingerprint, RequestSource, TargetIncarnation};
 use catkinmast_model::UnixMs;
 
 /// How long a request waits for its target's outcome: the registry drops a dead target's entry
@@ -55,13 +55,17 @@
 impl InterruptedRequests {
     /// Records a request whose connection broke. Returns whether no other request waits for
     /// this incarnation of its target, in which case the caller should check whether the target is
-    /// still up.
+    /// still up. A request that cannot be the cause is not recorded.
     pub fn record(
         &mut self,
         now: UnixMs,
+        source: RequestSource,
         fingerprint: Fingerprint,
         incarnation: &TargetIncarnation,
     ) -> bool {
+        if !source.may_crash_targets() {
+            return false;
+        }
         self.0.retain(|request| request.until > now);
         let is_first = self.0.iter().all(|request| request.incarnation != *incarnation);
         if self.0.len() < WAITING_MAX {
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -2,6 +2,8 @@
 //!
 //! - [`Fingerprint`]: a digest of a request's content, the same under any request id and at any
 //!   node.
+//! - [`RequestSource`]: whether a caller waits for a request, or it belongs to a batch, whose
+//!   requests are exempt.
 //! - [`TargetIncarnation`]: one run of a target's process, so that each crash counts once.
 //! - [`InterruptedRequests`]: requests whose connection broke, until it is known whether the target
 //!   ended.
@@ -18,9 +20,11 @@
 mod incarnation;
 mod interrupted;
 mod quarantine;
+mod source;
 
 pub use evidence::Evidence;
 pub use fingerprint::Fingerprint;
 pub use incarnation::TargetIncarnation;
 pub use interrupted::{InterruptedRequests, TargetOutcome};
 pub use quarantine::{BLOCK_THRESHOLD, Quarantine, RequestStatus};
+pub use source::RequestSource;
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -19,7 +19,7 @@
 //!   one node for the whole fleet, and the delay doubles with each further end, up to 128-fold
 //!   (about 21 hours).
 
-use crate::{Evidence, Fingerprint, TargetIncarnation};
+use crate::{Evidence, Fingerprint, RequestSource, TargetIncarnation};
 use catkinmast_model::UnixMs;
 use indexmap::IndexMap;
 use std::cmp::Ordering;
@@ -116,7 +116,23 @@
         self.evidence.entry(fingerprint).or_default().merge(evidence)
     }
 
-    /// Returns whether a request may be sent to a target at `now`.
+    /// Returns whether a request from this source may be sent to a target at `now`. There may be
+    /// evidence against a batch's request from a caller's request with the same content, or from
+    /// nodes of an earlier build; it is ignored.
+    pub fn admission(
+        &self,
+        now: UnixMs,
+        source: RequestSource,
+        fingerprint: Fingerprint,
+    ) -> RequestStatus {
+        if source.may_crash_targets() {
+            self.status(now, fingerprint)
+        } else {
+            RequestStatus::Allowed
+        }
+    }
+
+    /// Returns whether a caller's request may be sent to a target at `now`.
     pub fn status(&self, now: UnixMs, fingerprint: Fingerprint) -> RequestStatus {
         let Some(evidence) = self.evidence.get(&fingerprint) else { return RequestStatus::Allowed };
         let ends = evidence.unrefuted_count();
--- a/crates/serve/src/caller.rs
+++ b/crates/serve/src/caller.rs
@@ -13,6 +13,7 @@
 use bytes::Bytes;
 use catkinmast_dispatch::{Document, Route, RouteKind};
 use catkinmast_model::{UnixMs, Verdict};
+use catkinmast_quarantine::RequestSource;
 use http::header::{
     AUTHORIZATION, CONNECTION, CONTENT_TYPE, HOST, HeaderValue, RETRY_AFTER, WWW_AUTHENTICATE,
 };
@@ -200,6 +201,7 @@
         priority,
         request_id: id,
         route: Some(route.name.clone()),
+        source: RequestSource::Caller,
         workspace,
     };
     if route.kind == RouteKind::Stream {
--- a/crates/serve/src/crashes/detection.rs
+++ b/crates/serve/src/crashes/detection.rs
@@ -80,7 +80,12 @@
     let incarnation =
         TargetIncarnation { started_at_unix_ms: entry.started_at_unix_ms, id: entry.id };
     let now = UnixMs::from_wall_clock();
-    let is_first = node.interrupted.borrow_mut().record(now, outgoing.fingerprint(), &incarnation);
+    let is_first = node.interrupted.borrow_mut().record(
+        now,
+        outgoing.source,
+        outgoing.fingerprint(),
+        &incarnation,
+    );
     if is_first {
         tokio::task::spawn_local(probe_target(Rc::clone(node), chosen.address, incarnation));
     }
--- a/crates/serve/src/crashes/mod.rs
+++ b/crates/serve/src/crashes/mod.rs
@@ -6,6 +6,10 @@
 //! facts: it reaches all of them at once, also while the store is unavailable, and a node that
 //! missed it or has just started gets it within seconds.
 //!
+//! Only requests that callers wait for are suspected. Items, second runs and scoring calls are
+//! neither blocked nor recorded, but an answer to one clears callers' requests with the same
+//! content.
+//!
 //! A trial is one further run of a request under suspicion, by one node only, to find out whether
 //! it is the cause of the crashes.
 
@@ -28,21 +32,22 @@
 use std::rc::Rc;
 
 /// Returns whether there is evidence against any request.
-pub(crate) fn has_evidence<P: Platform>(node: &Node<P>) -> bool {
+fn has_evidence<P: Platform>(node: &Node<P>) -> bool {
     !node.quarantine.borrow().is_empty()
 }
 
-/// Returns whether a request may be sent to targets without a trial.
-pub(crate) fn is_allowed<P: Platform>(node: &Node<P>, fingerprint: Fingerprint) -> bool {
+/// Returns whether a caller's request may be sent to targets without a trial.
+fn is_allowed<P: Platform>(node: &Node<P>, fingerprint: Fingerprint) -> bool {
     let status = node.quarantine.borrow().status(UnixMs::from_wall_clock(), fingerprint);
     status == RequestStatus::Allowed
 }
 
-/// Returns whether targets have ended while they ran this request. Such a request goes to one
-/// target at a time.
+/// Returns whether targets have ended under a request that may be the cause. Such a request goes to
+/// one target at a time.
 pub(crate) fn is_suspected<P: Platform>(node: &Node<P>, outgoing: &OutgoingRequest) -> bool {
     let quarantine = node.quarantine.borrow();
-    !quarantine.is_empty()
+    outgoing.source.may_crash_targets()
+        && !quarantine.is_empty()
         && quarantine
             .evidence(outgoing.fingerprint())
             .is_some_and(|evidence| evidence.unrefuted_count() > 0)
@@ -93,7 +98,8 @@
     if !has_evidence(node) {
         return RequestStatus::Allowed;
     }
-    node.quarantine.borrow().status(UnixMs::from_wall_clock(), outgoing.fingerprint())
+    let now = UnixMs::from_wall_clock();
+    node.quarantine.borrow().admission(now, outgoing.source, outgoing.fingerprint())
 }
 
 /// Admits a request as a trial, if this node gets the right to it. `number` is the count of ends at
--- a/crates/serve/src/forward.rs
+++ b/crates/serve/src/forward.rs
@@ -13,7 +13,7 @@
 use bytes::Bytes;
 use catkinmast_dispatch::CallOutcome;
 use catkinmast_model::{UnixMs, Verdict};
-use catkinmast_quarantine::Fingerprint;
+use catkinmast_quarantine::{Fingerprint, RequestSource};
 use http::{HeaderMap, HeaderName, Method, Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::{Body, Incoming};
@@ -70,6 +70,7 @@
     /// Name of the route that it came by; none for items of batches. Calls by one route take
     /// similar times.
     pub route: Option<String>,
+    pub source: RequestSource,
     /// The workspace that it belongs to; none where no key was required.
     pub workspace: Option<String>,
 }
@@ -219,8 +220,8 @@
 /// Sends a request and reads the head of the answer.
 ///
 /// All work reaches targets through this function: callers' requests, streams, items, second runs
-/// and scoring calls, also those of a batch that was taken over. So blocked requests are stopped
-/// here, and the requests to cold targets are counted here.
+/// and scoring calls, also those of a batch that was taken over. So blocked requests of callers are
+/// stopped here, and the requests to cold targets are counted here.
 pub(crate) async fn open<P: Platform>(
     node: &Rc<Node<P>>,
     chosen: &ChosenTarget,
--- a/crates/serve/src/runs/score.rs
+++ b/crates/serve/src/runs/score.rs
@@ -10,6 +10,7 @@
 use crate::node::Node;
 use crate::platform::Platform;
 use catkinmast_dispatch::{Item, ItemResult, ItemState, NextItem, Progress, RewardRequest};
+use catkinmast_quarantine::RequestSource;
 use http::header::HOST;
 use http::{HeaderMap, HeaderValue, Method, StatusCode};
 use serde_json::json;
@@ -23,8 +24,6 @@
 /// Pause before a scoring call is repeated; doubled each time up to [`SCORE_RETRY_PAUSE_MAX_MS`].
 const SCORE_RETRY_PAUSE_MS: u64 = 30;
 const SCORE_RETRY_PAUSE_MAX_MS: u64 = 500;
-/// Pause before a blocked scoring call is attempted again.
-const SCORE_BLOCKED_PAUSE_MS: u64 = 1_000;
 
 /// Starts scoring an item whose complete output an earlier run has left.
 pub(super) fn start_scoring<P: Platform>(
@@ -123,10 +122,6 @@
                     let status = answer.status.as_u16();
                     node.note("score_refused", json!({ "request": reward.id, "status": status }));
                 }
-                Err(failure) if failure.is_blocked() => {
-                    // The output is complete: it waits for its score until its batch ends.
-                    pause_ms = SCORE_BLOCKED_PAUSE_MS;
-                }
                 // The attempt writes its own line to the audit trail.
                 Err(failure) => admission::bypass_failed(node, &service, &chosen.id, &failure),
             }
@@ -151,6 +146,7 @@
         priority: 0,
         request_id: Some(reward.id.clone()),
         route: Some(route),
+        source: RequestSource::Batch,
         workspace: None,
     }
 }
--- a/crates/serve/src/runs/second.rs
+++ b/crates/serve/src/runs/second.rs
@@ -4,10 +4,9 @@
 //! A second run is not part of its batch: it only generates output under newer weights, and goes on
 //! after the batch ends. The batch in which its item is submitted again continues from that output.
 
-use super::stream::{RunEnd, RunSpec, fingerprint, run};
+use super::stream::{RunEnd, RunSpec, run};
 use crate::batches::LocalBatch;
 use crate::clock;
-use crate::crashes;
 use crate::forward::{ChosenTarget, InFlight};
 use crate::metrics::count;
 use crate::node::Node;
@@ -147,11 +146,6 @@
     if node.batches.second_runs.is_running(&item.id) || progress.complete {
         return;
     }
-    // Fingerprints are computed only if there is evidence at all: computing them for all
-    // candidates in every pass would cost more than the crashes that they prevent.
-    if crashes::has_evidence(node) && !crashes::is_allowed(node, fingerprint(&item, &spec.host)) {
-        return;
-    }
     let run_ms = node.expected_run_ms(&item, progress.last_event_id);
     let first_target = first_target.as_deref();
     let Some(chosen) = choose(node, &spec, &item.path, &item.id, run_ms, first_target) else {
--- a/crates/serve/src/runs/stream.rs
+++ b/crates/serve/src/runs/stream.rs
@@ -11,7 +11,7 @@
 use crate::platform::Platform;
 use catkinmast_dispatch::{CallOutcome, EventReader, Item, ItemResult, Progress};
 use catkinmast_model::UnixMs;
-use catkinmast_quarantine::Fingerprint;
+use catkinmast_quarantine::{Fingerprint, RequestSource};
 use http::header::{AUTHORIZATION, HOST};
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
 use http_body_util::BodyExt;
@@ -31,9 +31,6 @@
 /// The longest deadline that is announced to a target for a run, also if its batch allows more.
 /// Nothing at this node stops a run after it.
 const RUN_MAX_MS: u64 = 30_000;
-/// How often a blocked item is checked again: it may have to be given up, or may be allowed again
-/// because an engine has survived it.
-const BLOCKED_PAUSE_MS: u64 = 1_000;
 
 /// The parameters of a run apart from its item.
 #[derive(Clone, Debug)]
@@ -64,8 +61,6 @@
 /// The outcome of a run.
 #[derive(Debug)]
 pub(super) enum RunEnd {
-    /// It was not stream_run: the item is blocked because engines have crashed while running it.
-    Blocked { why: String },
     /// The target answered that the item failed.
     Failed,
     /// The target answered that the item can never be processed.
@@ -93,9 +88,7 @@
     let output = progress.borrow().clone();
     let outcome = match &end {
         // No failure of the target; the latency of its events is counted in `TokenStream::read`.
-        RunEnd::Blocked { .. } | RunEnd::Complete | RunEnd::Failed | RunEnd::Unprocessable => {
-            CallOutcome::Cancelled
-        }
+        RunEnd::Complete | RunEnd::Failed | RunEnd::Unprocessable => CallOutcome::Cancelled,
         RunEnd::Broken { outcome, .. } => *outcome,
     };
     in_flight.end(outcome);
@@ -103,12 +96,10 @@
         RunEnd::Complete => ("whole", ""),
         RunEnd::Failed => ("failed", ""),
         RunEnd::Unprocessable => ("impossible", ""),
-        RunEnd::Blocked { why } => ("barred", why.as_str()),
         RunEnd::Broken { why, .. } => ("broken", why.as_str()),
     };
     count(&node.metrics.item_runs, label);
-    let fingerprint =
-        ["barred", "broken"].contains(&label).then(|| fingerprint(&item, &spec.host).to_string());
+    let fingerprint = (label == "broken").then(|| fingerprint(&item, &spec.host).to_string());
     node.note(
         "item_run",
         json!({
@@ -129,10 +120,6 @@
             }
             score_item(&node, &local, index, &item, output).await;
         }
-        RunEnd::Blocked { .. } => {
-            let from = clock::now().plus(BLOCKED_PAUSE_MS);
-            local.borrow_mut().batch.put_back(index, from, output);
-        }
         RunEnd::Broken { outcome, .. } => {
             let pause_ms = if outcome == CallOutcome::Overloaded {
                 OVERLOADED_RETRY_PAUSE_MS
@@ -157,7 +144,7 @@
 }
 
 /// Returns the fingerprint of an item, which equals that of its [requests](outgoing).
-pub(super) fn fingerprint(item: &Item, host: &str) -> Fingerprint {
+fn fingerprint(item: &Item, host: &str) -> Fingerprint {
     Fingerprint::of(Method::POST.as_str(), host, &item.path, &item.body)
 }
 
@@ -185,6 +172,7 @@
         priority: 0,
         request_id: Some(item.id.clone()),
         route: None,
+        source: RequestSource::Batch,
         workspace: spec.workspace.clone(),
     }
 }
@@ -207,9 +195,6 @@
     let broken = |why: &str, outcome| RunEnd::Broken { outcome, why: why.to_owned() };
     let opened = match timeout(FIRST_EVENT_TIMEOUT, forward::open(node, chosen, &request)).await {
         Ok(Ok(opened)) => opened,
-        Ok(Err(failure)) if failure.is_blocked() => {
-            return RunEnd::Blocked { why: failure.message };
-        }
         Ok(Err(failure)) => return broken(&failure.message, CallOutcome::Failed),
         Err(_) => {
             let limit_ms = FIRST_EVENT_TIMEOUT.as_millis();
--- /dev/null
+++ b/tests/all/site/interrupted_items.rs
@@ -0,0 +1,160 @@
+//! Items and scoring calls that targets ran when they crashed.
+//!
+//! Guards against work that was handed in for later and is owed, but is taken for the cause of the
+//! crashes and sent to no target any more.
+
+use super::crashes::{CRASHES_BEFORE_BLOCKED, RESTART_AFTER, crash_count, start_site};
+use super::harness::{HOST, Node, Site, complete_output, submission, until};
+use super::worker::{UNLUCKY_RUNS, unlucky_body};
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use catkinmast_model::UnixMs;
+use catkinmast_quarantine::{Evidence, Fingerprint, TargetIncarnation};
+use serde_json::{Value, json};
+use std::time::Duration;
+use tokio::time::{sleep, timeout};
+
+/// How soon all results are available once targets no longer crash. An item may have to wait for a
+/// target to restart and for its own pause, both well under a second.
+const CALM_LIMIT: Duration = Duration::from_secs(4);
+/// The same if its owner has been lost: another node has to notice that first.
+const TAKEOVER_LIMIT: Duration = Duration::from_secs(12);
+
+/// Returns a submission of six items of which the first has this body.
+fn submission_with(prefix: &str, body: &[u8]) -> Value {
+    let mut batch = submission(prefix, 6, 3, 1);
+    batch["items"][0]["body"] = json!(STANDARD.encode(body));
+    batch
+}
+
+/// Returns all `count` results of a batch, which must be completed within `limit`.
+async fn completed_within(
+    site: &Site,
+    node: &Node,
+    id: &str,
+    count: usize,
+    limit: Duration,
+) -> Vec<Value> {
+    let results = timeout(limit, site.read_all(node, id, count)).await;
+    let results = results.unwrap_or_else(|_| panic!("{id} has no {count} results in {limit:?}"));
+    assert!(results.iter().all(|result| result["state"] == "completed"), "{results:?}");
+    results
+}
+
+async fn wait_for_runs(site: &Site, body: &[u8], count: usize) {
+    until("its runs", || async { (site.runs.count_of_body(body) >= count).then_some(()) }).await;
+}
+
+// Guards against an item that is sent to no engine for minutes after three engines that ran it have
+// crashed, and against later items with its path and body that share its fate.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_item_under_which_three_engines_ended_is_run_to_its_end() {
+    let site = start_site(6, 1).await;
+    let body = unlucky_body(3);
+    assert_eq!(site.submit(&site.nodes[0], "b", &submission_with("b", &body)).await, 202);
+    wait_for_runs(&site, &body, UNLUCKY_RUNS).await;
+
+    let results = completed_within(&site, &site.nodes[1], "b", 6, CALM_LIMIT).await;
+
+    let result = results.iter().find(|result| result["id"] == "bi0").expect("its result");
+    assert_eq!(result["text"], complete_output("bi0", 3));
+    assert_eq!(crash_count(&site.engines), CRASHES_BEFORE_BLOCKED);
+    let mut later = submission_with("c", &body);
+    later["items"][0]["path"] = json!("/rollout/b");
+    assert_eq!(site.submit(&site.nodes[2], "c", &later).await, 202);
+    completed_within(&site, &site.nodes[1], "c", 6, CALM_LIMIT).await;
+    assert_eq!(site.runs.of("ci0").len(), 1);
+}
+
+// Guards against an item without a score, because its scoring call is sent to no target after three
+// that ran it have crashed.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_scoring_call_under_which_three_targets_ended_gets_its_score() {
+    let site = start_site(2, 6).await;
+    let body = unlucky_body(1);
+    let mut batch = submission("b", 4, 3, 1);
+    batch["items"][0]["scorerUrl"]["body"] = json!(STANDARD.encode(&body));
+    assert_eq!(site.submit(&site.nodes[0], "b", &batch).await, 202);
+    wait_for_runs(&site, &body, UNLUCKY_RUNS).await;
+
+    let results = completed_within(&site, &site.nodes[1], "b", 4, CALM_LIMIT).await;
+
+    let result = results.iter().find(|result| result["id"] == "bi0").expect("its result");
+    assert!(result["score"].as_str().is_some_and(|score| score.ends_with("br0")), "{result}");
+    assert_eq!(crash_count(&site.plain), CRASHES_BEFORE_BLOCKED);
+}
+
+// Guards against a new owner that does not run an item because of what the former owner has seen.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_new_owner_runs_an_item_under_which_three_engines_ended() {
+    let site = start_site(6, 1).await;
+    let body = unlucky_body(200);
+    assert_eq!(site.submit(&site.nodes[0], "b", &submission_with("b", &body)).await, 202);
+    let owner = site.owner_of("b").await;
+    wait_for_runs(&site, &body, UNLUCKY_RUNS).await;
+    sleep(RESTART_AFTER).await;
+
+    site.nodes[owner].signal("KILL");
+
+    let other = &site.nodes[(owner + 1) % 3];
+    completed_within(&site, other, "b", 6, TAKEOVER_LIMIT).await;
+}
+
+// Guards against an item that no node runs after a restart of all, because evidence against it was
+// stored and is read again.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_item_under_which_three_engines_ended_is_run_after_a_restart_of_all_nodes() {
+    let site = start_site(6, 1).await;
+    let body = unlucky_body(200);
+    assert_eq!(site.submit(&site.nodes[0], "b", &submission_with("b", &body)).await, 202);
+    wait_for_runs(&site, &body, UNLUCKY_RUNS).await;
+    sleep(RESTART_AFTER).await;
+
+    for node in &site.nodes {
+        node.signal("KILL");
+    }
+    for node in &site.nodes {
+        node.restart();
+    }
+
+    site.wait_until_all_listed(3).await;
+    completed_within(&site, &site.nodes[1], "b", 6, TAKEOVER_LIMIT).await;
+}
+
+/// Stores a record that three targets have ended under a request, as a node writes it.
+fn store_evidence(site: &Site, path: &str, body: &[u8]) {
+    let fingerprint = Fingerprint::of("POST", HOST, path, body);
+    let mut evidence = Evidence::default();
+    for number in 0..CRASHES_BEFORE_BLOCKED {
+        let id = format!("former-{number}{path}");
+        let incarnation = TargetIncarnation { id, started_at_unix_ms: None };
+        evidence.record_end(UnixMs::from_wall_clock(), incarnation);
+    }
+    let record = postcard::to_stdvec(&(evidence, fingerprint)).expect("a record");
+    site.store.put_bytes(&format!("cm/q/{fingerprint}"), record);
+}
+
+// Guards against items and scoring calls that are stopped by evidence that an earlier build recorded
+// against them; a caller's request with the same content stays blocked.
+#[tokio::test(flavor = "multi_thread")]
+async fn stored_evidence_stops_neither_items_nor_scoring_calls() {
+    let site = start_site(2, 2).await;
+    store_evidence(&site, "/rollout/b", &[3]);
+    store_evidence(&site, "/lookup/score", b"score");
+    for node in &site.nodes {
+        node.restart();
+    }
+    site.wait_until_all_listed(3).await;
+    for node in &site.nodes {
+        until("the node has read both records", || async {
+            (node.lines("request_barred").len() == 2).then_some(())
+        })
+        .await;
+    }
+    let call = site.call_with(&site.nodes[0], "/lookup/score", "caller", "score").await;
+    assert_eq!(call.expect("an answer").status(), 503);
+
+    assert_eq!(site.submit(&site.nodes[0], "b", &submission("b", 6, 3, 1)).await, 202);
+
+    completed_within(&site, &site.nodes[1], "b", 6, CALM_LIMIT).await;
+}
--- a/tests/all/site/mod.rs
+++ b/tests/all/site/mod.rs
@@ -22,6 +22,7 @@
 mod fairness;
 mod health;
 mod hedges;
+mod interrupted_items;
 mod orders;
 mod requests;
 mod soak;
--- a/tests/all/site/worker/mod.rs
+++ b/tests/all/site/worker/mod.rs
@@ -31,6 +31,11 @@
 /// response headers are sent at once and no event follows, like a request that is still queued at
 /// the worker.
 pub(crate) const CRASHING_LATE_BODY: &str = "late crash";
+/// A request whose body is one byte and this text is sound, but its first [`UNLUCKY_RUNS`] runs,
+/// under any request ids, meet a crash of the worker. The first byte is the number of events.
+const UNLUCKY_TEXT: &[u8] = b"unlucky";
+/// How many runs of an unlucky request meet a crash.
+pub(crate) const UNLUCKY_RUNS: usize = 3;
 /// Delay of a late crash.
 const LATE_CRASH_DELAY: Duration = Duration::from_millis(1_200);
 
@@ -291,6 +296,11 @@
     }
 }
 
+/// Returns the body of a sound request whose first [`UNLUCKY_RUNS`] runs meet a crash.
+pub(crate) fn unlucky_body(events: u8) -> Vec<u8> {
+    [&[events], UNLUCKY_TEXT].concat()
+}
+
 fn lock(state: &Mutex<State>) -> MutexGuard<'_, State> {
     state.lock().expect("no test panics while it holds a worker")
 }
--- a/tests/all/site/worker/runs.rs
+++ b/tests/all/site/worker/runs.rs
@@ -1,5 +1,6 @@
 //! The record of all runs of a test.
 
+use bytes::Bytes;
 use std::sync::{Arc, Mutex};
 use std::time::Instant;
 
@@ -8,6 +9,7 @@
 pub(crate) struct Run {
     pub(crate) after: u64,
     pub(crate) at: Instant,
+    pub(crate) body: Bytes,
     /// How much time the request had left, by its header.
     pub(crate) deadline_ms: Option<u64>,
     /// Whether the request had an `Authorization` header, i.e. a caller's key.
@@ -33,6 +35,11 @@
         self.all().into_iter().filter(|run| run.request == request).collect()
     }
 
+    /// Returns how many runs of requests with this body there were.
+    pub(crate) fn count_of_body(&self, body: &[u8]) -> usize {
+        self.all().iter().filter(|run| run.body == body).count()
+    }
+
     pub(super) fn push(&self, run: Run) {
         self.0.lock().expect("no test panics while it holds the runs").push(run);
     }
