Runs of items that break off are repeated after a growing pause

Cause: since items are no longer blocked by crashes, nothing bounds how often an item meets targets that crash under it: it came again 50 ms after each run, nine times within 1.1 s in the test. A second run of an item came again at once, as soon as another engine did not back off.

Change: the pause after a run that may have run and brought no event doubles from 50 to 800 ms; a run that brought events starts it anew. Runs that were not sent, or refused for load, keep their short pauses. A second run that broke off or failed is followed by another after 1 s. Scoring calls already pause for 30 to 500 ms. All of these are far below the 5 s after which an item without an engine is missed.

--- a/crates/dispatch/src/batch/mod.rs
+++ b/crates/dispatch/src/batch/mod.rs
@@ -138,6 +138,8 @@
     pending_chunk: Option<Chunk>,
     groups: Groups,
     index_by_id: IndexMap<String, usize>,
+    /// How many runs of each item in a row broke off without an event.
+    interruptions: Vec<u32>,
     listed: Vec<ItemResult>,
     order: Vec<usize>,
     phases: Vec<Phase>,
@@ -168,6 +170,7 @@
             pending_chunk: None,
             groups: Groups::open(&submission, carried),
             index_by_id,
+            interruptions: vec![0; submission.items.len()],
             listed: Vec::new(),
             order: start_order(&submission),
             phases: vec![waiting; submission.items.len()],
@@ -247,6 +250,14 @@
         self.failures[index] >= self.policy.attempts
     }
 
+    /// Counts a run that broke off, and returns how many runs of its item in a row have done so
+    /// without an event; 0 if this one brought events.
+    pub fn record_interruption(&mut self, index: usize, has_events: bool) -> u32 {
+        let count = &mut self.interruptions[index];
+        *count = if has_events { 0 } else { *count + 1 };
+        *count
+    }
+
     /// Records an item's result, which is then to be made durable.
     pub fn record_result(&mut self, now: UnixMs, result: ItemResult) {
         let Some(index) = self.index_by_id.get(&result.id).copied() else { return };
--- a/crates/serve/src/runs/mod.rs
+++ b/crates/serve/src/runs/mod.rs
@@ -29,6 +29,9 @@
 const SCHEDULE_INTERVAL: Duration = Duration::from_millis(100);
 /// How long an item waits after a run of it failed, before it may run again.
 const FAILED_RETRY_PAUSE_MS: u64 = 50;
+/// The longest wait after a run failed: the wait doubles with each run in a row that brought no event.
+/// It bounds how often an item meets targets that crash, and is short beside a step.
+const FAILED_RETRY_PAUSE_MAX_MS: u64 = 800;
 /// How long an item waits after a target refused it for load, before it may run again.
 const OVERLOADED_RETRY_PAUSE_MS: u64 = 20;
 
--- a/crates/serve/src/runs/second.rs
+++ b/crates/serve/src/runs/second.rs
@@ -25,6 +25,10 @@
 /// two steps. Each slows the other runs on its target by a hundredth.
 const SECOND_RUNS_MAX: usize = 24;
 
+/// How long an item waits after a second run of it broke off or failed, before it may have another.
+/// Nobody waits for it yet.
+const SECOND_RUN_RETRY_PAUSE_MS: u64 = 1_000;
+
 /// The percentage of a target's slots that may be in use when a second run starts there. The rest
 /// is reserved for items that trainers wait for now: a quarter of a step's items start on each
 /// target.
@@ -38,6 +42,8 @@
     /// The id of its item.
     pub item: String,
     progress: Rc<RefCell<Progress>>,
+    /// When its item may have another, once it has ended.
+    repeat_at: Rc<Cell<UnixMs>>,
     running: Rc<Cell<bool>>,
     stop_by: UnixMs,
     /// The id of the target on which it runs.
@@ -76,8 +82,11 @@
         progress.is_started().then_some(progress)
     }
 
-    fn is_running(&self, item: &str) -> bool {
-        self.0.borrow().get(item).is_some_and(|second| second.running.get())
+    /// Returns whether an item may have a second run, as far as earlier ones are concerned.
+    fn may_start(&self, now: UnixMs, item: &str) -> bool {
+        let may_follow =
+            |second: &SecondRun| !second.running.get() && second.repeat_at.get() <= now;
+        self.0.borrow().get(item).is_none_or(may_follow)
     }
 
     fn running_count(&self) -> usize {
@@ -143,7 +152,7 @@
         (item, local.id.clone(), spec, target)
     };
     let progress = node.batches.second_runs.output(&item.id);
-    if node.batches.second_runs.is_running(&item.id) || progress.complete {
+    if progress.complete || !node.batches.second_runs.may_start(clock::now(), &item.id) {
         return;
     }
     let run_ms = node.expected_run_ms(&item, progress.last_event_id);
@@ -161,10 +170,12 @@
     let stop_by = clock::now().plus(SECOND_RUN_MAX_MS);
     let spec = RunSpec { give_up_at: stop_by, ..spec };
     let progress = Rc::new(RefCell::new(progress));
+    let repeat_at = Rc::new(Cell::new(UnixMs(0)));
     let running = Rc::new(Cell::new(true));
     let in_flight = InFlight::begin_run(node, &chosen.id, clock::now().plus(run_ms));
     let (task_node, task_progress, task_running) =
         (Rc::clone(node), Rc::clone(&progress), Rc::clone(&running));
+    let task_repeat_at = Rc::clone(&repeat_at);
     let id = item.id.clone();
     let (task_batch, target) = (batch.clone(), chosen.id.clone());
     let task = tokio::task::spawn_local(async move {
@@ -172,12 +183,15 @@
         let longest_gap_ms = Cell::new(0);
         let end = run(&task_node, &spec, &item, &task_progress, &chosen, &longest_gap_ms).await;
         let (outcome, why) = match &end {
-            RunEnd::Broken { outcome, why } => (*outcome, why.as_str()),
+            RunEnd::Broken { outcome, why, .. } => (*outcome, why.as_str()),
             // No failure of the target; the latency of its events is counted as they arrive.
             _ => (CallOutcome::Cancelled, ""),
         };
-        in_flight.end(outcome);
+        if outcome != CallOutcome::Overloaded {
+            task_repeat_at.set(clock::now().plus(SECOND_RUN_RETRY_PAUSE_MS));
+        }
         task_running.set(false);
+        in_flight.end(outcome);
         count(&task_node.metrics.item_runs, "second");
         let output = task_progress.borrow();
         task_node.note(
@@ -194,6 +208,7 @@
         batch,
         item: id.clone(),
         progress,
+        repeat_at,
         running,
         stop_by,
         target,
--- a/crates/serve/src/runs/stream.rs
+++ b/crates/serve/src/runs/stream.rs
@@ -1,16 +1,16 @@
 //! A run of an item on a target, and the event stream that it reads.
 
 use super::score::score_item;
-use super::{FAILED_RETRY_PAUSE_MS, OVERLOADED_RETRY_PAUSE_MS, finish};
+use super::{FAILED_RETRY_PAUSE_MAX_MS, FAILED_RETRY_PAUSE_MS, OVERLOADED_RETRY_PAUSE_MS, finish};
 use crate::batches::LocalBatch;
 use crate::clock;
 use crate::crashes::StreamRun;
-use crate::forward::{self, ChosenTarget, InFlight, OutgoingRequest};
+use crate::forward::{self, AttemptFailure, ChosenTarget, InFlight, OutgoingRequest};
 use crate::metrics::count;
 use crate::node::Node;
 use crate::platform::Platform;
 use catkinmast_dispatch::{CallOutcome, EventReader, Item, ItemResult, Progress};
-use catkinmast_model::UnixMs;
+use catkinmast_model::{UnixMs, Verdict};
 use catkinmast_quarantine::{Fingerprint, RequestSource};
 use http::header::{AUTHORIZATION, HOST};
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
@@ -66,7 +66,7 @@
     /// The target answered that the item can never be processed.
     Unprocessable,
     /// It was interrupted; another target can continue from the output so far.
-    Broken { outcome: CallOutcome, why: String },
+    Broken { outcome: CallOutcome, verdict: Verdict, why: String },
     /// The output is complete.
     Complete,
 }
@@ -120,9 +120,12 @@
             }
             score_item(&node, &local, index, &item, output).await;
         }
-        RunEnd::Broken { outcome, .. } => {
+        RunEnd::Broken { outcome, verdict, .. } => {
             let pause_ms = if outcome == CallOutcome::Overloaded {
                 OVERLOADED_RETRY_PAUSE_MS
+            } else if verdict.may_have_run() {
+                let has_events = output.last_event_id != resumed_after;
+                interruption_pause_ms(&local, index, has_events)
             } else {
                 FAILED_RETRY_PAUSE_MS
             };
@@ -143,6 +146,13 @@
     node.work.notify_one();
 }
 
+/// Counts a run that broke off, and returns how long its item waits before the next.
+fn interruption_pause_ms(local: &RefCell<LocalBatch>, index: usize, has_events: bool) -> u64 {
+    let in_a_row = local.borrow_mut().batch.record_interruption(index, has_events);
+    let doublings = in_a_row.saturating_sub(1).min(u64::BITS - 1);
+    FAILED_RETRY_PAUSE_MS.saturating_mul(1 << doublings).min(FAILED_RETRY_PAUSE_MAX_MS)
+}
+
 /// Returns the fingerprint of an item, which equals that of its [requests](outgoing).
 fn fingerprint(item: &Item, host: &str) -> Fingerprint {
     Fingerprint::of(Method::POST.as_str(), host, &item.path, &item.body)
@@ -192,10 +202,16 @@
         request.headers.remove(AUTHORIZATION);
     }
     let stream_run = StreamRun::begin(chosen.clone(), request.clone());
-    let broken = |why: &str, outcome| RunEnd::Broken { outcome, why: why.to_owned() };
+    let broken = |why: &str, outcome| RunEnd::Broken {
+        outcome,
+        verdict: Verdict::MayHaveRun,
+        why: why.to_owned(),
+    };
     let opened = match timeout(FIRST_EVENT_TIMEOUT, forward::open(node, chosen, &request)).await {
         Ok(Ok(opened)) => opened,
-        Ok(Err(failure)) => return broken(&failure.message, CallOutcome::Failed),
+        Ok(Err(AttemptFailure { message: why, verdict, .. })) => {
+            return RunEnd::Broken { outcome: CallOutcome::Failed, verdict, why };
+        }
         Err(_) => {
             let limit_ms = FIRST_EVENT_TIMEOUT.as_millis();
             return broken(&format!("no response head within {limit_ms} ms"), CallOutcome::Failed);
@@ -211,7 +227,11 @@
         if crate::pool::read_body(body, forward::BUFFERED_ANSWER_MAX_BYTES).await.is_ok() {
             node.pool.release(connection, &parts.headers);
         }
-        return broken(&refusal.message, CallOutcome::Overloaded);
+        return RunEnd::Broken {
+            outcome: CallOutcome::Overloaded,
+            verdict: refusal.verdict,
+            why: refusal.message,
+        };
     }
     match parts.status {
         StatusCode::UNPROCESSABLE_ENTITY => return RunEnd::Unprocessable,
--- a/tests/all/dispatch/batch.rs
+++ b/tests/all/dispatch/batch.rs
@@ -349,6 +349,16 @@
     assert!(batch.record_failure(0));
 }
 
+#[test]
+fn runs_that_break_off_are_counted_until_one_brings_events() {
+    let mut batch = batch(2);
+
+    let counts = [false, false, true, false].map(|events| batch.record_interruption(0, events));
+
+    assert_eq!(counts, [1, 2, 0, 1]);
+    assert_eq!(batch.record_interruption(1, false), 1, "each item has its own count");
+}
+
 #[test]
 fn items_are_given_up_at_their_deadline_and_not_before() {
     let mut batch = batch(3);
--- a/tests/all/site/interrupted_items.rs
+++ b/tests/all/site/interrupted_items.rs
@@ -5,7 +5,7 @@
 
 use super::crashes::{CRASHES_BEFORE_BLOCKED, RESTART_AFTER, crash_count, start_site};
 use super::harness::{HOST, Node, Site, complete_output, submission, until};
-use super::worker::{UNLUCKY_RUNS, unlucky_body};
+use super::worker::{Behaviour, CRASHING_BODY, UNLUCKY_RUNS, unlucky_body};
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use catkinmast_model::UnixMs;
@@ -158,3 +158,50 @@
 
     completed_within(&site, &site.nodes[1], "b", 6, CALM_LIMIT).await;
 }
+
+// Guards against an item that ends one engine after another as fast as they restart: it is repeated
+// with a pause, and the pause is short enough that the item is not left without an engine.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_item_that_breaks_off_again_and_again_is_repeated_with_a_bounded_pause() {
+    let site = start_site(6, 1).await;
+    let batch = submission_with("b", CRASHING_BODY.as_bytes());
+    assert_eq!(site.submit(&site.nodes[0], "b", &batch).await, 202);
+
+    wait_for_runs(&site, CRASHING_BODY.as_bytes(), 10).await;
+
+    let runs = site.runs.of("bi0");
+    let pauses: Vec<Duration> = runs.windows(2).map(|pair| pair[1].at - pair[0].at).collect();
+    let later = &pauses[5..];
+    assert!(later.iter().all(|pause| *pause >= Duration::from_millis(700)), "{pauses:?}");
+    assert!(later.iter().all(|pause| *pause <= Duration::from_secs(3)), "{pauses:?}");
+    let others = site.read_all(&site.nodes[1], "b", 5).await;
+    assert!(others.iter().all(|result| result["state"] == "completed"), "{others:?}");
+}
+
+// Guards against second runs of an item that are started one after the other without a pause, because
+// each breaks off at once.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_second_run_that_breaks_off_is_repeated_after_a_pause() {
+    let site = Site::start(1, 4, 1).await;
+    for engine in &site.engines {
+        engine.set_pace(60, 5);
+    }
+    let mut batch = submission("x", 6, 3, 1);
+    batch["items"][5]["body"] = json!(STANDARD.encode([250]));
+    assert_eq!(site.submit(&site.nodes[0], "b", &batch).await, 202);
+    let first_run = until("it runs", || async { site.runs.of("xi5").first().cloned() }).await;
+    for engine in site.engines.iter().filter(|engine| engine.id != first_run.worker) {
+        engine.set_behaviour(Behaviour::LosesAnswers);
+    }
+
+    site.store.put("op/version/model-a", &json!({ "model": "model-a", "version": 2 }));
+
+    let second_runs = || {
+        let starts = site.nodes[0].lines("second_run_started").into_iter();
+        starts.filter(|line| line["request"] == "xi5").collect::<Vec<Value>>()
+    };
+    until("three second runs of it", || async { (second_runs().len() >= 3).then_some(()) }).await;
+    let times: Vec<u64> =
+        second_runs().iter().filter_map(|line| line["at_unix_ms"].as_u64()).collect();
+    assert!(times.windows(2).all(|pair| pair[1] - pair[0] >= 900), "{times:?}");
+}
