Items that wait for one service do not hold back those of another

Found by looking for other states that keep an item from all engines while these are idle; no caller has reported it.

Cause: the scheduler goes through a batch's items, longest first, and stops at the first one for which no target is free. On a route that is split among services, an item of a service without targets held back all shorter items, also those of a service with idle engines. Items whose text is complete, and which need a scoring call only, waited behind it as well.

Change: items with complete texts are scored first. If no target is free for an item of a split route, its service is left out for the rest of the pass. Routes with one service stop at the first such item as before, since nothing else could start; the pass does not grow for them.

--- a/crates/dispatch/src/batch/mod.rs
+++ b/crates/dispatch/src/batch/mod.rs
@@ -214,11 +214,23 @@
 
     /// Takes the next item to run.
     pub fn next_item(&mut self, now: UnixMs) -> Option<NextItem> {
+        self.next_item_where(now, |_, _| true)
+    }
+
+    /// Takes the next item to run of which `is_eligible` returns true, given its text so far.
+    pub fn next_item_where(
+        &mut self,
+        now: UnixMs,
+        is_eligible: impl Fn(&Item, &Progress) -> bool,
+    ) -> Option<NextItem> {
         if self.ended || now >= self.policy.give_up_at {
             return None;
         }
-        let waits = |index: &usize| matches!(&self.phases[*index], Phase::Waiting { from, .. } if *from <= now);
-        let index = self.order.iter().copied().find(waits)?;
+        let is_next = |index: &usize| {
+            let Phase::Waiting { from, progress } = &self.phases[*index] else { return false };
+            *from <= now && is_eligible(&self.submission.items[*index], progress)
+        };
+        let index = self.order.iter().copied().find(is_next)?;
         self.take_item(index)
     }
 
--- a/crates/serve/src/runs/mod.rs
+++ b/crates/serve/src/runs/mod.rs
@@ -14,7 +14,9 @@
 use crate::node::Node;
 use crate::platform::Platform;
 use catkinmast_dispatch::{ItemResult, NextItem};
-use placement::{choose, move_slow_runs};
+use catkinmast_model::UnixMs;
+use indexmap::IndexSet;
+use placement::{choose, move_slow_runs, service_of, service_of_split};
 use score::start_scoring;
 use second::start_second_runs;
 use serde_json::json;
@@ -63,18 +65,45 @@
         node.note("items_given_up", json!({ "request": local.id, "items": given_up }));
         local.results_pending.notify_one();
     }
-    loop {
-        let Some(next) = local.borrow_mut().batch.next_item(now) else { return };
-        if next.progress.complete {
-            start_scoring(node, local, next);
+    // A complete text needs no engine, so it does not wait for one.
+    while let Some(next) = next_complete_item(local, now) {
+        start_scoring(node, local, next);
+    }
+    let mut full_services = IndexSet::new();
+    while let Some(next) = next_item(node, local, now, &full_services) {
+        if let Some(chosen) = choose(node, local, &next) {
+            start_run(node, local, next, chosen);
             continue;
         }
-        let Some(chosen) = choose(node, local, &next) else {
-            local.borrow_mut().batch.put_back(next.index, now, next.progress);
-            return;
-        };
-        start_run(node, local, next, chosen);
+        let split_service = service_of_split(node, local, next.index);
+        local.borrow_mut().batch.put_back(next.index, now, next.progress);
+        let Some(full) = split_service else { return };
+        full_services.insert(full);
+    }
+}
+
+fn next_complete_item(local: &RefCell<LocalBatch>, now: UnixMs) -> Option<NextItem> {
+    local.borrow_mut().batch.next_item_where(now, |_, progress| progress.complete)
+}
+
+/// Takes the next item whose service is not one of those without a free target. Otherwise an item of
+/// a service without targets would hold back all shorter items of its batch.
+fn next_item<P: Platform>(
+    node: &Node<P>,
+    local: &RefCell<LocalBatch>,
+    now: UnixMs,
+    full_services: &IndexSet<String>,
+) -> Option<NextItem> {
+    let mut local = local.borrow_mut();
+    if full_services.is_empty() {
+        return local.batch.next_item(now);
     }
+    let document = node.document()?;
+    let host = local.origin().host.clone();
+    local.batch.next_item_where(now, |item, _| {
+        let service = document.route(&host, &item.path).and_then(|route| service_of(route, item));
+        service.is_some_and(|service| !full_services.contains(service))
+    })
 }
 
 fn start_run<P: Platform>(
--- a/crates/serve/src/runs/placement.rs
+++ b/crates/serve/src/runs/placement.rs
@@ -7,7 +7,9 @@
 use crate::metrics::count;
 use crate::node::Node;
 use crate::platform::Platform;
-use catkinmast_dispatch::{Candidate, LoadBalancer, NextItem, Submission, TargetEntry};
+use catkinmast_dispatch::{
+    Candidate, Item, LoadBalancer, NextItem, Route, Submission, TargetEntry,
+};
 use catkinmast_model::UnixMs;
 use indexmap::{IndexMap, IndexSet};
 use serde_json::json;
@@ -185,6 +187,25 @@
     pick_free(node, local, next.index, run_ms).map(|(id, address)| ChosenTarget { address, id })
 }
 
+/// Returns the service that runs an item, always the same for one item and route.
+pub(super) fn service_of<'a>(route: &'a Route, item: &Item) -> Option<&'a str> {
+    route.service(xxhash_rust::xxh3::xxh3_64(item.id.as_bytes()))
+}
+
+/// Returns the service of an item if its route splits items among several services.
+pub(super) fn service_of_split<P: Platform>(
+    node: &Node<P>,
+    local: &RefCell<LocalBatch>,
+    index: usize,
+) -> Option<String> {
+    let local = local.borrow();
+    let item = &local.batch.submission().items[index];
+    let document = node.document()?;
+    let route = document.route(&local.origin().host, &item.path)?;
+    let is_split = route.services.len() > 1;
+    service_of(route, item).filter(|_| is_split).map(str::to_owned)
+}
+
 /// Chooses a target with a free slot and new enough weights, preferably the one on which the item's
 /// group ran.
 fn pick_free<P: Platform>(
@@ -199,7 +220,7 @@
     let document = node.document()?;
     let host = local.origin().host.as_str();
     let route = document.route(host, &item.path)?;
-    let service = route.service(xxhash_rust::xxh3::xxh3_64(item.id.as_bytes()))?;
+    let service = service_of(route, item)?;
     let preferred = item.group.as_ref().and_then(|group| local.group_targets.get(group));
     let random = node.random_u64();
     let oldest = submission.oldest_version;
--- a/tests/all/dispatch/batch.rs
+++ b/tests/all/dispatch/batch.rs
@@ -359,6 +359,25 @@
     assert_eq!(batch.record_interruption(1, false), 1, "each item has its own count");
 }
 
+// Guards against a complete text that is not scored as long as longer items wait for an engine.
+#[test]
+fn a_complete_text_is_found_behind_items_that_wait() {
+    let mut batch = batch(3);
+    let complete = Progress { complete: true, ..Progress::default() };
+    let last = (0..3).filter_map(|_| batch.next_item(UnixMs(0))).last().expect("the last item");
+    for index in 0..3 {
+        let progress = if index == last.index { complete.clone() } else { Progress::default() };
+        batch.put_back(index, UnixMs(5), progress);
+    }
+    let mut next_complete =
+        |now: u64| batch.next_item_where(UnixMs(now), |_, progress| progress.complete);
+
+    let found = [4, 5, 5].map(|now| next_complete(now).map(|next| next.index));
+
+    assert_eq!(found, [None, Some(last.index), None]);
+    assert!(batch.next_item(UnixMs(5)).is_some_and(|next| next.index != last.index));
+}
+
 #[test]
 fn items_are_given_up_at_their_deadline_and_not_before() {
     let mut batch = batch(3);
--- a/tests/all/site/interrupted_items.rs
+++ b/tests/all/site/interrupted_items.rs
@@ -4,15 +4,17 @@
 //! crashes and sent to no target any more.
 
 use super::crashes::{CRASHES_BEFORE_BLOCKED, RESTART_AFTER, crash_count, start_site};
-use super::harness::{HOST, Node, Site, complete_output, submission, until};
+use super::harness::{HOST, Node, Site, complete_output, document, submission, until};
 use super::worker::{Behaviour, CRASHING_BODY, UNLUCKY_RUNS, unlucky_body};
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use catkinmast_model::UnixMs;
 use catkinmast_quarantine::{Evidence, Fingerprint, TargetIncarnation};
 use serde_json::{Value, json};
+use std::collections::BTreeSet;
 use std::time::Duration;
 use tokio::time::{sleep, timeout};
+use xxhash_rust::xxh3::xxh3_64;
 
 /// How soon all results are available once targets no longer crash. An item may have to wait for a
 /// target to restart and for its own pause, both well under a second.
@@ -205,3 +207,42 @@
         second_runs().iter().filter_map(|line| line["at_unix_ms"].as_u64()).collect();
     assert!(times.windows(2).all(|pair| pair[1] - pair[0] >= 900), "{times:?}");
 }
+
+// Guards against items that no engine runs although engines of their service are idle, because a longer
+// item of the same batch waits for a service that has no engine.
+#[tokio::test(flavor = "multi_thread")]
+async fn items_of_a_service_without_engines_do_not_hold_back_the_others() {
+    let site = Site::start(3, 2, 1).await;
+    let mut split = document(4);
+    let mut lost = split["services"][1].clone();
+    lost["name"] = json!("lost");
+    split["services"].as_array_mut().expect("services").push(lost);
+    let route = split["routes"][2].as_object_mut().expect("the route of batches");
+    route.remove("service");
+    let halves = json!([{ "service": "llm", "weight": 1 }, { "service": "lost", "weight": 1 }]);
+    route.insert("weightedServices".to_owned(), halves);
+    site.store.put("op/config", &split);
+    for node in &site.nodes {
+        until("the split is in force", || async {
+            let lines = node.lines("document_in_force");
+            lines.iter().any(|line| line["version"] == 4).then_some(())
+        })
+        .await;
+    }
+    let batch = submission("b", 24, 3, 1);
+    let is_of_llm = |number: &usize| xxh3_64(format!("bi{number}").as_bytes()).is_multiple_of(2);
+    let of_llm = (0..24).filter(is_of_llm).count();
+    assert!((1..24).contains(&of_llm), "some items are of either service: {of_llm}");
+
+    assert_eq!(site.submit(&site.nodes[0], "b", &batch).await, 202);
+
+    let run_items = || {
+        let runs = site.runs.all().into_iter().map(|run| run.request);
+        runs.filter(|request| request.starts_with("bi")).collect::<BTreeSet<String>>().len()
+    };
+    let all_run =
+        until("all items that have engines", || async { (run_items() == of_llm).then_some(()) });
+    timeout(CALM_LIMIT, all_run)
+        .await
+        .unwrap_or_else(|_| panic!("{} of {of_llm} run", run_items()));
+}
