--- a/crates/serve/src/runs/stream.rs
+++ b/crates/serve/src/runs/stream.rs
@@ -1,17 +1,17 @@
 //! A run of an item on a target, and the event stream that it reads.
 
 use super::score::score_item;
-use super::{FAILED_RETRY_PAUSE_MS, OVERLOADED_RETRY_PAUSE_MS, finish};
+use super::{FAILED_RETRY_PAUSE_MAX_MS, FAILED_RETRY_PAUSE_MS, OVERLOADED_RETRY_PAUSE_MS, finish};
 use crate::batches::LocalBatch;
 use crate::clock;
 use crate::crashes::StreamRun;
-use crate::forward::{self, ChosenTarget, InFlight, OutgoingRequest};
+use crate::forward::{self, AttemptFailure, ChosenTarget, InFlight, OutgoingRequest};
 use crate::metrics::count;
 use crate::node::Node;
 use crate::platform::Platform;
 use catkinmast_dispatch::{CallOutcome, EventReader, Item, ItemResult, Progress};
-use catkinmast_model::UnixMs;
-use catkinmast_quarantine::Fingerprint;
+use catkinmast_model::{UnixMs, Verdict};
+use catkinmast_quarantine::{Fingerprint, RequestSource};
 use http::header::{AUTHORIZATION, HOST};
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
 use http_body_util::BodyExt;
@@ -31,9 +31,6 @@
 /// The longest deadline that is announced to a target for a run, also if its batch allows more.
 /// Nothing at this node stops a run after it.
 const RUN_MAX_MS: u64 = 30_000;
-/// How often a blocked item is checked again: it may have to be given up, or may be allowed again
-/// because an engine has survived it.
-const BLOCKED_PAUSE_MS: u64 = 1_000;
 
 /// The parameters of a run apart from its item.
 #[derive(Clone, Debug)]
@@ -64,14 +61,12 @@
 /// The outcome of a run.
 #[derive(Debug)]
 pub(super) enum RunEnd {
-    /// It was not stream_run: the item is blocked because engines have crashed while running it.
-    Blocked { why: String },
     /// The target answered that the item failed.
     Failed,
     /// The target answered that the item can never be processed.
     Unprocessable,
     /// It was interrupted; another target can continue from the output so far.
-    Broken { outcome: CallOutcome, why: String },
+    Broken { outcome: CallOutcome, verdict: Verdict, why: String },
     /// The output is complete.
     Complete,
 }
@@ -93,9 +88,7 @@
     let output = progress.borrow().clone();
     let outcome = match &end {
         // No failure of the target; the latency of its events is counted in `TokenStream::read`.
-        RunEnd::Blocked { .. } | RunEnd::Complete | RunEnd::Failed | RunEnd::Unprocessable => {
-            CallOutcome::Cancelled
-        }
+        RunEnd::Complete | RunEnd::Failed | RunEnd::Unprocessable => CallOutcome::Cancelled,
         RunEnd::Broken { outcome, .. } => *outcome,
     };
     in_flight.end(outcome);
@@ -103,12 +96,10 @@
         RunEnd::Complete => ("whole", ""),
         RunEnd::Failed => ("failed", ""),
         RunEnd::Unprocessable => ("impossible", ""),
-        RunEnd::Blocked { why } => ("barred", why.as_str()),
         RunEnd::Broken { why, .. } => ("broken", why.as_str()),
     };
     count(&node.metrics.item_runs, label);
-    let fingerprint =
-        ["barred", "broken"].contains(&label).then(|| fingerprint(&item, &spec.host).to_string());
+    let fingerprint = (label == "broken").then(|| fingerprint(&item, &spec.host).to_string());
     node.note(
         "item_run",
         json!({
@@ -129,13 +120,12 @@
             }
             score_item(&node, &local, index, &item, output).await;
         }
-        RunEnd::Blocked { .. } => {
-            let from = clock::now().plus(BLOCKED_PAUSE_MS);
-            local.borrow_mut().batch.put_back(index, from, output);
-        }
-        RunEnd::Broken { outcome, .. } => {
+        RunEnd::Broken { outcome, verdict, .. } => {
             let pause_ms = if outcome == CallOutcome::Overloaded {
                 OVERLOADED_RETRY_PAUSE_MS
+            } else if verdict.may_have_run() {
+                let has_events = output.last_event_id != resumed_after;
+                interruption_pause_ms(&local, index, has_events)
             } else {
                 FAILED_RETRY_PAUSE_MS
             };
@@ -156,8 +146,15 @@
     node.work.notify_one();
 }
 
+/// Counts a run that broke off, and returns how long its item waits before the next.
+fn interruption_pause_ms(local: &RefCell<LocalBatch>, index: usize, has_events: bool) -> u64 {
+    let in_a_row = local.borrow_mut().batch.record_interruption(index, has_events);
+    let doublings = in_a_row.saturating_sub(1).min(u64::BITS - 1);
+    FAILED_RETRY_PAUSE_MS.saturating_mul(1 << doublings).min(FAILED_RETRY_PAUSE_MAX_MS)
+}
+
 /// Returns the fingerprint of an item, which equals that of its [requests](outgoing).
-pub(super) fn fingerprint(item: &Item, host: &str) -> Fingerprint {
+fn fingerprint(item: &Item, host: &str) -> Fingerprint {
     Fingerprint::of(Method::POST.as_str(), host, &item.path, &item.body)
 }
 
@@ -185,6 +182,7 @@
         priority: 0,
         request_id: Some(item.id.clone()),
         route: None,
+        source: RequestSource::Batch,
         workspace: spec.workspace.clone(),
     }
 }
@@ -204,13 +202,16 @@
         request.headers.remove(AUTHORIZATION);
     }
     let stream_run = StreamRun::begin(chosen.clone(), request.clone());
-    let broken = |why: &str, outcome| RunEnd::Broken { outcome, why: why.to_owned() };
+    let broken = |why: &str, outcome| RunEnd::Broken {
+        outcome,
+        verdict: Verdict::MayHaveRun,
+        why: why.to_owned(),
+    };
     let opened = match timeout(FIRST_EVENT_TIMEOUT, forward::open(node, chosen, &request)).await {
         Ok(Ok(opened)) => opened,
-        Ok(Err(failure)) if failure.is_blocked() => {
-            return RunEnd::Blocked { why: failure.message };
+        Ok(Err(AttemptFailure { message: why, verdict, .. })) => {
+            return RunEnd::Broken { outcome: CallOutcome::Failed, verdict, why };
         }
-        Ok(Err(failure)) => return broken(&failure.message, CallOutcome::Failed),
         Err(_) => {
             let limit_ms = FIRST_EVENT_TIMEOUT.as_millis();
             return broken(&format!("no response head within {limit_ms} ms"), CallOutcome::Failed);
@@ -226,7 +227,11 @@
         if crate::pool::read_body(body, forward::BUFFERED_ANSWER_MAX_BYTES).await.is_ok() {
             node.pool.release(connection, &parts.headers);
         }
-        return broken(&refusal.message, CallOutcome::Overloaded);
+        return RunEnd::Broken {
+            outcome: CallOutcome::Overloaded,
+            verdict: refusal.verdict,
+            why: refusal.message,
+        };
     }
     match parts.status {
         StatusCode::UNPROCESSABLE_ENTITY => return RunEnd::Unprocessable,
