Answers and requests that are being read have limits together, heads and parts have limits

What callers saw: a process with all its requests is killed for its memory. 150 calls to one target that sends without end took 130 to 196 MB (chunks 130, chunks of one byte 156, until close 151, an error 186, a refusal 196), 20 callers' bodies 197 to 584 MB; the smallest instances have 110 MB. Cause: one answer was limited to 1 MiB, one request to the configured 32 MiB, but not all together; parts of a few bytes keep the buffers that they lie in; the read buffer of a connection, and so a head, had up to 417 KB. Ruled out: heads without end alone (held: hyper's limit of 100 fields, the attempts' time), the store (held). Change: one function reads bodies, with limits of bytes and parts for each and 8 MiB for all large answers, 32 MiB for all large requests; 32 KiB of each are free. Heads have 16 KiB, what comes before a head 112 KiB. An answer over a limit counts against the target, but is no evidence that it crashed. A stated length of 1 GiB and more does, too. The stand-in of a worker sends fast or slowly without end; the proxy to the store floods.

--- a/crates/serve/src/caller.rs
+++ b/crates/serve/src/caller.rs
@@ -10,6 +10,7 @@
 use crate::metrics::count;
 use crate::node::Node;
 use crate::platform::Platform;
+use crate::reading::{self, HeldBytes, ReadError};
 use bytes::Bytes;
 use catkinmast_dispatch::{Document, Route, RouteKind};
 use catkinmast_model::{UnixMs, Verdict};
@@ -18,7 +19,7 @@
 };
 use http::request::Parts;
 use http::{HeaderMap, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Either, Full, LengthLimitError, Limited};
+use http_body_util::{Either, Full};
 use hyper::body::Incoming;
 use serde_json::json;
 use std::cell::Cell;
@@ -174,7 +175,10 @@
     let deadline_ms = options.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS);
     let timeout_ms = route.timeout_ms.unwrap_or(u64::MAX);
     let deadline_at = started_at.plus(deadline_ms.min(timeout_ms));
-    let body = match read_body(body, document.limits.body_max_bytes, deadline_at).await {
+    // Held until the request is answered, as the body is.
+    let mut memory = node.pool.requests.begin();
+    let max_bytes = document.limits.body_max_bytes;
+    let body = match read_body(body, max_bytes, deadline_at, &mut memory).await {
         Ok(body) => body,
         Err(error) => return end_with_error(node, id.as_deref(), Some(&route), &error),
     };
@@ -232,22 +236,32 @@
     }
 }
 
-async fn read_body(body: Incoming, max_bytes: u64, until: UnixMs) -> Result<Bytes, ErrorAnswer> {
+async fn read_body(
+    body: Incoming,
+    max_bytes: u64,
+    until: UnixMs,
+    held: &mut HeldBytes,
+) -> Result<Bytes, ErrorAnswer> {
     let left_ms = until.since_ms(clock::now());
-    let read = Limited::new(body, max_bytes as usize).collect();
+    let read = reading::read_body(body, max_bytes as usize, held);
     match tokio::time::timeout(Duration::from_millis(left_ms), read).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            let message = format!("the body is larger than {max_bytes} bytes");
-            Err(ErrorAnswer::new(StatusCode::PAYLOAD_TOO_LARGE, message))
-        }
-        Ok(Err(error)) => Err(ErrorAnswer::new(StatusCode::BAD_REQUEST, error.to_string())),
+        Ok(read) => read.map_err(|error| unread_body(&error)),
         Err(_) => {
             Err(ErrorAnswer::new(StatusCode::REQUEST_TIMEOUT, "the body did not come in time"))
         }
     }
 }
 
+/// Returns the answer to a request whose body was not read to its end.
+fn unread_body(error: &ReadError) -> ErrorAnswer {
+    let message = error.to_string();
+    match error {
+        ReadError::Broken(_) => ErrorAnswer::new(StatusCode::BAD_REQUEST, message),
+        ReadError::OverLimit(_) => ErrorAnswer::new(StatusCode::PAYLOAD_TOO_LARGE, message),
+        ReadError::OutOfMemory { .. } => ErrorAnswer::not_run(message, RETRY_AFTER_MS),
+    }
+}
+
 /// Records the failure of a request's last attempt in the audit trail, and builds its answer.
 pub(crate) fn end_with_failure<P: Platform>(
     node: &Node<P>,
--- a/crates/serve/src/forward.rs
+++ b/crates/serve/src/forward.rs
@@ -8,7 +8,7 @@
 use crate::metrics::count;
 use crate::node::Node;
 use crate::platform::{Platform, TargetRequestMetadata, TargetResponseMetadata};
-use crate::pool::{CallError, Connection, read_body};
+use crate::pool::{CallError, Connection};
 use crate::usage::CountedRequest;
 use bytes::Bytes;
 use catkinmast_dispatch::CallOutcome;
@@ -28,6 +28,8 @@
 /// passed on, so that the request can be repeated if the answer is cut off; a larger one fails.
 /// Usual answers have a thousandth of this size.
 pub(crate) const BUFFERED_ANSWER_MAX_BYTES: usize = 1 << 20;
+/// A stated length that no request explains: the target is failing.
+const IMPOSSIBLE_LENGTH_BYTES: u64 = 1 << 30;
 
 /// Hop-by-hop headers, which concern one connection only.
 const HOP_BY_HOP: [HeaderName; 7] = [
@@ -264,7 +266,7 @@
         .map_err(|error| AttemptFailure::not_run(Cause::Request, error.to_string()))?;
     let sent = node.pool.send_marked(chosen.address, request, handed_over).await;
     let (response, connection) = sent.map_err(|error| {
-        if error.verdict.may_have_run() {
+        if error.verdict.may_have_run() && !error.over_limit {
             crashes::connection_broke(node, chosen, outgoing);
         }
         AttemptFailure::of(error)
@@ -346,13 +348,14 @@
     let usage = AttemptUsage::begin(node, outgoing);
     let started_at = clock::now();
     let left_ms = outgoing.deadline_at.since_ms(started_at);
-    let exchange = exchange(node, chosen, outgoing, &usage.handed_over);
+    let has_head = Cell::new(false);
+    let exchange = exchange(node, chosen, outgoing, &usage.handed_over, &has_head);
     let result = tokio::select! {
         biased;
         result = timeout(Duration::from_millis(left_ms), exchange) => result.unwrap_or_else(|_| {
-            Err(AttemptFailure::may_have_run("no whole answer within the caller's time"))
+            Err(AttemptFailure::may_have_run(unfinished(has_head.get(), "the caller's time")))
         }),
-        () = given_up => Err(given_up_failure(usage.handed_over.get())),
+        () = given_up => Err(given_up_failure(usage.handed_over.get(), has_head.get())),
     };
     let outcome = match &result {
         Ok(_) => CallOutcome::Answered { latency_ms: clock::now().since_ms(started_at) },
@@ -388,8 +391,8 @@
 }
 
 /// Returns the failure of an attempt that is given up.
-fn given_up_failure(handed_over: bool) -> AttemptFailure {
-    let message = "no whole answer within the attempt limit";
+fn given_up_failure(handed_over: bool, has_head: bool) -> AttemptFailure {
+    let message = unfinished(has_head, "the attempt limit");
     if handed_over {
         AttemptFailure::may_have_run(message)
     } else {
@@ -397,28 +400,43 @@
     }
 }
 
+/// Returns the message of an attempt that had no whole answer within a time.
+fn unfinished(has_head: bool, time: &str) -> String {
+    if has_head {
+        return format!("no whole answer within {time}: its body did not end");
+    }
+    format!("no whole answer within {time}")
+}
+
 async fn exchange<P: Platform>(
     node: &Rc<Node<P>>,
     chosen: &ChosenTarget,
     outgoing: &OutgoingRequest,
     handed_over: &Cell<bool>,
+    has_head: &Cell<bool>,
 ) -> Result<CompleteAnswer, AttemptFailure> {
     let opened = open_marked(node, chosen, outgoing, handed_over).await;
     let (response, connection, metadata) = opened?;
+    has_head.set(true);
     let (mut head, body) = response.into_parts();
     if head.status == StatusCode::MISDIRECTED_REQUEST {
         let change = node.targets.borrow_mut().mark_left(&chosen.id);
         node.target_changed(&change, "another target answered at its address");
     }
-    if body.size_hint().lower() > BUFFERED_ANSWER_MAX_BYTES as u64 {
+    let length_bytes = body.size_hint().lower();
+    let too_large = BUFFERED_ANSWER_MAX_BYTES as u64 + 1..IMPOSSIBLE_LENGTH_BYTES;
+    if too_large.contains(&length_bytes) {
         let message = "the answer is too large to be passed on";
         return Err(AttemptFailure {
             cause: Cause::Request,
             ..AttemptFailure::may_have_run(message)
         });
     }
-    let body = read_body(body, BUFFERED_ANSWER_MAX_BYTES).await.map_err(|error| {
-        crashes::connection_broke(node, chosen, outgoing);
+    let read = node.pool.read_body(body, BUFFERED_ANSWER_MAX_BYTES).await;
+    let body = read.map_err(|error| {
+        if !error.over_limit {
+            crashes::connection_broke(node, chosen, outgoing);
+        }
         AttemptFailure::of(error)
     })?;
     node.pool.release(connection, &head.headers);
--- a/crates/serve/src/node.rs
+++ b/crates/serve/src/node.rs
@@ -535,12 +535,12 @@
         timeout_after: Duration,
     ) -> Result<PeerAnswer, crate::pool::CallError> {
         use crate::pool::CallError;
-        let body = postcard::to_stdvec(call)
-            .map_err(|error| CallError { message: error.to_string(), verdict: Verdict::NotRun })?;
+        let body =
+            postcard::to_stdvec(call).map_err(|error| CallError::not_run(error.to_string()))?;
         let request = Request::post("/peer")
             .header(http::header::HOST, peer.to_string())
             .body(Full::new(Bytes::from(body)))
-            .map_err(|error| CallError { message: error.to_string(), verdict: Verdict::NotRun })?;
+            .map_err(|error| CallError::not_run(error.to_string()))?;
         let exchange = async {
             let (response, connection) = self.pool.send(peer, request).await?;
             let (head, body) = response.into_parts();
--- a/crates/serve/src/orders.rs
+++ b/crates/serve/src/orders.rs
@@ -13,7 +13,7 @@
 use crate::node::Node;
 use crate::peers;
 use crate::platform::{EngineReport, OrderCall, Platform};
-use crate::pool::{CallError, read_body};
+use crate::pool::CallError;
 use crate::store::{Put, StoreCall};
 use bytes::Bytes;
 use catkinmast_dispatch::{
@@ -335,7 +335,7 @@
         .header(http::header::HOST, chosen.address.to_string())
         .header(http::header::CONTENT_TYPE, "application/json")
         .body(Full::new(body))
-        .map_err(|error| CallError { message: error.to_string(), verdict: Verdict::NotRun })?;
+        .map_err(|error| CallError::not_run(error.to_string()))?;
     let metadata = crate::platform::TargetRequestMetadata {
         expected_target: Some(&chosen.id),
         ..crate::platform::TargetRequestMetadata::default()
@@ -344,7 +344,7 @@
     let exchange = async {
         let (response, connection) = node.pool.send(chosen.address, request).await?;
         let (head, body) = response.into_parts();
-        let body = read_body(body, REPORT_MAX_BYTES).await?;
+        let body = node.pool.read_body(body, REPORT_MAX_BYTES).await?;
         node.pool.release(connection, &head.headers);
         Ok((head.status, body))
     };
--- a/crates/serve/src/pool.rs
+++ b/crates/serve/src/pool.rs
@@ -5,11 +5,13 @@
 //! the target is dropped, which closes it at once so that the target stops working on the request.
 
 use crate::clock;
+use crate::followed_stream::{FollowedStream, OnRead};
+use crate::reading::{self, HeldBytes, ReadError, ReadMemory};
 use bytes::Bytes;
 use catkinmast_model::{UnixMs, Verdict};
 use displaydoc::Display;
 use http::{HeaderMap, Request, Response};
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -17,8 +19,9 @@
 use prometheus_client::metrics::counter::Counter;
 use socket2::{SockRef, TcpKeepalive};
 use std::cell::{Cell, RefCell};
-use std::io::ErrorKind;
+use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
@@ -42,23 +45,83 @@
 /// within one iteration of the event loop, unless it is still sending a body that its target did
 /// not read.
 const READY_TIMEOUT: Duration = Duration::from_millis(10);
+/// Size limit of the head of an answer. Usual heads have some hundred bytes.
+const HEAD_MAX_BYTES: usize = 16 << 10;
+/// Size limit of a connection's read buffer: 300 connections with full buffers take a tenth of the
+/// memory of the smallest instances.
+const READ_BUFFER_MAX_BYTES: usize = 32 << 10;
+/// Most bytes that arrive before the head of an answer: heads of interim answers (`1xx`), which are
+/// skipped, and what is read with the head.
+const BEFORE_HEAD_MAX_BYTES: usize = HEAD_MAX_BYTES + 3 * READ_BUFFER_MAX_BYTES;
+/// Limit of all large answers that are being read, together. Copies while they grow take as much
+/// again; both are a seventh of the memory of the smallest instances.
+const ANSWERS_MAX_BYTES: usize = 8 << 20;
+/// The same of callers' requests until they are answered: the largest request that callers may send.
+const REQUESTS_MAX_BYTES: usize = 32 << 20;
 
 /// the call failed ({verdict}): {message}
 #[derive(Clone, Debug, Display)]
 pub(crate) struct CallError {
     /// The error as observed.
     pub message: String,
+    /// Whether the answer was over a limit, rather than the connection broken.
+    pub over_limit: bool,
     /// Whether the request may have run.
     pub verdict: Verdict,
 }
 
 impl CallError {
     pub(crate) fn may_have_run(message: impl Into<String>) -> Self {
-        Self { message: message.into(), verdict: Verdict::MayHaveRun }
+        Self { message: message.into(), over_limit: false, verdict: Verdict::MayHaveRun }
     }
 
-    fn not_run(message: impl Into<String>) -> Self {
-        Self { message: message.into(), verdict: Verdict::NotRun }
+    pub(crate) fn not_run(message: impl Into<String>) -> Self {
+        Self { message: message.into(), over_limit: false, verdict: Verdict::NotRun }
+    }
+
+    /// The error of an answer whose body was not read to its end.
+    fn of_body(error: &ReadError) -> Self {
+        let over_limit = !matches!(error, ReadError::Broken(_));
+        Self { over_limit, ..Self::may_have_run(format!("in the answer: {error}")) }
+    }
+
+    /// The error of a request that was sent and has no response head.
+    fn of_head(error: &hyper::Error, head: &HeadLimit) -> Self {
+        if error.is_parse_too_large() || head.is_over() {
+            let message = format!("a response head of over {HEAD_MAX_BYTES} bytes or 100 fields");
+            return Self { over_limit: true, ..Self::may_have_run(message) };
+        }
+        Self::may_have_run(error.to_string())
+    }
+}
+
+/// Counts what arrives on a connection between a request and the head of its answer.
+#[derive(Clone, Debug, Default)]
+struct HeadLimit(Rc<Cell<Option<usize>>>);
+
+impl HeadLimit {
+    /// Begins to count: a request is sent.
+    fn begin(&self) {
+        self.0.set(Some(0));
+    }
+
+    /// Ends the count: the head has arrived.
+    fn arrived(&self) {
+        self.0.set(None);
+    }
+
+    fn is_over(&self) -> bool {
+        self.0.get().is_some_and(|bytes| bytes > BEFORE_HEAD_MAX_BYTES)
+    }
+}
+
+impl OnRead for HeadLimit {
+    fn bytes_arrived(&self, count: usize) -> io::Result<()> {
+        self.0.set(self.0.get().map(|bytes| bytes + count));
+        if self.is_over() {
+            return Err(io::Error::other("too many bytes before the head of an answer"));
+        }
+        Ok(())
     }
 }
 
@@ -66,6 +129,7 @@
 #[derive(Debug)]
 pub(crate) struct Connection {
     address: SocketAddr,
+    head: HeadLimit,
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
     /// Whether it has carried a request before.
@@ -89,11 +153,20 @@
 pub(crate) struct Pool {
     idle: RefCell<IndexMap<SocketAddr, Vec<Idle>>>,
     connections_opened: Counter,
+    /// The memory of answers that are being read.
+    pub answers: ReadMemory,
+    /// The memory of callers' requests.
+    pub requests: ReadMemory,
 }
 
 impl Pool {
     pub(crate) fn new(connections_opened: Counter) -> Self {
-        Self { connections_opened, idle: RefCell::new(IndexMap::new()) }
+        Self {
+            connections_opened,
+            idle: RefCell::new(IndexMap::new()),
+            answers: ReadMemory::new(ANSWERS_MAX_BYTES),
+            requests: ReadMemory::new(REQUESTS_MAX_BYTES),
+        }
     }
 
     /// Sends a request and returns the head of its answer.
@@ -123,20 +196,35 @@
                 None => self.connect(address).await?,
             };
             handed_over.set(true);
+            connection.head.begin();
             match connection.sender.try_send_request(request).await {
-                Ok(response) => return Ok((response, connection)),
+                Ok(response) => {
+                    connection.head.arrived();
+                    return Ok((response, connection));
+                }
                 Err(mut error) => match error.take_message() {
                     Some(unsent) if connection.reused => {
                         handed_over.set(false);
                         request = unsent;
                     }
                     Some(_) => return Err(CallError::not_run(error.into_error().to_string())),
-                    None => return Err(CallError::may_have_run(error.into_error().to_string())),
+                    None => return Err(CallError::of_head(&error.into_error(), &connection.head)),
                 },
             }
         }
     }
 
+    /// Reads the complete body of a target's answer, of at most `max_bytes`.
+    pub(crate) async fn read_body(
+        &self,
+        body: Incoming,
+        max_bytes: usize,
+    ) -> Result<Bytes, CallError> {
+        let mut held = self.answers.begin();
+        let read = reading::read_body(body, max_bytes, &mut held).await;
+        read.map_err(|error| CallError::of_body(&error))
+    }
+
     /// Returns a connection to the pool after its answer was read completely.
     pub(crate) fn release(&self, mut connection: Connection, answer: &HeaderMap) {
         let closes = answer
@@ -185,7 +273,7 @@
     pub(crate) async fn refuses_connections(&self, address: SocketAddr) -> bool {
         self.connections_opened.inc();
         let opened = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
-        let refused = |error: &std::io::Error| error.kind() == ErrorKind::ConnectionRefused;
+        let refused = |error: &io::Error| error.kind() == ErrorKind::ConnectionRefused;
         matches!(opened, Ok(Err(error)) if refused(&error))
     }
 
@@ -205,18 +293,23 @@
         if let Err(error) = set_timeouts_and_keepalive(&stream) {
             return Err(CallError::not_run(error.to_string()));
         }
-        let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
+        let head = HeadLimit::default();
+        let handshake = http1::Builder::new()
+            .max_buf_size(READ_BUFFER_MAX_BYTES)
+            .max_header_size(HEAD_MAX_BYTES)
+            .handshake(TokioIo::new(FollowedStream::new(stream, head.clone())))
+            .await;
         let (sender, connection) =
             handshake.map_err(|error| CallError::not_run(error.to_string()))?;
         // Errors of the connection are reported to the request that it carries.
         let task = tokio::task::spawn_local(async move { drop(connection.await) });
-        Ok(Connection { address, reused: false, sender, task: task.abort_handle() })
+        Ok(Connection { address, head, reused: false, sender, task: task.abort_handle() })
     }
 }
 
 /// Sets socket options that detect a silent peer. A peer that lost power or is cut off sends
 /// nothing; without these options calls on the connection hang until their deadline.
-pub(crate) fn set_timeouts_and_keepalive(stream: &TcpStream) -> std::io::Result<()> {
+pub(crate) fn set_timeouts_and_keepalive(stream: &TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
     socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
@@ -238,11 +331,9 @@
     stated_s.map_or(IDLE_MAX_MS, |seconds| (seconds * 1_000).saturating_sub(1_000))
 }
 
-/// Reads a complete body of at most `max_bytes`.
+/// Reads the complete body of an answer of the store or a peer, of at most `max_bytes`. It counts
+/// towards no common limit, so that answers of targets cannot cut this node off from them.
 pub(crate) async fn read_body(body: Incoming, max_bytes: usize) -> Result<Bytes, CallError> {
-    let limited = http_body_util::Limited::new(body, max_bytes);
-    match limited.collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) => Err(CallError::may_have_run(error.to_string())),
-    }
+    let read = reading::read_body(body, max_bytes, &mut HeldBytes::unlimited()).await;
+    read.map_err(|error| CallError::of_body(&error))
 }
--- a/tests/all/site/harness.rs
+++ b/tests/all/site/harness.rs
@@ -248,6 +248,15 @@
         self.child().0.id()
     }
 
+    /// Returns the most memory that the process has used, in kilobytes.
+    pub(crate) fn peak_memory_kb(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.pid()));
+        let status = status.expect("the process runs");
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let number = line.and_then(|line| line.trim().strip_suffix("kB"));
+        number.and_then(|number| number.trim().parse().ok()).expect("a number of kilobytes")
+    }
+
     /// Sends a signal by name, e.g. `KILL`, `STOP`, `CONT` or `TERM`.
     pub(crate) fn signal(&self, name: &str) {
         signal(self.pid(), name);
--- a/tests/all/site/mod.rs
+++ b/tests/all/site/mod.rs
@@ -18,6 +18,7 @@
 mod configuration;
 mod crashes;
 mod duties;
+mod endless;
 mod evacuation;
 mod fairness;
 mod health;
--- a/tests/all/site/proxy.rs
+++ b/tests/all/site/proxy.rs
@@ -11,6 +11,9 @@
 pub(crate) enum Link {
     /// Forwards each chunk after a delay.
     Delays(Duration),
+    /// Answers each request with these bytes in place of the target's answer: the part before `|` once,
+    /// the rest again and again.
+    Floods(&'static str),
     /// Forwards at once.
     Open,
     /// Closes the direction of a connection in which bytes arrive, without a TCP reset.
@@ -64,6 +67,12 @@
             Link::Open => {}
             Link::Delays(time) => tokio::time::sleep(time).await,
             Link::Resets => return,
+            Link::Floods(bytes) => {
+                if is_answer {
+                    flood(&mut to, bytes).await;
+                    return;
+                }
+            }
             Link::Silent { answers, requests } => {
                 if if is_answer { answers } else { requests } {
                     // Bytes read from a silent link are lost, so the connection cannot be used
@@ -77,3 +86,17 @@
         }
     }
 }
+
+/// Sends bytes again and again, at most as many as end a failing test in time.
+async fn flood(to: &mut (impl AsyncWriteExt + Unpin), bytes: &str) {
+    const SENT_MAX_BYTES: usize = 256 << 20;
+    let (start, repeated) = bytes.split_once('|').unwrap_or(("", bytes));
+    let block = repeated.repeat((16 << 10) / repeated.len());
+    let mut sent_bytes = 0;
+    if to.write_all(start.as_bytes()).await.is_err() {
+        return;
+    }
+    while sent_bytes < SENT_MAX_BYTES && to.write_all(block.as_bytes()).await.is_ok() {
+        sent_bytes += block.len();
+    }
+}
--- a/tests/all/site/worker/mod.rs
+++ b/tests/all/site/worker/mod.rs
@@ -5,12 +5,14 @@
 //! resumed.
 
 mod capacity;
+mod endless;
 mod orders;
 mod registry;
 mod runs;
 mod serving;
 
 pub(crate) use capacity::RequestCounts;
+pub(crate) use endless::{EndlessWorker, Reply};
 pub(crate) use runs::{Run, Runs};
 
 use super::harness::until;
