Runs of items are timed from event to event, and hold a bounded part of an event

What trainers saw: an item listed as complete with one of five events, or as errored, 30 s late, after the target that had sent comments, empty lines or a line without end closed; no result at all while a target sent events without end; 272 MB at the node for data lines; an item errored by a 500 or 422 whose body never ended. Cause: the time-out began anew with each piece of bytes; the buffer of an unfinished event had no limit and was searched again with each piece; bodies of errors and refusals were read without a time-out, or not at all. Change: the time-out runs from event to event; EventReader holds at most 64 KiB and 32 fields of an event and searches each byte once; over 1 MiB of output a run is dropped with its output, which could never be listed; an error or refusal counts when its whole body came within 1.2 s. The reason stands in the trail. Before: items_at_an_engine_that_sends_without_end_go_on_at_another failed in 11 of 16 cases (head_line, head_line_slow, fields_slow, line_slow, refusal, refusal_slow passed, though a refusal's body had no time-out: the stand-in closed after 30 s). After: all pass, at most 10 MB.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -42,6 +42,8 @@
 pub use rollout::{LoadOrder, LoadOutcome, RolloutSettings, RolloutTarget, WeightRollout};
 pub use run_time::RunTimeEstimator;
 pub use shares::{Demand, interleave};
-pub use stream::{EventReader, StreamEvent};
-pub use submission::{Item, ItemResult, ItemState, Progress, RewardRequest, Submission};
+pub use stream::{EVENT_MAX_BYTES, EventReader, EventScanner, StreamEvent};
+pub use submission::{
+    Item, ItemResult, ItemState, Progress, ProgressMark, RewardRequest, Submission,
+};
 pub use targets::{TargetChange, TargetEntry, TargetTable};
--- a/crates/dispatch/src/submission.rs
+++ b/crates/dispatch/src/submission.rs
@@ -122,6 +122,14 @@
     pub complete: bool,
 }
 
+/// A point in the text of a [`Progress`].
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ProgressMark {
+    last_event_id: Option<u64>,
+    text_bytes: usize,
+    versions: Vec<u64>,
+}
+
 impl Progress {
     /// Creates the progress of a finished item. Of a completed item only the score is requested
     /// again; an errored one starts again.
@@ -148,6 +156,22 @@
         self.last_event_id = id.or_else(|| Some(self.last_event_id.unwrap_or(0) + 1));
     }
 
+    /// Returns a mark of the text so far.
+    pub fn mark(&self) -> ProgressMark {
+        ProgressMark {
+            last_event_id: self.last_event_id,
+            text_bytes: self.text.len(),
+            versions: self.versions.clone(),
+        }
+    }
+
+    /// Drops the text since a mark.
+    pub fn return_to(&mut self, mark: &ProgressMark) {
+        self.last_event_id = mark.last_event_id;
+        self.text.truncate(mark.text_bytes);
+        self.versions.clone_from(&mark.versions);
+    }
+
     /// Records a version that produced an event.
     pub fn note_version(&mut self, version: u64) {
         if let Err(place) = self.versions.binary_search(&version) {
--- a/crates/serve/src/runs/stream.rs
+++ b/crates/serve/src/runs/stream.rs
@@ -9,7 +9,8 @@
 use crate::metrics::count;
 use crate::node::Node;
 use crate::platform::Platform;
-use catkinmast_dispatch::{CallOutcome, EventReader, Item, ItemResult, Progress};
+use crate::reading::HeldBytes;
+use catkinmast_dispatch::{CallOutcome, EVENT_MAX_BYTES, EventReader, Item, ItemResult, Progress};
 use catkinmast_model::UnixMs;
 use catkinmast_quarantine::Fingerprint;
 use http::header::{AUTHORIZATION, HOST};
@@ -20,17 +21,21 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout, timeout_at};
 
 /// Time-out for the head of a run's answer, and again for the first part of its body: reading a
 /// prompt takes some milliseconds, and a target that is loading weights refuses at once.
 const FIRST_EVENT_TIMEOUT: Duration = Duration::from_millis(1_200);
-/// Time-out between two events. Over a day of 3,000 runs, some on targets four times slower, the
+/// Time-out between two events; bytes that complete no event do not count. Over a day of 3,000 runs, some on targets four times slower, the
 /// longest gap of a live target was 266 ms. A false time-out costs reading the prompt again.
 const EVENT_TIMEOUT: Duration = Duration::from_millis(700);
 /// The longest deadline that is announced to a target for a run, also if its batch allows more.
 /// Nothing at this node stops a run after it.
 const RUN_MAX_MS: u64 = 30_000;
+/// Size limit of the output of one run: a page of results has at most a megabyte.
+const OUTPUT_MAX_BYTES: usize = 1 << 20;
+/// What an event counts at least towards that limit, for the processor time that it takes.
+const EVENT_MIN_BYTES: usize = 16;
 /// How often a blocked item is checked again: it may have to be given up, or may be allowed again
 /// because an engine has survived it.
 const BLOCKED_PAUSE_MS: u64 = 1_000;
@@ -223,18 +228,22 @@
             let change = node.targets.borrow_mut().mark_left(&chosen.id);
             node.target_changed(&change, "another target answered at its address");
         }
-        if crate::pool::read_body(body, forward::BUFFERED_ANSWER_MAX_BYTES).await.is_ok() {
-            node.pool.release(connection, &parts.headers);
-        }
-        return broken(&refusal.message, CallOutcome::Overloaded);
+        return match read_rest(node, body).await {
+            Ok(()) => {
+                node.pool.release(connection, &parts.headers);
+                broken(&refusal.message, CallOutcome::Overloaded)
+            }
+            Err(why) => broken(&why, CallOutcome::Failed),
+        };
     }
     match parts.status {
-        StatusCode::UNPROCESSABLE_ENTITY => return RunEnd::Unprocessable,
-        StatusCode::INTERNAL_SERVER_ERROR => {
-            if crate::pool::read_body(body, forward::BUFFERED_ANSWER_MAX_BYTES).await.is_ok() {
-                node.pool.release(connection, &parts.headers);
+        StatusCode::UNPROCESSABLE_ENTITY | StatusCode::INTERNAL_SERVER_ERROR => {
+            if let Err(why) = read_rest(node, body).await {
+                return broken(&why, CallOutcome::Failed);
             }
-            return RunEnd::Failed;
+            node.pool.release(connection, &parts.headers);
+            let is_final = parts.status == StatusCode::UNPROCESSABLE_ENTITY;
+            return if is_final { RunEnd::Unprocessable } else { RunEnd::Failed };
         }
         status if !status.is_success() => {
             return broken(&format!("the target answered {status}"), CallOutcome::Failed);
@@ -250,9 +259,11 @@
         longest_gap_ms: 0,
         model: spec.model.clone(),
         oldest_version: spec.oldest_version,
+        output_bytes: 0,
         progress,
         version: metadata.version,
     };
+    let start = stream.progress.borrow().mark();
     let read = stream.read(node, chosen, &stream_run).await;
     longest_gap_ms.set(stream.longest_gap_ms);
     match read {
@@ -266,15 +277,35 @@
             stream_run.connection_broke(node);
             broken(&why, CallOutcome::Failed)
         }
+        Err(ReadError::NoOutput(why)) => {
+            stream.progress.borrow_mut().return_to(&start);
+            broken(&why, CallOutcome::Failed)
+        }
         Err(ReadError::Other(why)) => broken(&why, CallOutcome::Failed),
     }
 }
 
+/// Reads the body of an answer without events. Only a whole answer counts, and its connection can
+/// be used again.
+async fn read_rest<P: Platform>(node: &Node<P>, body: Incoming) -> Result<(), String> {
+    let read = node.pool.read_body(body, forward::BUFFERED_ANSWER_MAX_BYTES);
+    match timeout(FIRST_EVENT_TIMEOUT, read).await {
+        Ok(Ok(_)) => Ok(()),
+        Ok(Err(error)) => Err(error.message),
+        Err(_) => {
+            let limit_ms = FIRST_EVENT_TIMEOUT.as_millis();
+            Err(format!("the body of an answer did not end within {limit_ms} ms"))
+        }
+    }
+}
+
 /// The reason why a stream was not read to its end.
 #[derive(Debug)]
 enum ReadError {
     /// The connection broke.
     Disconnected(String),
+    /// Events that belong to no output that can be listed; none of the run is kept.
+    NoOutput(String),
     /// A time-out, or events that cannot be used.
     Other(String),
 }
@@ -285,6 +316,7 @@
     longest_gap_ms: u64,
     model: Option<String>,
     oldest_version: u64,
+    output_bytes: usize,
     progress: Rc<RefCell<Progress>>,
     version: Option<u64>,
 }
@@ -302,11 +334,15 @@
         stream_run: &StreamRun,
     ) -> Result<(), ReadError> {
         let mut events = EventReader::default();
+        let mut held = node.pool.answers.begin();
         let mut event_timeout = FIRST_EVENT_TIMEOUT;
+        let mut event_due_at = Instant::now() + event_timeout;
         let mut last_at = clock::now();
         let mut first = true;
         loop {
-            let frame = match timeout(event_timeout, self.body.frame()).await {
+            // Bytes that are always ready keep the time-out from passing; the size limit of an
+            // event ends them.
+            let frame = match timeout_at(event_due_at, self.body.frame()).await {
                 Ok(Some(Ok(frame))) => frame,
                 Ok(Some(Err(error))) => return Err(ReadError::Disconnected(error.to_string())),
                 Ok(None) if events.is_between_events() => return Ok(()),
@@ -316,16 +352,25 @@
                 }
                 Err(_) => {
                     return Err(ReadError::Other(format!(
-                        "no event within {} ms",
+                        "no complete event within {} ms",
                         event_timeout.as_millis()
                     )));
                 }
             };
             let Some(data) = frame.data_ref() else { continue };
-            stream_run.received();
-            for event in events.read(data) {
-                self.apply_event::<P>(node, chosen, &event).map_err(ReadError::Other)?;
+            let complete = events.read(data);
+            for event in &complete {
+                self.apply_event::<P>(node, chosen, event).map_err(ReadError::Other)?;
+                self.check_output(&mut held, event.data.len())?;
+            }
+            if events.is_over_limit() {
+                let why = format!("an event of over {EVENT_MAX_BYTES} bytes or of too many fields");
+                return Err(ReadError::Other(why));
             }
+            if complete.is_empty() {
+                continue;
+            }
+            stream_run.received();
             let now = clock::now();
             if !first {
                 let gap_ms = now.since_ms(last_at);
@@ -335,7 +380,17 @@
             first = false;
             last_at = now;
             event_timeout = EVENT_TIMEOUT;
+            event_due_at = Instant::now() + event_timeout;
+        }
+    }
+
+    /// Counts an event's data, of which the run's output has grown.
+    fn check_output(&mut self, held: &mut HeldBytes, event_bytes: usize) -> Result<(), ReadError> {
+        self.output_bytes += event_bytes.max(EVENT_MIN_BYTES);
+        if self.output_bytes > OUTPUT_MAX_BYTES {
+            return Err(ReadError::NoOutput(format!("an output of over {OUTPUT_MAX_BYTES} bytes")));
         }
+        held.grow(event_bytes).map_err(|error| ReadError::NoOutput(error.to_string()))
     }
 
     fn apply_event<P: Platform>(
--- a/tests/all/dispatch/stream.rs
+++ b/tests/all/dispatch/stream.rs
@@ -1,6 +1,6 @@
 //! Events of token streams, wherever the byte stream is split.
 
-use catkinmast_dispatch::{EventReader, StreamEvent};
+use catkinmast_dispatch::{EVENT_MAX_BYTES, EventReader, EventScanner, StreamEvent};
 use proptest::prelude::*;
 
 const STREAM: &str =
@@ -46,3 +46,62 @@
         read(&[&bytes]);
     }
 }
+
+// Guards against memory that grows without end: a target sends an event that it never completes.
+#[yare::parameterized(
+    line = { "a" },
+    comments = { ": a\n" },
+    data = { "data: a\n" },
+    fields = { "a\n" },
+    empty_lines = { "\n" },
+)]
+fn an_event_without_end_is_over_the_limit(repeated: &str) {
+    let mut reader = EventReader::default();
+    let mut read_bytes = 0;
+
+    while !reader.is_over_limit() && read_bytes <= EVENT_MAX_BYTES {
+        assert_eq!(reader.read(repeated.as_bytes()), []);
+        read_bytes += repeated.len();
+    }
+
+    assert!(reader.is_over_limit());
+    assert!(!reader.is_between_events(), "the stream cannot end as complete");
+    assert_eq!(reader.read(b"\n\ndata: a\n\n"), [], "nothing more is read");
+}
+
+#[test]
+fn comments_between_events_do_not_add_up_to_the_limit() {
+    let event = format!(": {}\nid: 1\ndata: a\n\n", "a".repeat(1_000));
+    let mut reader = EventReader::default();
+
+    let events = (0..200).map(|_| reader.read(event.as_bytes()).len()).sum::<usize>();
+
+    assert_eq!(events, 200);
+    assert!(!reader.is_over_limit());
+}
+
+// Guards against work that grows with the square of an event's size: each piece of a long line led to
+// a search of the whole line.
+#[test]
+fn each_byte_is_searched_once_however_the_stream_is_split() {
+    let event = format!("data: {}\n\n", "a".repeat(40_000));
+    let mut reader = EventReader::default();
+
+    let events = event.as_bytes().chunks(1).flat_map(|piece| reader.read(piece)).count();
+
+    assert_eq!(events, 1);
+    assert_eq!(reader.searched_bytes(), event.len());
+}
+
+#[test]
+fn the_scanner_finds_the_events_that_the_reader_returns() {
+    for cut in 0..STREAM.len() {
+        let (first, second) = STREAM.as_bytes().split_at(cut);
+        let mut scanner = EventScanner::default();
+
+        let events = scanner.read(first) + scanner.read(second);
+
+        assert_eq!(events, read(&[first, second]).0.len());
+        assert_eq!(scanner.unfinished_bytes(), 0);
+    }
+}
--- a/tests/all/site/endless.rs
+++ b/tests/all/site/endless.rs
@@ -153,6 +153,77 @@
     assert_connections_are_closed(&faulty).await;
 }
 
+// Guards against items that wait for ever at a target that sends bytes but no events, and against
+// text that is no part of the output. Each item starts at the faulty target.
+#[yare::parameterized(
+    head_line = { Reply::fast(HEAD_LINE, "a") },
+    head_line_slow = { Reply::slow(HEAD_LINE, "a") },
+    line = { Reply::fast(AN_EVENT, "a") },
+    line_slow = { Reply::slow(AN_EVENT, "a") },
+    comments = { Reply::fast(AN_EVENT, ": a\n") },
+    comments_slow = { Reply::slow(AN_EVENT, ": a\n") },
+    fields = { Reply::fast(AN_EVENT, "data: a\n") },
+    fields_slow = { Reply::slow(AN_EVENT, "data: a\n") },
+    short_fields = { Reply::fast(AN_EVENT, "a\n") },
+    empty_lines = { Reply::fast(AN_EVENT, "\n") },
+    events = { Reply::fast(EVENTS, "data: a\n\n") },
+    refusal = { Reply::fast(REFUSAL, TEN_BYTE_CHUNK) },
+    refusal_slow = { Reply::slow(REFUSAL, ONE_BYTE_CHUNK) },
+    error = { Reply::fast(ERROR, TEN_BYTE_CHUNK) },
+    error_slow = { Reply::slow(ERROR, ONE_BYTE_CHUNK) },
+    unprocessable_slow = { Reply::slow(UNPROCESSABLE, ONE_BYTE_CHUNK) },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread"))]
+async fn items_at_an_engine_that_sends_without_end_go_on_at_another(reply: Reply) {
+    const ITEMS: usize = 4;
+    let mut site = Site::start(1, 0, 1).await;
+    let faulty = EndlessWorker::start(&site.store, &site.runs, "llm", "endless-0", reply).await;
+    let batch = submission("b1", ITEMS, 5, 1);
+    assert_eq!(site.submit(&site.nodes[0], "b1", &batch).await, 202);
+    until("the items run at the faulty engine", || async {
+        let ran = (0..ITEMS).all(|number| !site.runs.of(&format!("b1i{number}")).is_empty());
+        ran.then_some(())
+    })
+    .await;
+    site.add_engine("engine-0").await;
+
+    let results = site.read_all(&site.nodes[0], "b1", ITEMS).await;
+
+    for result in results {
+        let item = result["id"].as_str().expect("an id");
+        assert_eq!(result["state"], "completed", "{result}");
+        assert_eq!(result["text"], complete_output(item, 5));
+    }
+    assert_memory_is_bounded(&site.nodes[0]);
+    assert_connections_are_closed(&faulty).await;
+}
+
+// Guards against an on-call reader who takes bytes without end for a broken connection.
+#[yare::parameterized(
+    line = { Reply::fast(AN_EVENT, "a"), "an event of over 65536 bytes" },
+    comments_slow = { Reply::slow(AN_EVENT, ": a\n"), "no complete event within 700 ms" },
+    events = { Reply::fast(EVENTS, "data: a\n\n"), "an output of over 1048576 bytes" },
+    head_line = { Reply::fast(HEAD_LINE, "a"), "a response head of over 16384 bytes" },
+    error = { Reply::fast(ERROR, TEN_BYTE_CHUNK), "in the answer: a body of over" },
+    error_slow = { Reply::slow(ERROR, ONE_BYTE_CHUNK), "did not end within 1200 ms" },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread"))]
+async fn the_trail_says_why_a_run_without_end_was_ended(reply: Reply, why: &str) {
+    let site = Site::start(1, 0, 0).await;
+    let _faulty = EndlessWorker::start(&site.store, &site.runs, "llm", "endless-0", reply).await;
+
+    assert_eq!(site.submit(&site.nodes[0], "b1", &submission("b1", 2, 5, 1)).await, 202);
+
+    let runs = until("a run has ended", || async {
+        let runs = site.nodes[0].lines("item_run");
+        (!runs.is_empty()).then_some(runs)
+    })
+    .await;
+    assert_eq!(runs[0]["outcome"], "broken");
+    let found = runs[0]["why"].as_str().expect("a reason");
+    assert!(found.contains(why), "the reason is {found:?}");
+}
+
 // Guards against a target that gets its share of calls although none of its answers ends.
 #[yare::parameterized(
     head_line = { Reply::fast(HEAD_LINE, "a") },
