Streams that are passed on end by their deadline, and error answers are passed on whole or not

What callers saw: a stream of garbage for as long as the target sent (30 s for a deadline of 2 s); a 500 with an empty body in place of one whose body broke or never ended. Cause: the deadline was kept for the head only; an error body that could not be read was replaced by an empty one, and its connection was kept. An error answer that does not end by the deadline is a failed attempt (502).

--- a/tests/all/site/endless.rs
+++ b/tests/all/site/endless.rs
@@ -270,6 +270,79 @@
     assert_connections_are_closed(&faulty).await;
 }
 
+/// Requests a stream, and returns its status and whether its body ended as complete.
+async fn stream(site: &Site, id: &str, deadline_ms: u64) -> (u16, bool) {
+    let mut answer =
+        site.call_within(&site.nodes[0], "/stream/a", id, "\u{3}", deadline_ms).await.expect("one");
+    let status = answer.status().as_u16();
+    loop {
+        match answer.chunk().await {
+            Ok(Some(_)) => {}
+            Ok(None) => return (status, true),
+            Err(_) => return (status, false),
+        }
+    }
+}
+
+// Guards against a stream that is passed on until its caller closes: it ends as broken by its
+// deadline at the latest.
+#[yare::parameterized(
+    line = { Reply::fast(AN_EVENT, "a") },
+    line_slow = { Reply::slow(AN_EVENT, "a") },
+    comments_slow = { Reply::slow(AN_EVENT, ": a\n") },
+    events = { Reply::fast(EVENTS, "data: a\n\n") },
+    events_slow = { Reply::slow(EVENTS, "data: a\n\n") },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread"))]
+async fn a_stream_without_end_ends_as_broken_by_its_deadline(reply: Reply) {
+    const DEADLINE_MS: u64 = 2_000;
+    let site = Site::start(1, 0, 1).await;
+    let faulty = EndlessWorker::start(&site.store, &site.runs, "llm", "endless-0", reply).await;
+    until("the engine is known", || async {
+        (stream(&site, "s0", DEADLINE_MS).await.0 == 200).then_some(())
+    })
+    .await;
+
+    let started = Instant::now();
+    let ids: Vec<String> = (1..30).map(|number| format!("s{number}")).collect();
+    let streams = join_all(ids.iter().map(|id| stream(&site, id, DEADLINE_MS)));
+    let lookups = join_all((0..20).map(|number| lookup(&site, format!("q{number}"))));
+    let (streams, lookups) = tokio::join!(streams, lookups);
+
+    assert!(started.elapsed() < Duration::from_millis(DEADLINE_MS + 3_000), "ended in time");
+    for (status, is_complete) in streams {
+        assert!(matches!(status, 200 | 502 | 503), "answered {status}");
+        assert!(status != 200 || !is_complete, "a stream ended as complete");
+    }
+    assert!(lookups.iter().all(|(status, _)| *status == 200), "{lookups:?}");
+    assert_memory_is_bounded(&site.nodes[0]);
+    assert_connections_are_closed(&faulty).await;
+}
+
+// Guards against an error answer that is cut off and passed on as complete.
+#[yare::parameterized(
+    fast = { Reply::fast(ERROR, TEN_BYTE_CHUNK) },
+    slow = { Reply::slow(ERROR, ONE_BYTE_CHUNK) },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread"))]
+async fn an_error_answer_without_end_to_a_stream_is_not_passed_on(reply: Reply) {
+    let site = Site::start(1, 0, 0).await;
+    let faulty = EndlessWorker::start(&site.store, &site.runs, "llm", "endless-0", reply).await;
+    until("the engine is asked", || async {
+        let answer = site.call_within(&site.nodes[0], "/stream/a", "s0", "\u{3}", 1_500).await;
+        let status = answer.expect("an answer").status();
+        assert_ne!(status, 500, "the error answer is not whole");
+        (faulty.requests() > 0).then_some(())
+    })
+    .await;
+
+    let answer = site.call_within(&site.nodes[0], "/stream/a", "s1", "\u{3}", 1_500).await;
+
+    assert!(matches!(answer.expect("an answer").status().as_u16(), 502..=504));
+    assert_memory_is_bounded(&site.nodes[0]);
+    assert_connections_are_closed(&faulty).await;
+}
+
 // Guards against weights that are not moved on because an engine answers orders and requests for its
 // report without end.
 #[yare::parameterized(
