The head of a request ends within headerTimeoutMs of its first byte

What was seen: a caller that sends a head slowly kept its connection for idleTimeoutMs, 15 s in place of 3 s. Cause: hyper's time-out also runs while a connection is idle, so it was set to the time of idle connections. Change: a timer that begins with the first byte of a head while no answer is under way.

--- /dev/null
+++ b/crates/serve/src/head_timer.rs
@@ -0,0 +1,118 @@
+//! The time that a caller may take to send the head of a request, from its first byte.
+//!
+//! hyper's own time-out also runs while a connection is idle, so it cannot be shorter than callers
+//! may keep an idle connection.
+
+use crate::followed_stream::OnRead;
+use hyper::body::{Body, Frame, SizeHint};
+use std::cell::Cell;
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::time::{Instant, sleep_until};
+
+/// Follows the heads that arrive on one connection.
+#[derive(Clone, Debug)]
+pub(crate) struct HeadTimer(Rc<State>);
+
+#[derive(Debug)]
+struct State {
+    /// Requests whose heads are complete and whose answers are not sent.
+    exchanges: Cell<usize>,
+    /// When the head that has begun to arrive is to be complete.
+    head_due_at: Cell<Option<Instant>>,
+    begun: Notify,
+    timeout: Duration,
+}
+
+impl HeadTimer {
+    pub(crate) fn new(timeout: Duration) -> Self {
+        Self(Rc::new(State {
+            exchanges: Cell::new(0),
+            head_due_at: Cell::new(None),
+            begun: Notify::new(),
+            timeout,
+        }))
+    }
+
+    /// Records that a head is complete. Bytes count as part of the next head once the returned
+    /// value is dropped.
+    pub(crate) fn begin_exchange(&self) -> Exchange {
+        self.0.exchanges.set(self.0.exchanges.get() + 1);
+        self.0.head_due_at.set(None);
+        Exchange(self.clone())
+    }
+
+    /// Waits until a head is overdue.
+    pub(crate) async fn overdue(&self) {
+        loop {
+            match self.0.head_due_at.get() {
+                None => self.0.begun.notified().await,
+                Some(due_at) => {
+                    sleep_until(due_at).await;
+                    if self.0.head_due_at.get() == Some(due_at) {
+                        return;
+                    }
+                }
+            }
+        }
+    }
+}
+
+impl OnRead for HeadTimer {
+    fn bytes_arrived(&self, _count: usize) -> io::Result<()> {
+        if self.0.exchanges.get() == 0 && self.0.head_due_at.get().is_none() {
+            self.0.head_due_at.set(Some(Instant::now() + self.0.timeout));
+            self.0.begun.notify_one();
+        }
+        Ok(())
+    }
+}
+
+/// A request whose answer is not sent.
+#[derive(Debug)]
+pub(crate) struct Exchange(HeadTimer);
+
+impl Exchange {
+    /// Returns a body that ends the exchange when it is dropped.
+    pub(crate) const fn until_sent<B>(self, body: B) -> ExchangeBody<B> {
+        ExchangeBody { body, _exchange: self }
+    }
+}
+
+impl Drop for Exchange {
+    fn drop(&mut self) {
+        let exchanges = &self.0.0.exchanges;
+        exchanges.set(exchanges.get().saturating_sub(1));
+    }
+}
+
+/// The body of an answer.
+#[derive(Debug)]
+pub(crate) struct ExchangeBody<B> {
+    body: B,
+    _exchange: Exchange,
+}
+
+impl<B: Body + Unpin> Body for ExchangeBody<B> {
+    type Data = B::Data;
+    type Error = B::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<B::Data>, B::Error>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -29,6 +29,7 @@
 mod feed;
 mod followed_stream;
 mod forward;
+mod head_timer;
 mod health;
 mod hedging;
 mod listener;
--- a/crates/serve/src/listener.rs
+++ b/crates/serve/src/listener.rs
@@ -2,6 +2,8 @@
 //! connections that they accept.
 
 use crate::caller::{self, Answer};
+use crate::followed_stream::FollowedStream;
+use crate::head_timer::HeadTimer;
 use crate::node::Node;
 use crate::peers;
 use crate::platform::Platform;
@@ -82,17 +84,32 @@
         limits.map_or(HEADER_MAX_BYTES, |limits| limits.header_max_bytes as usize);
     let idle_ms = limits.map_or(IDLE_MAX_MS, |limits| limits.idle_timeout_ms);
     let mut closing = node.closing.subscribe();
-    let handle = service_fn(move |request| caller::handle(Rc::clone(&node), request));
-    let connection =
-        builder(header_max_bytes, idle_ms).serve_connection(TokioIo::new(stream), handle);
+    let header_timeout_ms = limits.map_or(IDLE_MAX_MS, |limits| limits.header_timeout_ms);
+    let timer = HeadTimer::new(Duration::from_millis(header_timeout_ms));
+    let stream = TokioIo::new(FollowedStream::new(stream, timer.clone()));
+    let exchanges = timer.clone();
+    let handle = service_fn(move |request| {
+        let exchange = exchanges.begin_exchange();
+        let answer = caller::handle(Rc::clone(&node), request);
+        async move { answer.await.map(|answer| answer.map(|body| exchange.until_sent(body))) }
+    });
+    let connection = builder(header_max_bytes, idle_ms).serve_connection(stream, handle);
     let mut connection = pin!(connection);
+    let mut overdue = pin!(timer.overdue());
     // An error means that the caller disconnected or sent an invalid request, which hyper answers.
+    // The connection comes first: the rest of a head may have arrived while the process was paused.
     tokio::select! {
+        biased;
         ended = connection.as_mut() => return drop(ended),
         _ = closing.wait_for(|closing| *closing) => {}
+        () = overdue.as_mut() => return,
     }
     connection.as_mut().graceful_shutdown();
-    drop(connection.await);
+    tokio::select! {
+        biased;
+        ended = connection => drop(ended),
+        () = overdue => {}
+    }
 }
 
 /// Serves another node's connection.
