--- a/crates/serve/src/batches/accept.rs
+++ b/crates/serve/src/batches/accept.rs
@@ -117,7 +117,7 @@
             message: "the owner did not confirm it".to_owned(),
             verdict: Verdict::MayHaveRun,
         },
-        Err(CallError { message, verdict }) => StoreRefusal { message, verdict },
+        Err(CallError { message, verdict, .. }) => StoreRefusal { message, verdict },
     };
     node.note(
         "submission_not_forwarded",
