Soak: sites of more than 64 nodes start

Cause: the harness waits until each directory lists all nodes; a directory lists 64 addresses at most (`ADDRESSES_MAX`).

Change: the wait asks for 64 nodes at most. Sites of up to 64 nodes are waited for as before.

--- a/tests/all/site/harness.rs
+++ b/tests/all/site/harness.rs
@@ -18,6 +18,8 @@
 
 /// How long a test waits for a condition before it fails as hung.
 pub(crate) const HANG_TIMEOUT: Duration = Duration::from_mins(1);
+/// The most addresses that a node's directory lists.
+const DIRECTORY_MAX: usize = 64;
 /// The host name of all routes.
 pub(crate) const HOST: &str = "site.example";
 
@@ -408,8 +410,9 @@
         self.engines.push(worker);
     }
 
-    /// Waits until the directory of each node lists `count` nodes.
+    /// Waits until the directory of each node lists `count` nodes, or as many as it lists at most.
     pub(crate) async fn wait_until_all_listed(&self, count: usize) {
+        let count = count.min(DIRECTORY_MAX);
         for node in &self.nodes {
             until("all nodes in the directory", || async {
                 (self.directory(node).await.len() == count).then_some(())
