Test, failing: a lookup that ran is answered not_run

Callers see (in a test, catkinmast-node): a call that may be repeated is sent to the only target, which reads it and closes the connection; the answer is 503 with the verdict not_run.

Cause (by reading): call_with_retries answers with the verdict of the last step only. After an attempt that may have run it looks for another target, and no_target says not_run. Likewise if the last of several attempts found its port closed.

No product code changed.

--- a/tests/all/processes/calls.rs
+++ b/tests/all/processes/calls.rs
@@ -140,6 +140,29 @@
     assert!(problem["retry_at_unix_ms"].is_u64(), "it has a retry time: {body}");
 }
 
+// Guards against a call answered `not_run` although its first attempt ran: no other target is left.
+#[tokio::test]
+async fn a_lookup_whose_answer_was_lost_is_not_answered_not_run() {
+    let fleet = Fleet::start(&FleetSize { engines: 0, nodes: 1, services: 0 }).await;
+    let (address, requests) = closing_target();
+    fleet.set_instance("closing", "service", address, "live").await;
+    let target_listed = async || {
+        let status = fleet.status(0).await;
+        (status["targets"].as_array().map_or(0, Vec::len) == 1).then_some(())
+    };
+    fleet.poll_until("the target is listed", target_listed).await;
+
+    let mut outcomes = Vec::new();
+    for number in 0..30 {
+        let before = requests.load(Ordering::SeqCst);
+        let (_, body) = fleet.call(0, "/progress", &format!("badge-{number}"), None).await;
+        outcomes.push((verdict(&body), requests.load(Ordering::SeqCst) - before));
+    }
+
+    let is_false = |(verdict, sent): &(String, usize)| verdict == "not_run" && *sent > 0;
+    assert!(!outcomes.iter().any(is_false), "verdicts and requests at the target: {outcomes:?}");
+}
+
 // Guards against new calls to a target that has begun to drain (state `leaving`): it refuses a call
 // of one node, but the other nodes know only the platform's list, which lags and shows it as live.
 #[tokio::test]
