Test, failing: an unsigned 503 to a request that ran is passed on

Callers see (in a test): a call that may not be repeated, and a stream, run at a target whose answer is 503 with neither a signature nor the header of a refusal. Both are answered 503, which promises that the request has not run.

Cause (by reading): an unsigned success is not taken for the target's own answer, an unsigned error is (forward.rs exchange, relay.rs start). Not covered: a signed 503 or 429 without the header, which is to be passed on unchanged.

The stand-in worker gets the behaviour. No product code changed.

--- a/tests/all/site/requests.rs
+++ b/tests/all/site/requests.rs
@@ -62,6 +62,25 @@
     }
 }
 
+// Guards against a refusal of a request that has run: an unsigned 503 without the header of a refusal
+// does not come from the target, and is passed on.
+#[yare::parameterized(
+    call = { "/check/a" },
+    stream = { "/stream/a" },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread"))]
+async fn an_unsigned_503_to_a_request_that_ran_is_not_passed_on(path: &str) {
+    let site = Site::start(1, 2, 2).await;
+    for worker in site.plain.iter().chain(&site.engines) {
+        worker.set_behaviour(Behaviour::RunsAndAnswersUnavailable);
+    }
+
+    let answer = site.call(&site.nodes[0], path, "c0").await.expect("an answer");
+
+    assert_eq!(site.runs.of("c0").len(), 1);
+    assert_ne!(answer.status(), 503);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn an_idempotent_call_whose_answer_is_lost_is_repeated_within_its_attempts() {
     let site = Site::start(1, 0, 4).await;
--- a/tests/all/site/worker/serving.rs
+++ b/tests/all/site/worker/serving.rs
@@ -129,6 +129,9 @@
     if behaviour == Behaviour::LosesAnswers {
         return None;
     }
+    if behaviour == Behaviour::RunsAndAnswersUnavailable {
+        return Some(answer(503, ""));
+    }
     let mut guard = AbandonGuard { complete: false, _slot: slot, state: Arc::clone(state) };
     if behaviour == Behaviour::WithholdsAnswers {
         std::future::pending::<()>().await;
