Test, failing: a batch handed over in an outage stands still until its end

Callers see (in a test): the store goes down as an owner stops as planned; no item of its batch runs until the store is back, though the other node holds a copy.

Cause (by reading and the trail): the handover repeats its takeover and keeps the batch marked as being taken over, so that the takeover that starts interim runs does not begin once the former owner is gone. batch_untaken every 500 ms, no batch_run_in_interim.

No product code changed.

--- a/tests/all/site/standby.rs
+++ b/tests/all/site/standby.rs
@@ -2,7 +2,7 @@
 //! they run on during an outage of the store.
 
 use super::harness::{Site, complete_output, submission, until};
-use super::store::StoreMode;
+use super::store::{LastAnswer, StoreMode};
 use std::time::Duration;
 
 /// Time within which outputs that take long are copied: those older than a second, every 0.6 s.
@@ -79,6 +79,28 @@
     assert!(resumed > 0, "the new owner continues from the output generated meanwhile");
 }
 
+// Guards against a step that stalls while its successor waits to read the batch that was handed over
+// to it: the store goes down as the owner stops as planned.
+#[tokio::test(flavor = "multi_thread")]
+async fn items_of_a_batch_that_is_handed_over_in_an_outage_run_on_during_it() {
+    let site = Site::start(2, 3, 1).await;
+    for engine in &site.engines {
+        engine.set_pace(50, 5);
+    }
+    assert_eq!(site.submit(&site.nodes[0], "b1", &submission("b1", 6, 120, 1)).await, 202);
+    let owner = site.owner_of("b1").await;
+    let successor = &site.nodes[1 - owner];
+    tokio::time::sleep(OUTPUT_COPY_TIME).await;
+    site.store.go_down_after_write("cm/h/b1", LastAnswer::Arrives);
+
+    site.nodes[owner].signal("TERM");
+    until("the owner has exited", || async { site.nodes[owner].exit_status() }).await;
+    tokio::time::sleep(Duration::from_secs(6)).await;
+
+    let interim = successor.lines("batch_run_in_interim");
+    assert!(!interim.is_empty(), "no item runs in the outage\n{}", successor.audit_trail());
+}
+
 // Guards against items that run although their batch has ended. A batch is ended, and later its
 // owner dies during an outage of the store; a copy that outlives its batch would be run.
 #[tokio::test(flavor = "multi_thread")]
