Tests, failing: a forgotten end, and writes for each read

- An end that the store refuses stops the batch at its owner, is answered 504 and is forgotten. 11 s after the store's return the owner is killed, and its successor runs all items again (runs 4 -> 8).
- A batch whose route was removed and whose owner died is taken over and not run (batch_without_route).
Each read finds that its owner does not own it and wakes the owner, which reads the batch and writes its record again: 20 reads in 2 s cause 22 writes.

No product code changed.

--- a/tests/all/site/refusals.rs
+++ b/tests/all/site/refusals.rs
@@ -1,6 +1,6 @@
 //! Refused submissions: a batch whose submission was refused at every attempt never runs.
 
-use super::harness::{Node, Site, submission, until};
+use super::harness::{Node, Site, document, submission, until};
 use super::store::{LastAnswer, StoreMode};
 use std::time::Duration;
 
@@ -175,3 +175,60 @@
 
     assert_eq!(site.read_all(&site.nodes[entry], "b2", ITEMS).await.len(), ITEMS);
 }
+
+// Guards against an end that is forgotten: the store refuses it, the owner stops the batch, and the
+// next owner runs it again.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_end_that_the_store_refused_is_written_when_the_store_returns() {
+    let site = Site::start(6, 3, 1).await;
+    for engine in &site.engines {
+        engine.set_pace(100, 5);
+    }
+    assert_eq!(site.submit(&site.nodes[0], "b1", &submission("b1", ITEMS, 80, 1)).await, 202);
+    let owner = site.owner_of("b1").await;
+    until("an item runs", || async { (runs_of(&site, "b1") > 0).then_some(()) }).await;
+    site.store.set_all_modes(StoreMode::Refuses);
+    let status = site.end(&site.nodes[owner], "b1").await;
+    assert_ne!(status, 200);
+    end_outage(&site).await;
+    let before = runs_of(&site, "b1");
+
+    site.nodes[owner].signal("KILL");
+    tokio::time::sleep(WATCHED).await;
+
+    let after = runs_of(&site, "b1");
+    assert_eq!(after, before, "runs of a batch that was ended ({status})\n{}", trails(&site));
+}
+
+// Guards against a write to the store for each read: a batch whose route was removed has an owner
+// that never runs it.
+#[tokio::test(flavor = "multi_thread")]
+async fn reads_of_a_batch_without_a_route_write_nothing() {
+    const READS: usize = 20;
+    let site = Site::start(3, 3, 1).await;
+    for engine in &site.engines {
+        engine.set_pace(100, 5);
+    }
+    assert_eq!(site.submit(&site.nodes[0], "b1", &submission("b1", ITEMS, 80, 1)).await, 202);
+    let owner = site.owner_of("b1").await;
+    let reader = (owner + 1) % site.nodes.len();
+    let mut config = document(7);
+    config["routes"].as_array_mut().expect("a list").retain(|route| route["name"] != "rollouts");
+    site.store.put("op/config", &config);
+    let is_in_force = |node: &Node| {
+        node.lines("document_in_force").iter().any(|line| line["version"].as_u64() == Some(7))
+    };
+    until("the route is gone", || async { site.nodes.iter().all(is_in_force).then_some(()) }).await;
+    site.nodes[owner].signal("KILL");
+    let is_taken = |node: &Node| !node.lines("batch_without_route").is_empty();
+    until("it is taken over", || async { site.nodes.iter().any(is_taken).then_some(()) }).await;
+
+    let before = site.store.calls("kv-txn");
+    for _ in 0..READS {
+        site.read_within(&site.nodes[reader], "b1", 0, 0).await;
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+
+    let writes = site.store.calls("kv-txn") - before;
+    assert!(writes < READS as u64 / 2, "{READS} reads caused {writes} writes\n{}", trails(&site));
+}
