Test, failing: a successor orders at once because it takes its own lost write for an earlier holding

Seen (in a test): the holder of the order duty is killed; its successor's write of the lease key is carried out by the store and the answer is lost. The call is repeated by way of a peer within the same store call and finds the key, with this node's own record. The successor reports acts_at_once and does not wait until no order of the dead holder can arrive.

Cause (by reading): DutyLease::take takes every conflict with a record of this node for one of an earlier holding (TakenFromSelf). The first try of the same call, bound to the lease just opened, is not told apart. Rule: orders of two holders in turns within leaseMs.

No product code changed.

--- a/tests/all/site/orders.rs
+++ b/tests/all/site/orders.rs
@@ -135,6 +135,34 @@
     assert_eq!(report.await["acts_at_once"], true);
 }
 
+// Guards against orders of a dead holder that arrive after its successor's: the answer to the write
+// by which the successor takes the duty is lost, and it takes its own key for an earlier holding.
+#[yare::parameterized(
+    no_answer_is_lost = { &[] },
+    at_one_node = { &[0] },
+    at_the_other_node = { &[1] },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread"))]
+async fn a_successor_waits_for_the_orders_of_the_dead_holder(losing: &[usize]) {
+    let site = Site::start(3, 1, 0).await;
+    let gained =
+        |number: &usize| !site.nodes[*number].duty_lines("duty_gained", "orders").is_empty();
+    let holder = until("a holder", || async { (0..3).find(gained) }).await;
+    let others: Vec<usize> = (0..3).filter(|number| *number != holder).collect();
+    for index in losing {
+        let endpoint = site.nodes[others[*index]].store_endpoint;
+        site.store.set_mode(endpoint, StoreMode::LosesWriteAnswers);
+    }
+
+    site.nodes[holder].signal("KILL");
+
+    let successor = until("a successor", || async { others.iter().copied().find(gained) }).await;
+    let node = &site.nodes[successor];
+    let report =
+        until("the report", || async { node.duty_lines("duty_report", "orders").first().cloned() });
+    assert_eq!(report.await["acts_at_once"], false, "{}", node.audit_trail());
+}
+
 // Guards against a key that lapses under its holder: it is bound to an earlier lease, while the
 // node renews a new one.
 #[tokio::test(flavor = "multi_thread")]
