Test, failing: a trial is not made because its claimant finds its own claim

Callers see (in a test): a request under suspicion is answered 503 and no node tries it for a minute. The claim of its trial is carried out by the store and the answer is lost; the store call is repeated by way of a peer and meets the key that it has just written.

Cause (by reading): claim_trial takes every conflict for another node's claim. The key holds the claimant's name and its lease, by which it could tell.

No product code changed.

--- a/tests/all/site/trials.rs
+++ b/tests/all/site/trials.rs
@@ -3,6 +3,7 @@
 
 use super::crashes::{CRASHES_BEFORE_BLOCKED, start_site};
 use super::harness::{Site, until};
+use super::store::StoreMode;
 use super::worker::Behaviour;
 use std::collections::BTreeSet;
 
@@ -69,6 +70,35 @@
     );
 }
 
+// Guards against a request that is refused for a minute although it was never tried: the store's
+// answer to the claim of its trial is lost, and the claimant finds its own claim.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_trial_whose_claim_is_stored_and_not_answered_is_made() {
+    let site = start_site(0, 1).await;
+    site.plain[0].set_pace(10, 200);
+    let send = |node: usize, id: &str, body: &'static str| {
+        let (site, id) = (&site, id.to_owned());
+        async move {
+            let answer = site.call_with(&site.nodes[node], "/check/a", &id, body).await;
+            answer.expect("an answer").status().as_u16()
+        }
+    };
+    for round in 0..3 {
+        let together = futures::future::join(
+            send(0, &format!("a{round}"), "crash a"),
+            send(1, &format!("b{round}"), "crash b"),
+        );
+        assert_eq!(together.await, (502, 502), "one crash interrupts both");
+        wait_until_restarted(&site, round + 1).await;
+    }
+    site.store.set_mode(site.nodes[2].store_endpoint, StoreMode::LosesWriteAnswers);
+
+    let status = send(2, "trial", "crash a").await;
+
+    let runs = site.runs.of("trial").len();
+    assert_eq!((status, runs), (502, 1), "{}", site.nodes[2].audit_trail());
+}
+
 // Guards against a harmless request that is refused for a minute: its one trial was spent on an
 // attempt that its target refused to run, because the target was full or had just restarted under
 // another id at the same address.
