Concurrent attempts to submit a batch share what is known of its write

By reading (a review): of two attempts at one node at the same time, the first is truly refused and forgets the batch while the second's write is under way, or its caller leaves before the owner has answered and nothing is remembered. A later attempt is then refused although the write may have been carried out.

Change: a module of its own counts the writes under way for each submission, and remembers one that ended without an answer; an attempt that is dropped counts as unanswered.

No test shows the order of events by itself: site::refusals passes as before.

--- a/crates/serve/src/batches/accept.rs
+++ b/crates/serve/src/batches/accept.rs
@@ -6,6 +6,7 @@
 };
 use super::standby::send_copies;
 use super::takeover::{is_own_incarnation, start_takeover};
+use super::unconfirmed::SubmissionAttempt;
 use super::write::{RETRY_PAUSE, save_partial_outputs, write_results};
 use super::{LocalBatch, REUSABLE_OUTPUT_TTL_MS};
 use crate::clock;
@@ -108,10 +109,17 @@
     };
     let call = PeerCall::Submit { batch: id.to_owned(), origin, submission: Box::new(submission) };
     let asked_at = clock::now();
+    let attempt = SubmissionAttempt::begin(&node.batches, id);
     let owners_refusal = match node.ask_peer(owner, &call, PEER_SUBMIT_TIMEOUT).await {
-        Ok(PeerAnswer::Accepted) => return Acceptance::Accepted,
+        Ok(PeerAnswer::Accepted) => {
+            attempt.stored();
+            return Acceptance::Accepted;
+        }
         // The id belongs to a batch of another workspace.
-        Ok(PeerAnswer::NoBatch) => return Acceptance::IdConflict,
+        Ok(PeerAnswer::NoBatch) => {
+            attempt.stored();
+            return Acceptance::IdConflict;
+        }
         Ok(PeerAnswer::Unconfirmed(refusal)) => refusal,
         Ok(_) => StoreRefusal {
             message: "the owner did not confirm it".to_owned(),
@@ -119,6 +127,7 @@
         },
         Err(CallError { message, verdict, .. }) => StoreRefusal { message, verdict },
     };
+    attempt.refused(owners_refusal.verdict);
     node.note(
         "submission_not_forwarded",
         json!({
@@ -130,9 +139,6 @@
     let PeerCall::Submit { origin, submission, .. } = call else {
         unreachable!("the call was built as Submit above")
     };
-    if owners_refusal.verdict.may_have_run() {
-        node.batches.unconfirmed.borrow_mut().insert(clock::now(), id);
-    }
     match accept(node, id, origin, *submission).await {
         Acceptance::Unknown(refusal) => Acceptance::Unknown(refusal.after(&owners_refusal)),
         accepted => accepted,
@@ -225,17 +231,16 @@
     call: &StoreCall,
 ) -> Result<Creation, StoreRefusal> {
     let started_at = clock::now();
-    // Recorded before the write, so that a submission that arrives meanwhile is not refused either.
-    let was_unconfirmed = node.batches.unconfirmed.borrow_mut().insert(started_at, id);
+    let submission = SubmissionAttempt::begin(&node.batches, id);
     let mut refused: Option<StoreRefusal> = None;
     for attempt in 1..=STORE_ATTEMPTS {
         let refusal = match node.store(call).await {
             Ok(StoreAnswer::Committed { revision }) => {
-                node.batches.unconfirmed.borrow_mut().remove(id);
+                submission.stored();
                 return Ok(Creation::New { revision });
             }
             Ok(StoreAnswer::Conflict { items }) => {
-                node.batches.unconfirmed.borrow_mut().remove(id);
+                submission.stored();
                 return Ok(Creation::Exists { items });
             }
             Ok(other) => unexpected_answer(&other),
@@ -250,10 +255,10 @@
         sleep(RETRY_PAUSE).await;
     }
     let mut refusal = refused.unwrap_or_else(|| unreachable!("at least one attempt is made"));
+    let was_unconfirmed = submission.was_unconfirmed;
+    submission.refused(refusal.verdict);
     if was_unconfirmed {
         refusal.verdict = refusal.verdict.combined_with(Verdict::MayHaveRun);
-    } else if !refusal.verdict.may_have_run() {
-        node.batches.unconfirmed.borrow_mut().remove(id);
     }
     node.note(
         "submission_unconfirmed",
--- a/crates/serve/src/batches/mod.rs
+++ b/crates/serve/src/batches/mod.rs
@@ -15,6 +15,7 @@
 mod read;
 mod standby;
 mod takeover;
+mod unconfirmed;
 mod write;
 
 pub(crate) use accept::{Acceptance, accept, model_duty, submit};
@@ -38,15 +39,12 @@
 use std::rc::Rc;
 use tokio::sync::Notify;
 use tokio::task::AbortHandle;
+use unconfirmed::UnconfirmedSubmissions;
 
 /// How long generated output of ended batches is kept: a trainer that submits a group again does so
 /// within a few steps.
 const REUSABLE_OUTPUT_TTL_MS: u64 = 30_000;
 
-/// How long a submission counts as possibly stored after its last unanswered write: longer than a
-/// trainer goes on submitting it.
-const UNCONFIRMED_TTL_MS: u64 = 60_000;
-
 /// How long a batch is assumed to be open after its owner was reported: longer than two steps of a
 /// trainer. Older batches are left to the nodes that search the store.
 const ASSUMED_OPEN_MS: u64 = 30_000;
@@ -164,25 +162,6 @@
     }
 }
 
-/// Submissions that this node has tried to store, itself or at their owner, without learning the
-/// outcome.
-#[derive(Debug, Default)]
-struct UnconfirmedSubmissions(IndexMap<String, UnixMs>);
-
-impl UnconfirmedSubmissions {
-    /// Records that a write of the submission may be carried out from now on. Returns whether this
-    /// was the case before.
-    fn insert(&mut self, now: UnixMs, batch: &str) -> bool {
-        self.0.retain(|_, tried_at| now.since_ms(*tried_at) < UNCONFIRMED_TTL_MS);
-        self.0.insert(batch.to_owned(), now).is_some()
-    }
-
-    /// Records that the batch is known to exist, or not to have been written.
-    fn remove(&mut self, batch: &str) {
-        self.0.swap_remove(batch);
-    }
-}
-
 /// The owner of a batch, as reported to this node.
 #[derive(Clone, Debug)]
 struct ReportedOwner {
