A batch that was handed over runs on while its successor cannot read it

- While the successor repeats the takeover of a batch that was handed over to it in an outage, no other takeover of it starts here, so the items did not run in the interim although this node held a copy.
The successor now runs them in the interim as soon as the first try has failed, and keeps them while the record names it.
A node without a configuration tries again instead of taking a batch that it does not run.
- A handover that met a changed record counted as made whatever the record said.
It is written again if the record still names this node.
- A stored batch that cannot be decoded is not tried for ever.

--- a/crates/serve/src/batches/takeover.rs
+++ b/crates/serve/src/batches/takeover.rs
@@ -4,7 +4,7 @@
 use super::accept::{BatchSource, model_duty, start_owning};
 use super::end::delete_expired;
 use super::keys::{
-    RECORD_PREFIX, Record, RecordWrite, StoredBatch, part_max_bytes, read_record,
+    Origin, RECORD_PREFIX, Record, RecordWrite, StoredBatch, part_max_bytes, read_record,
     read_stored_batch, report_unreadable, write_record,
 };
 use super::ownership::apply_record;
@@ -97,31 +97,33 @@
 
 /// Takes over the batches that this node knows of and is responsible for.
 fn take_over_known<P: Platform>(node: &Rc<Node<P>>) {
-    let Some(me) = peers::me(node) else { return };
     stop_obsolete_interim(node);
     for (id, owner) in node.batches.recently_reported_owners(clock::now()) {
-        let is_responsible = is_own_incarnation(&me, &owner)
-            || (is_dead(node, &owner) && peers::is_first_for(node, &id));
-        if is_responsible && node.batches.get(&id).is_none() {
+        if is_responsible(node, &id, &owner) && node.batches.get(&id).is_none() {
             start_takeover(node, &id);
         }
     }
 }
 
-/// Stops interim runs of batches for which this node is no longer responsible: their owner is
-/// alive, or another node succeeds it.
+/// Stops interim runs of batches for which this node is no longer responsible: another node owns
+/// them or succeeds their owner.
 fn stop_obsolete_interim<P: Platform>(node: &Rc<Node<P>>) {
     for id in node.batches.standby.interim_ids() {
         let owner = node.batches.owner_of(&id);
-        let is_responsible = owner.is_some_and(|owner| is_dead(node, &owner))
-            && peers::is_first_for(node, &id)
-            && !node.leaving.get();
-        if !is_responsible {
+        let is_responsible = owner.is_some_and(|owner| is_responsible(node, &id, &owner));
+        if !is_responsible || node.leaving.get() {
             node.batches.standby.discard(&id);
         }
     }
 }
 
+/// Returns whether this node is to run a batch with this owner: it is the owner itself, or the first
+/// in rank to succeed it.
+fn is_responsible<P: Platform>(node: &Node<P>, id: &str, owner: &Owner) -> bool {
+    peers::me(node).is_some_and(|me| is_own_incarnation(&me, owner))
+        || (is_dead(node, owner) && peers::is_first_for(node, id))
+}
+
 /// Handles a notice by a searching node that a batch's owner is dead and that this node is
 /// responsible for the batch.
 pub(crate) fn on_batch_orphaned<P: Platform>(node: &Rc<Node<P>>, batch: &str, owner: Owner) {
@@ -266,6 +268,10 @@
         node.batches.note_owner(id, record.owner);
         return Ok(());
     }
+    // A batch whose route was removed needs no owner: its results are read from the store.
+    if !has_route(node, id, &record.origin)? {
+        return Ok(());
+    }
     let former_owner = record.owner.clone();
     let record = Record { owner: me, ..record };
     let revision = match write_record(node, id, &record, revision).await? {
@@ -297,6 +303,19 @@
     Ok(())
 }
 
+/// Returns whether the configuration has the route of a batch.
+fn has_route<P: Platform>(node: &Node<P>, id: &str, origin: &Origin) -> Result<bool, StoreRefusal> {
+    let document = node.document().ok_or_else(|| StoreRefusal {
+        message: "no configuration yet".to_owned(),
+        verdict: Verdict::NotRun,
+    })?;
+    let has_route = document.route(&origin.host, &origin.path).is_some();
+    if !has_route {
+        node.note("batch_without_route", json!({ "request": id, "host": origin.host }));
+    }
+    Ok(has_route)
+}
+
 /// Hands over all batches with items left to run to live peers, with their output so far; for a
 /// planned stop.
 pub(crate) async fn hand_over_all<P: Platform>(node: Rc<Node<P>>) {
@@ -320,33 +339,63 @@
             return;
         }
     }
-    let (id, model, record, revision) = {
+    let (id, duty) = {
         let local = local.borrow();
         if !local.owned {
             return;
         }
-        let model = local.batch.submission().model.clone();
-        (local.id.clone(), model, local.record.clone(), local.record_revision)
+        let model = local.batch.submission().model.as_deref();
+        (local.id.clone(), model_duty(model.unwrap_or(&local.record.origin.path)))
     };
-    let duty = model_duty(model.as_deref().unwrap_or(&record.origin.path));
     let Some(successor) = peers::successor_for(node, &duty) else { return };
-    let record = Record { owner: successor.clone(), ..record };
-    match write_record(node, &id, &record, revision).await {
-        Ok(RecordWrite::Done(revision) | RecordWrite::Changed(_, revision)) => {
-            apply_record(node, local, record, revision);
-            node.note("batch_handed_over", json!({ "request": id, "to": successor.node }));
-        }
-        Err(refusal) => {
-            let (why, verdict) = (refusal.message, refusal.verdict);
-            let line = json!({ "request": id, "why": why, "verdict": verdict });
-            node.note("batch_not_handed_over", line);
-            // Otherwise the record may name the successor, which then has to know of it.
-            if verdict == Verdict::NotRun {
-                return;
+    if write_successor(node, local, &successor).await {
+        tell_successor(node, &successor, PeerCall::Adopt { batch: id, texts: outputs }).await;
+    }
+}
+
+/// Writes the successor into a batch's record. Returns whether the record may name it now.
+async fn write_successor<P: Platform>(
+    node: &Rc<Node<P>>,
+    local: &RefCell<LocalBatch>,
+    successor: &Owner,
+) -> bool {
+    loop {
+        let (id, record, revision) = {
+            let local = local.borrow();
+            let record = Record { owner: successor.clone(), ..local.record.clone() };
+            (local.id.clone(), record, local.record_revision)
+        };
+        let why = match write_record(node, &id, &record, revision).await {
+            Ok(RecordWrite::Done(revision)) => {
+                apply_record(node, local, record, revision);
+                node.note("batch_handed_over", json!({ "request": id, "to": successor.node }));
+                return true;
             }
-        }
+            Ok(RecordWrite::Changed(found, found_revision)) => {
+                let is_written = found.owner == *successor;
+                apply_record(node, local, found, found_revision);
+                let is_still_owned = local.borrow().owned && !local.borrow().record.ended;
+                if is_still_owned && found_revision != revision {
+                    continue;
+                }
+                if is_written {
+                    node.note("batch_handed_over", json!({ "request": id, "to": successor.node }));
+                    return true;
+                }
+                json!({ "request": id, "why": "its record was changed" })
+            }
+            Err(StoreRefusal { message, verdict }) if verdict.may_have_run() => {
+                let line = json!({ "request": id, "why": message, "verdict": verdict });
+                node.note("batch_not_handed_over", line);
+                return true;
+            }
+            Err(StoreRefusal { message, verdict }) => {
+                json!({ "request": id, "why": message, "verdict": verdict })
+            }
+        };
+        node.note("batch_not_handed_over", why);
+        return false;
     }
-    tell_successor(node, &successor, PeerCall::Adopt { batch: id, texts: outputs }).await;
 }
 
 /// Notifies the successor of a batch, a second time if the first call fails.
@@ -375,15 +424,22 @@
     {
         return;
     }
+    // The record names this node, or may do so.
+    if let Some(me) = peers::me(node) {
+        node.batches.note_owner(&batch, me);
+    }
     let node = Rc::clone(node);
     tokio::task::spawn_local(async move {
         while let Err(refusal) = take_over(&node, &batch, outputs.clone()).await {
             node.note("batch_untaken", json!({ "request": batch, "why": refusal.message }));
-            sleep(TAKEOVER_RETRY_PAUSE).await;
-            if node.leaving.get() {
+            let is_unreadable = refusal.verdict == Verdict::Ran;
+            if node.leaving.get() || is_unreadable {
                 break;
             }
+            start_interim(&node, &batch);
+            sleep(TAKEOVER_RETRY_PAUSE).await;
         }
+        node.batches.standby.discard(&batch);
         node.batches.takeovers.borrow_mut().swap_remove(&batch);
     });
 }
