An end that the store refused is written when the store returns

Callers saw (in a test): a batch whose end was answered with an error is stopped, and runs again after its owner has died.

Cause: the class of the refused batches that run: the owner stops the batch, tries the write three times and forgets it. The record stays open, a planned stop hands over only batches that are not ended, and the next owner runs the items again.

Change: the owner repeats the write until the store answers, and tries once more when it stops as planned.

--- a/crates/serve/src/batches/end.rs
+++ b/crates/serve/src/batches/end.rs
@@ -15,7 +15,8 @@
 use crate::node::Node;
 use crate::peers::{self, Datagram, PeerAnswer, PeerCall};
 use crate::platform::Platform;
-use crate::store::StoreCall;
+use crate::store::{StoreCall, StoreRefusal};
+use catkinmast_model::Verdict;
 use serde_json::json;
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -25,6 +26,9 @@
 /// Pause between two broadcasts of the same end.
 pub(super) const END_NOTICE_INTERVAL: Duration = Duration::from_millis(600);
 
+/// Pause before the write of an end that the store did not answer is repeated.
+const END_REPEAT_PAUSE: Duration = Duration::from_millis(500);
+
 /// How long a batch stays readable in the store after it was settled.
 pub(super) const SETTLED_RETENTION_MS: u64 = 180_000;
 
@@ -58,37 +62,92 @@
         }
     }
     for _ in 0..STORE_ATTEMPTS {
-        let (record, revision) = {
+        match write_end(node, &local).await {
+            Ok(answer) => return answer,
+            Err(refusal) => {
+                node.note("end_unwritten", json!({ "request": batch, "why": refusal.message }));
+                sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+    repeat_end(node, local);
+    PeerAnswer::Unavailable
+}
+
+/// Writes the end of a batch that this node owns to the store once.
+async fn write_end<P: Platform>(
+    node: &Rc<Node<P>>,
+    local: &RefCell<LocalBatch>,
+) -> Result<PeerAnswer, StoreRefusal> {
+    loop {
+        let (id, record, revision) = {
             let local = local.borrow();
-            (Record { ended: true, ..local.record.clone() }, local.record_revision)
+            let record = Record { ended: true, ..local.record.clone() };
+            (local.id.clone(), record, local.record_revision)
         };
-        match write_record(node, batch, &record, revision).await {
-            Ok(RecordWrite::Done(revision)) => {
-                apply_record(node, &local, record, revision);
+        match write_record(node, &id, &record, revision).await? {
+            RecordWrite::Done(revision) => {
+                apply_record(node, local, record, revision);
                 if local.borrow().taken_over {
-                    broadcast_ended(node, batch);
+                    broadcast_ended(node, &id);
                 } else {
-                    notify_standby(node, batch);
+                    notify_standby(node, &id);
                 }
-                return PeerAnswer::Ended;
+                return Ok(PeerAnswer::Ended);
             }
-            Ok(RecordWrite::Changed(found, revision)) => {
+            RecordWrite::Changed(found, revision) => {
                 let ended = found.ended;
-                apply_record(node, &local, found, revision);
+                apply_record(node, local, found, revision);
                 if ended {
-                    return PeerAnswer::Ended;
+                    return Ok(PeerAnswer::Ended);
                 }
                 if !local.borrow().owned {
-                    return PeerAnswer::NotOwner;
+                    return Ok(PeerAnswer::NotOwner);
                 }
             }
-            Err(refusal) => {
-                node.note("end_unwritten", json!({ "request": batch, "why": refusal.message }));
-                sleep(RETRY_PAUSE).await;
+        }
+    }
+}
+
+/// Repeats the write of an end until the store answers. The batch is stopped here, and without the
+/// end in the store its next owner would run it again.
+fn repeat_end<P: Platform>(node: &Rc<Node<P>>, local: Rc<RefCell<LocalBatch>>) {
+    let id = local.borrow().id.clone();
+    if !node.batches.repeated_ends.borrow_mut().insert(id.clone()) {
+        return;
+    }
+    let node = Rc::clone(node);
+    tokio::task::spawn_local(async move {
+        loop {
+            sleep(END_REPEAT_PAUSE).await;
+            let is_settled = local.borrow().record.ended || !local.borrow().owned;
+            if is_settled {
+                break;
+            }
+            match write_end(&node, &local).await {
+                // The store has no such record any more, or one that cannot be read.
+                Err(refusal) if refusal.verdict == Verdict::Ran => break,
+                Err(_) => {}
+                Ok(_) => break,
             }
         }
+        node.batches.repeated_ends.borrow_mut().swap_remove(&id);
+    });
+}
+
+/// Writes the ends that the store has not confirmed yet, once each; for a planned stop.
+pub(super) async fn write_pending_ends<P: Platform>(node: &Rc<Node<P>>) {
+    let all: Vec<Rc<RefCell<LocalBatch>>> = node.batches.owned.borrow().values().cloned().collect();
+    for local in all {
+        let is_pending = {
+            let local = local.borrow();
+            local.owned && local.batch.is_ended() && !local.record.ended
+        };
+        if is_pending && let Err(refusal) = write_end(node, &local).await {
+            let line = json!({ "request": local.borrow().id, "why": refusal.message });
+            node.note("end_unwritten", line);
+        }
     }
-    PeerAnswer::Unavailable
 }
 
 /// Ends a batch, whichever node owns it; writes the end itself where the owner cannot be reached.
--- a/crates/serve/src/batches/mod.rs
+++ b/crates/serve/src/batches/mod.rs
@@ -181,6 +181,8 @@
     /// Speculative runs of items for a later batch, see [`SecondRuns`].
     pub second_runs: SecondRuns,
     pub standby: Standby,
+    /// The batches of which a task repeats the write of the end.
+    repeated_ends: RefCell<IndexSet<String>>,
     /// The batches whose takeover is in progress.
     takeovers: RefCell<IndexSet<String>>,
     /// Wakes the search for orphaned batches.
--- a/crates/serve/src/batches/takeover.rs
+++ b/crates/serve/src/batches/takeover.rs
@@ -2,7 +2,7 @@
 
 use super::LocalBatch;
 use super::accept::{BatchSource, model_duty, start_owning};
-use super::end::delete_expired;
+use super::end::{delete_expired, write_pending_ends};
 use super::keys::{
     Origin, RECORD_PREFIX, Record, RecordWrite, StoredBatch, part_max_bytes, read_record,
     read_stored_batch, report_unreadable, write_record,
@@ -322,6 +322,7 @@
     for id in node.batches.standby.interim_ids() {
         node.batches.standby.discard(&id);
     }
+    write_pending_ends(&node).await;
     for local in node.batches.open() {
         hand_over(&node, &local).await;
     }
