A successor whose write was not answered waits for earlier orders

Seen: a successor of a dead holder orders weights at once, while an order of the dead holder may still arrive. In the trail, store_lost by the write, duty_gained and duty_report with acts_at_once true follow within a millisecond.

Cause: the direct write of the duty's key is carried out and its answer lost; Node::store repeats it by way of a peer, which conflicts with the key that the first write has made. The record names this node and incarnation, so it counted as an earlier holding, the key was written again and the wait was skipped.

Ruled out: another holder (no other duty_gained), a key of an earlier attempt (one attempt only in the trail).

Change: each attempt opens a lease, so a key that is bound to it was written by this attempt. Node::store_under_lease reports that as committed, and logs store_write_found. It also covers the write that replaces an own earlier key: that counted as refused when its answer was lost. A key of this incarnation under another lease counts as an earlier holding only if the claim has gained that fencing number: it can also come from an earlier attempt whose answer came too late.

Not changed: a holding that lapses before its own wait is over still counts, as the_holder_retakes_its_own_lease_key_after_an_outage_of_the_store expects.

--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -98,8 +98,8 @@
     Renewed,
     /// The key was created, with this fencing number.
     Taken(Fence),
-    /// The key was taken over from an earlier incarnation of this node: no order of another holder
-    /// can be in transit, so orders need not wait.
+    /// The key was taken over from an earlier holding of this node: no order of another holder can
+    /// be in transit, so orders need not wait.
     TakenFromSelf(Fence),
     /// The reply was lost, or the service does not respond.
     Unknown,
@@ -127,6 +127,8 @@
     /// The action that awaits its report, and when it was sent.
     in_flight: Option<(Action, UnixMs)>,
     own_record: HolderRecord,
+    /// The fencing number under which the lease was last held.
+    last_fence: Option<Fence>,
     next_at: UnixMs,
     phase: Phase,
     settings: LeaseSettings,
@@ -140,7 +142,14 @@
 
     /// Creates a claim that does not hold the lease.
     pub const fn open_with(own_record: HolderRecord, settings: LeaseSettings) -> Self {
-        Self { in_flight: None, own_record, next_at: UnixMs(0), phase: Phase::Free, settings }
+        Self {
+            in_flight: None,
+            own_record,
+            last_fence: None,
+            next_at: UnixMs(0),
+            phase: Phase::Free,
+            settings,
+        }
     }
 
     /// Returns the fencing number if this node may perform the duty at `now`.
@@ -163,6 +172,12 @@
         }
     }
 
+    /// Returns whether `fence` is the number under which this claim last held the lease, even if the
+    /// lease has lapsed since.
+    pub fn has_held(&self, fence: Fence) -> bool {
+        self.last_fence == Some(fence)
+    }
+
     /// Advances the claim to `now`, and returns the action to perform and the change of state, if
     /// any. `wanted` tells whether this node should hold the lease.
     pub fn tick(&mut self, now: UnixMs, wanted: bool) -> (Option<Action>, Option<Change>) {
@@ -230,6 +245,7 @@
             return None;
         }
         self.phase = Phase::Held { fence, safe_until, since: now };
+        self.last_fence = Some(fence);
         self.next_at = now.plus(self.settings.renew_every_ms);
         Some(Change::Gained(fence))
     }
--- a/crates/serve/src/duty_lease.rs
+++ b/crates/serve/src/duty_lease.rs
@@ -10,7 +10,7 @@
 use crate::node::Node;
 use crate::peers::{self, Owner};
 use crate::platform::Platform;
-use crate::store::{Expectation, LeaseId, Put, StoreAnswer, StoreCall, StoreRefusal};
+use crate::store::{LeaseId, StoreAnswer, StoreCall, StoredItem};
 use catkinmast_lease::{Action, Change, HolderRecord, LeaseClaim, LeaseSettings, Report};
 use catkinmast_member::OwnerFact;
 use catkinmast_model::{Fence, Name, UnixMs, Verdict};
@@ -191,24 +191,16 @@
         };
         self.lease.set(Some(lease));
         let Ok(value) = postcard::to_stdvec(&self.record) else { return Report::Refused };
-        match self.create(node, lease, 0, &value).await {
+        match node.store_under_lease(self.key, 0, lease, &value).await {
             Ok(StoreAnswer::Committed { revision }) => Report::Taken(Fence(revision)),
             Ok(StoreAnswer::Conflict { items }) => {
                 let Some(item) = items.first() else { return Report::Refused };
-                let held = postcard::from_bytes::<HolderRecord>(&item.value);
-                // Held by an earlier incarnation of this node, or by this one: during an outage the
-                // store lets no lease lapse, so the key outlives the time at which this node gave
-                // the duty up.
-                let own_earlier = held.is_ok_and(|held| {
-                    held.node == self.record.node && held.incarnation <= self.record.incarnation
-                });
-                if !own_earlier {
-                    return Report::Refused;
-                }
-                match self.create(node, lease, item.revision, &value).await {
-                    Ok(StoreAnswer::Committed { revision }) => {
+                let Some(was_held) = self.was_held_by_self(item) else { return Report::Refused };
+                match node.store_under_lease(self.key, item.revision, lease, &value).await {
+                    Ok(StoreAnswer::Committed { revision }) if was_held => {
                         Report::TakenFromSelf(Fence(revision))
                     }
+                    Ok(StoreAnswer::Committed { revision }) => Report::Taken(Fence(revision)),
                     Ok(_) => Report::Refused,
                     Err(_) => Report::Unknown,
                 }
@@ -219,20 +211,19 @@
         }
     }
 
-    async fn create<P: Platform>(
-        &self,
-        node: &Node<P>,
-        lease: LeaseId,
-        revision: u64,
-        value: &[u8],
-    ) -> Result<StoreAnswer, StoreRefusal> {
-        let key = self.key.to_owned();
-        let call = StoreCall::Transaction {
-            deletes: Vec::new(),
-            expected: vec![Expectation { key: key.clone(), revision }],
-            puts: vec![Put { key, lease: Some(lease), value: value.to_vec() }],
-        };
-        node.store(&call).await
+    /// Returns whether this node, or an earlier incarnation of it, has held the duty under a key; none
+    /// if the key is of another node.
+    ///
+    /// A key of this incarnation outlives its holding, because the store lets no lease lapse during
+    /// an outage. It can also come from a write without an answer, under which the duty was never
+    /// held: the orders of a holder before it may still arrive.
+    fn was_held_by_self(&self, item: &StoredItem) -> Option<bool> {
+        let held = postcard::from_bytes::<HolderRecord>(&item.value).ok()?;
+        if held.node != self.record.node || held.incarnation > self.record.incarnation {
+            return None;
+        }
+        let is_of_earlier_incarnation = held.incarnation < self.record.incarnation;
+        Some(is_of_earlier_incarnation || self.claim.borrow().has_held(Fence(item.revision)))
     }
 
     async fn read<P: Platform>(&self, node: &Node<P>) -> Report {
--- a/crates/serve/src/node.rs
+++ b/crates/serve/src/node.rs
@@ -16,7 +16,7 @@
 use crate::retry_rounds::RetryRounds;
 use crate::runs::ModelTargets;
 use crate::settings::Settings;
-use crate::store::{StoreAnswer, StoreCall, StoreRefusal};
+use crate::store::{Expectation, LeaseId, Put, StoreAnswer, StoreCall, StoreRefusal};
 use crate::trail::Trail;
 use crate::usage::Usage;
 use bytes::Bytes;
@@ -391,6 +391,33 @@
         second.map_err(|refusal| refusal.after(&first))
     }
 
+    /// Writes a key under a lease that was opened for this attempt, if the key has this revision.
+    ///
+    /// If the answer of one path is lost, the repetition on the other conflicts with the key that
+    /// the first has written. A key that is bound to the lease can only come from this
+    /// attempt, so that is reported as committed.
+    pub(crate) async fn store_under_lease(
+        &self,
+        key: &str,
+        revision: u64,
+        lease: LeaseId,
+        value: &[u8],
+    ) -> Result<StoreAnswer, StoreRefusal> {
+        let call = StoreCall::Transaction {
+            deletes: Vec::new(),
+            expected: vec![Expectation { key: key.to_owned(), revision }],
+            puts: vec![Put { key: key.to_owned(), lease: Some(lease), value: value.to_vec() }],
+        };
+        let answer = self.store(&call).await?;
+        if let StoreAnswer::Conflict { items } = &answer
+            && let Some(own) = items.iter().find(|item| item.lease == Some(lease))
+        {
+            self.note("store_write_found", json!({ "key": key, "revision": own.revision }));
+            return Ok(StoreAnswer::Committed { revision: own.revision });
+        }
+        Ok(answer)
+    }
+
     /// Calls the store directly from this instance.
     pub(crate) async fn store_direct(&self, call: &StoreCall) -> Result<StoreAnswer, StoreRefusal> {
         count(&self.metrics.store_calls, call.kind());
--- a/tests/all/lease_retake.rs
+++ b/tests/all/lease_retake.rs
@@ -51,3 +51,19 @@
     assert_eq!(claim.fence(UnixMs(11_299)), Some(Fence(9)));
     assert_eq!(claim.fence(UnixMs(11_300)), None);
 }
+
+// Guards against orders beside those of an earlier holder: the key of a write without an answer is
+// taken for one under which the duty was held.
+#[test]
+fn only_a_number_that_was_gained_counts_as_held() {
+    let mut claim = claim();
+    claim.tick(UnixMs(10_000), true);
+    claim.report(UnixMs(10_010), &Report::Taken(Fence(9)));
+    let (_, lapse) = claim.tick(UnixMs(11_300), true);
+    claim.tick(UnixMs(11_600), true);
+    let late = claim.report(UnixMs(12_900), &Report::Taken(Fence(11)));
+
+    assert_eq!((lapse, late), (Some(Change::Lapsed), None));
+    assert!(claim.has_held(Fence(9)));
+    assert!(!claim.has_held(Fence(11)), "its answer came too late to hold the lease");
+}
