A trial whose claim was not answered is made

Seen: a suspected request is refused for a minute at all nodes without its one more run; request_trial with ours false at the only claimant.

Cause: the claim's direct write is carried out and its answer lost; the repetition by way of a peer conflicts with this node's own claim, which counted as another's.

Ruled out: a second claimant (the test sends the request to one node only).

Change: the claim is written with Node::store_under_lease, which recognises a claim by the lease that this attempt has opened. The name of the node in the claim does not decide: an earlier incarnation may have made the trial, and its claim is bound to another lease.

Unchanged: if no way to the store gives an answer, no node tries until the key expires.

--- a/crates/serve/src/crashes/records.rs
+++ b/crates/serve/src/crashes/records.rs
@@ -11,7 +11,7 @@
 use crate::node::Node;
 use crate::peers;
 use crate::platform::Platform;
-use crate::store::{Expectation, Put, StoreAnswer, StoreCall};
+use crate::store::{Put, StoreAnswer, StoreCall};
 use catkinmast_member::FactKey;
 use catkinmast_model::UnixMs;
 use catkinmast_quarantine::{Evidence, Fingerprint};
@@ -159,12 +159,9 @@
     let Ok(StoreAnswer::Lease { lease: Some(lease), .. }) = opened else { return false };
     let key = format!("{TRIAL_PREFIX}{fingerprint}/{number}");
     let value = node.settings().node.clone().into_bytes();
-    let call = StoreCall::Transaction {
-        deletes: Vec::new(),
-        expected: vec![Expectation { key: key.clone(), revision: 0 }],
-        puts: vec![Put { key, lease: Some(lease), value }],
-    };
-    // If the answer is lost, this node may hold the claim; no node tries then until the key
-    // expires.
-    matches!(node.store(&call).await, Ok(StoreAnswer::Committed { .. }))
+    // An earlier incarnation of this node may have claimed the trial and made it. Its claim is bound
+    // to another lease. If no way to the store gives an answer, this node may hold the claim; no node
+    // tries then until the key expires.
+    let claimed = node.store_under_lease(&key, 0, lease, &value).await;
+    matches!(claimed, Ok(StoreAnswer::Committed { .. }))
 }
--- a/tests/all/site/trials.rs
+++ b/tests/all/site/trials.rs
@@ -99,6 +99,43 @@
     assert_eq!((status, runs), (502, 1), "{}", site.nodes[2].audit_trail());
 }
 
+// Guards against a trial that is made twice: an earlier incarnation of the node has claimed it and
+// may have made it, and the node takes that claim for its own.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_trial_that_an_earlier_incarnation_claimed_is_not_made_again() {
+    let site = start_site(0, 1).await;
+    site.plain[0].set_pace(10, 200);
+    for round in 0..3 {
+        let (a, b) = (format!("a{round}"), format!("b{round}"));
+        let together = futures::future::join(
+            site.call_with(&site.nodes[0], "/check/a", &a, "crash a"),
+            site.call_with(&site.nodes[1], "/check/a", &b, "crash b"),
+        );
+        together.await.0.expect("an answer");
+        wait_until_restarted(&site, round + 1).await;
+    }
+    let node = &site.nodes[2];
+    let suspected = until("both are due for a trial", || async {
+        Some(node.lines("request_barred")).filter(|lines| lines.len() == 2)
+    })
+    .await;
+    for line in suspected {
+        let fingerprint = line["fingerprint"].as_str().expect("a fingerprint");
+        let key = format!("cm/qt/{fingerprint}/{CRASHES_BEFORE_BLOCKED}");
+        let claimant = line["node"].as_str().expect("a node").as_bytes().to_vec();
+        site.store.put_bytes(&key, claimant);
+    }
+    site.store.set_mode(node.store_endpoint, StoreMode::LosesWriteAnswers);
+
+    let answer = site.call_with(node, "/check/a", "again", "crash a").await.expect("an answer");
+
+    assert_eq!(answer.status(), 503);
+    assert!(site.runs.of("again").is_empty(), "its trial may have been made");
+    let trial =
+        until("the trial is in the log", || async { node.lines("request_trial").first().cloned() });
+    assert_eq!(trial.await["ours"], false);
+}
+
 // Guards against a harmless request that is refused for a minute: its one trial was spent on an
 // attempt that its target refused to run, because the target was full or had just restarted under
 // another id at the same address.
