catkinmast-node: the verdict of a call covers all of its attempts

Seen (in a test): a lookup reaches its only target, the connection closes without an answer, and the caller is answered 503 with the verdict not_run.

Cause: call_with_retries repeats the lookup, finds no untried target and returns the verdict of no_target, which knows nothing of the first attempt. A repeat that is refused or cannot connect replaced the earlier verdict in the same way. Only some calls fail because repeats take from the retry budget; without a repeat the verdict was right.

Ruled out: classify and check_refusal, which give the right verdict for each attempt (calls without a repeat are answered may_have_run).

Change: the verdicts of all attempts are combined by Verdict::combined_with.

--- a/crates/node/src/edge/calls.rs
+++ b/crates/node/src/edge/calls.rs
@@ -291,10 +291,12 @@
     lock(&shared.traffic.budget).first_attempt();
     let targets = snapshot.services.get(&service.name).cloned().unwrap_or_default();
     let mut tried = Vec::new();
+    let mut verdict = Verdict::NotRun;
     loop {
         let Some(flight) = choose_target(shared, &targets, &tried, service.target_in_flight_max)
         else {
-            return Err(no_target(shared, &service.name, targets.len(), tried.len()));
+            let refusal = no_target(shared, &service.name, targets.len(), tried.len());
+            return Err(Refusal { verdict, ..refusal });
         };
         tried.push(flight.target().clone());
         let failure = match attempt(shared, &snapshot, &mut request, call, deadline, &flight).await
@@ -305,6 +307,7 @@
             }
             Err(failure) => failure,
         };
+        verdict = verdict.combined_with(failure.verdict);
         let target = flight.target().clone();
         flight.finish(failure.outcome);
         log::debug!("request {id}: target {target}: {} ({})", failure.message, failure.verdict);
@@ -325,11 +328,7 @@
         }
         let message = format!("target {target}: {}", failure.message);
         let retry_at = shared.now().plus(NO_TARGET_RETRY_MS);
-        return Err(Refusal {
-            message,
-            retry_at_unix_ms: Some(retry_at),
-            verdict: failure.verdict,
-        });
+        return Err(Refusal { message, retry_at_unix_ms: Some(retry_at), verdict });
     }
 }
 
