Calls: errors after attempts use the verdict of all attempts

attempt_targets answered with the verdict of the last attempt where the attempts are used up or all targets are overloaded. By reading, a false "not run" cannot be reached there: attempts that may have run are counted before the same check, so the loop ends at the attempt that uses them up, and the second place requires that no attempt may have run. It is also the rule of the other exits of the loop, and now no exit depends on that order.

Change: final_error in place of error_of.

--- a/crates/serve/src/calls.rs
+++ b/crates/serve/src/calls.rs
@@ -94,12 +94,12 @@
         }
         let repeatable = route.repeatable() || !may_have_run;
         if plan.possible_runs() >= route.attempts.max(1) || !repeatable {
-            return Err(error_of(&failure));
+            return Err(final_error(&failure, may_have_run));
         }
         let refuse_at = refuse_at(outgoing.deadline_at, budget_ms);
         let is_overloaded = failure.cause == Cause::Overloaded && !may_have_run;
         if is_overloaded && clock::now() > refuse_at {
-            return Err(error_of(&failure));
+            return Err(final_error(&failure, may_have_run));
         }
         if failure.verdict == Verdict::NotRun && (!has_target || all_tried(node, service, &tried)) {
             tried.clear();
