Requests that are given up never reach their target

Cause: a request that is given up was ended by an orderly close. The kernel goes on sending what a closed connection still holds, and delivers it when a link that was cut is restored.

Change: connections of the pool are opened with a linger of 0, so that they are reset however they end, also by SIGKILL; bytes that have not left the machine are discarded. Only a connection whose last request was answered completely is closed in order. All requests to targets, peers and the store use the pool: hedges, attempt limits, deadlines, callers that leave, ended batches, scoring calls, orders, writes that time out. No call is made without waiting for its answer, so no reset discards bytes that are wanted. Connections accepted from callers and peers are closed as before: their answers are wanted.

--- a/crates/serve/src/followed_stream.rs
+++ b/crates/serve/src/followed_stream.rs
@@ -1,4 +1,4 @@
-//! A connection whose bytes are counted as they arrive.
+//! A connection whose bytes are counted as they arrive, and whose end is announced.
 
 use std::io;
 use std::pin::Pin;
@@ -6,29 +6,38 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
-/// What is done with the bytes that arrive on a connection, before they are parsed.
-pub(crate) trait OnRead: Unpin {
-    /// Counts bytes.
+/// What follows the events of a connection's stream.
+pub(crate) trait Follower: Unpin {
+    /// Counts bytes that arrived, before they are parsed.
     ///
     /// # Errors
     /// If nothing more is to be read.
     fn bytes_arrived(&self, count: usize) -> io::Result<()>;
+
+    /// Prepares the stream for its end: it is closed right after.
+    fn before_close(&self, _stream: &TcpStream) {}
 }
 
 /// A connection's stream.
 #[derive(Debug)]
-pub(crate) struct FollowedStream<O> {
-    on_read: O,
+pub(crate) struct FollowedStream<F: Follower> {
+    follower: F,
     stream: TcpStream,
 }
 
-impl<O: OnRead> FollowedStream<O> {
-    pub(crate) const fn new(stream: TcpStream, on_read: O) -> Self {
-        Self { on_read, stream }
+impl<F: Follower> FollowedStream<F> {
+    pub(crate) const fn new(stream: TcpStream, follower: F) -> Self {
+        Self { follower, stream }
+    }
+}
+
+impl<F: Follower> Drop for FollowedStream<F> {
+    fn drop(&mut self) {
+        self.follower.before_close(&self.stream);
     }
 }
 
-impl<O: OnRead> AsyncRead for FollowedStream<O> {
+impl<F: Follower> AsyncRead for FollowedStream<F> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -38,13 +47,13 @@
         let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
         let count = buf.filled().len() - filled_before;
         if count > 0 {
-            self.on_read.bytes_arrived(count)?;
+            self.follower.bytes_arrived(count)?;
         }
         polled
     }
 }
 
-impl<O: OnRead> AsyncWrite for FollowedStream<O> {
+impl<F: Follower> AsyncWrite for FollowedStream<F> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
--- a/crates/serve/src/head_timer.rs
+++ b/crates/serve/src/head_timer.rs
@@ -3,7 +3,7 @@
 //! hyper's own time-out also runs while a connection is idle, so it cannot be shorter than callers
 //! may keep an idle connection.
 
-use crate::followed_stream::OnRead;
+use crate::followed_stream::Follower;
 use hyper::body::{Body, Frame, SizeHint};
 use std::cell::Cell;
 use std::io;
@@ -62,7 +62,7 @@
     }
 }
 
-impl OnRead for HeadTimer {
+impl Follower for HeadTimer {
     fn bytes_arrived(&self, _count: usize) -> io::Result<()> {
         if self.0.exchanges.get() == 0 && self.0.head_due_at.get().is_none() {
             self.0.head_due_at.set(Some(Instant::now() + self.0.timeout));
--- a/crates/serve/src/pool.rs
+++ b/crates/serve/src/pool.rs
@@ -1,11 +1,15 @@
 //! Connections to targets, peers and the store.
 //!
 //! A connection carries one request at a time. It is reused only after the complete answer was read
-//! and nothing else arrived. When a caller disconnects, the connection that carries its request to
-//! the target is dropped, which closes it at once so that the target stops working on the request.
+//! and nothing else arrived. When a request is given up, for example because its caller
+//! disconnected, the connection that carries it is dropped, which resets it at once: the target
+//! stops working on the request, and bytes that have not left this instance never do. After an
+//! orderly close the kernel would go on sending them, and deliver them seconds later where a link
+//! was cut. Connections are also reset when the process is killed. Only a connection whose last
+//! request was answered completely is closed in order.
 
 use crate::clock;
-use crate::followed_stream::{FollowedStream, OnRead};
+use crate::followed_stream::{FollowedStream, Follower};
 use crate::reading::{self, HeldBytes, ReadError, ReadMemory};
 use bytes::Bytes;
 use catkinmast_model::{UnixMs, Verdict};
@@ -86,8 +90,8 @@
     }
 
     /// The error of a request that was sent and has no response head.
-    fn of_head(error: &hyper::Error, head: &HeadLimit) -> Self {
-        if error.is_parse_too_large() || head.is_over() {
+    fn of_head(error: &hyper::Error, exchange: &Exchange) -> Self {
+        if error.is_parse_too_large() || exchange.is_over_limit() {
             let message = format!("a response head of over {HEAD_MAX_BYTES} bytes or 100 fields");
             return Self { over_limit: true, ..Self::may_have_run(message) };
         }
@@ -95,41 +99,63 @@
     }
 }
 
-/// Counts what arrives on a connection between a request and the head of its answer.
+/// Follows the request that a connection carries.
 #[derive(Clone, Debug, Default)]
-struct HeadLimit(Rc<Cell<Option<usize>>>);
+struct Exchange(Rc<ExchangeState>);
 
-impl HeadLimit {
-    /// Begins to count: a request is sent.
+#[derive(Debug, Default)]
+struct ExchangeState {
+    /// What has arrived since the request was sent, until the head of its answer is complete.
+    before_head_bytes: Cell<Option<usize>>,
+    /// Whether the answer was read completely.
+    is_answered: Cell<bool>,
+}
+
+impl Exchange {
+    /// Records that a request is sent.
     fn begin(&self) {
-        self.0.set(Some(0));
+        self.0.before_head_bytes.set(Some(0));
+        self.0.is_answered.set(false);
+    }
+
+    /// Records that the head of the answer has arrived.
+    fn head_arrived(&self) {
+        self.0.before_head_bytes.set(None);
     }
 
-    /// Ends the count: the head has arrived.
-    fn arrived(&self) {
-        self.0.set(None);
+    /// Records that the answer was read completely.
+    fn end(&self) {
+        self.0.is_answered.set(true);
     }
 
-    fn is_over(&self) -> bool {
-        self.0.get().is_some_and(|bytes| bytes > BEFORE_HEAD_MAX_BYTES)
+    fn is_over_limit(&self) -> bool {
+        self.0.before_head_bytes.get().is_some_and(|bytes| bytes > BEFORE_HEAD_MAX_BYTES)
     }
 }
 
-impl OnRead for HeadLimit {
+impl Follower for Exchange {
     fn bytes_arrived(&self, count: usize) -> io::Result<()> {
-        self.0.set(self.0.get().map(|bytes| bytes + count));
-        if self.is_over() {
+        let before_head_bytes = &self.0.before_head_bytes;
+        before_head_bytes.set(before_head_bytes.get().map(|bytes| bytes + count));
+        if self.is_over_limit() {
             return Err(io::Error::other("too many bytes before the head of an answer"));
         }
         Ok(())
     }
+
+    fn before_close(&self, stream: &TcpStream) {
+        if self.0.is_answered.get() {
+            // Without this option the connection is reset, which loses no request.
+            drop(SockRef::from(stream).set_linger(None));
+        }
+    }
 }
 
-/// A connection in use; dropping it closes it.
+/// A connection in use; dropping it resets it.
 #[derive(Debug)]
 pub(crate) struct Connection {
     address: SocketAddr,
-    head: HeadLimit,
+    exchange: Exchange,
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
     /// Whether it has carried a request before.
@@ -196,10 +222,10 @@
                 None => self.connect(address).await?,
             };
             handed_over.set(true);
-            connection.head.begin();
+            connection.exchange.begin();
             match connection.sender.try_send_request(request).await {
                 Ok(response) => {
-                    connection.head.arrived();
+                    connection.exchange.head_arrived();
                     return Ok((response, connection));
                 }
                 Err(mut error) => match error.take_message() {
@@ -208,7 +234,9 @@
                         request = unsent;
                     }
                     Some(_) => return Err(CallError::not_run(error.into_error().to_string())),
-                    None => return Err(CallError::of_head(&error.into_error(), &connection.head)),
+                    None => {
+                        return Err(CallError::of_head(&error.into_error(), &connection.exchange));
+                    }
                 },
             }
         }
@@ -227,6 +255,7 @@
 
     /// Returns a connection to the pool after its answer was read completely.
     pub(crate) fn release(&self, mut connection: Connection, answer: &HeaderMap) {
+        connection.exchange.end();
         let closes = answer
             .get(http::header::CONNECTION)
             .is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"));
@@ -290,20 +319,22 @@
             Ok(Err(error)) => return Err(CallError::not_run(error.to_string())),
             Err(_) => return Err(CallError::not_run("no connection in time")),
         };
-        if let Err(error) = set_timeouts_and_keepalive(&stream) {
+        let configured = set_timeouts_and_keepalive(&stream)
+            .and_then(|()| SockRef::from(&stream).set_linger(Some(Duration::ZERO)));
+        if let Err(error) = configured {
             return Err(CallError::not_run(error.to_string()));
         }
-        let head = HeadLimit::default();
+        let exchange = Exchange::default();
         let handshake = http1::Builder::new()
             .max_buf_size(READ_BUFFER_MAX_BYTES)
             .max_header_size(HEAD_MAX_BYTES)
-            .handshake(TokioIo::new(FollowedStream::new(stream, head.clone())))
+            .handshake(TokioIo::new(FollowedStream::new(stream, exchange.clone())))
             .await;
         let (sender, connection) =
             handshake.map_err(|error| CallError::not_run(error.to_string()))?;
         // Errors of the connection are reported to the request that it carries.
         let task = tokio::task::spawn_local(async move { drop(connection.await) });
-        Ok(Connection { address, head, reused: false, sender, task: task.abort_handle() })
+        Ok(Connection { address, exchange, reused: false, sender, task: task.abort_handle() })
     }
 }
 
--- a/tests/all/site/hedges.rs
+++ b/tests/all/site/hedges.rs
@@ -47,7 +47,7 @@
     answer.expect("an answer").status().as_u16()
 }
 
-async fn line_of(node: &Node, event: &str, request: &str) -> Value {
+pub(super) async fn line_of(node: &Node, event: &str, request: &str) -> Value {
     until("its trail line", || async {
         node.lines(event).into_iter().find(|line| line["request"] == request)
     })
--- a/tests/all/site/mod.rs
+++ b/tests/all/site/mod.rs
@@ -23,6 +23,7 @@
 mod fairness;
 mod health;
 mod hedges;
+mod held_requests;
 mod interrupted_items;
 mod orders;
 mod refusals;
--- a/tests/all/site/proxy.rs
+++ b/tests/all/site/proxy.rs
@@ -1,11 +1,18 @@
-//! A loopback TCP proxy that delays bytes, closes connections, or blocks one or both directions.
+//! A loopback TCP proxy that delays or holds bytes, closes connections, or blocks one or both
+//! directions.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 
+/// How much later than held bytes the end of their connection arrives. A target that reads both at
+/// once may not run the request.
+const END_DELAY: Duration = Duration::from_millis(100);
+
 /// What the proxy does with the bytes it receives.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Link {
@@ -14,6 +21,9 @@
     /// Answers each request with these bytes in place of the target's answer: the part before `|` once,
     /// the rest again and again.
     Floods(&'static str),
+    /// Keeps bytes that start with this text until the link opens, like the kernel of a sender whose network is down. Bytes
+    /// whose sender resets the connection meanwhile are lost; those of a closed one are forwarded.
+    Holds(&'static str),
     /// Forwards at once.
     Open,
     /// Closes the direction of a connection in which bytes arrive, without a TCP reset.
@@ -26,6 +36,7 @@
 #[derive(Clone)]
 pub(crate) struct Proxy {
     pub(crate) address: SocketAddr,
+    held: Arc<AtomicUsize>,
     link: Arc<Mutex<Link>>,
 }
 
@@ -35,17 +46,25 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let address = listener.local_addr().expect("a bound address");
         let link = Arc::new(Mutex::new(Link::Open));
-        let shared = Arc::clone(&link);
+        let held = Arc::new(AtomicUsize::new(0));
+        let (shared, held_here) = (Arc::clone(&link), Arc::clone(&held));
         tokio::spawn(async move {
             while let Ok((caller, _)) = listener.accept().await {
                 let Ok(target) = TcpStream::connect(target).await else { continue };
                 let (from_caller, to_caller) = caller.into_split();
                 let (from_target, to_target) = target.into_split();
-                tokio::spawn(forward(from_caller, to_target, Arc::clone(&shared), false));
-                tokio::spawn(forward(from_target, to_caller, Arc::clone(&shared), true));
+                let (link, held) = (&shared, &held_here);
+                let link_and_held = || (Arc::clone(link), Arc::clone(held));
+                tokio::spawn(forward(from_caller, to_target, link_and_held(), false));
+                tokio::spawn(forward(from_target, to_caller, link_and_held(), true));
             }
         });
-        Self { address, link }
+        Self { address, held, link }
+    }
+
+    /// Returns how often the proxy has held bytes.
+    pub(crate) fn held(&self) -> usize {
+        self.held.load(Ordering::SeqCst)
     }
 
     /// Changes what the proxy does, also on open connections.
@@ -55,17 +74,28 @@
 }
 
 async fn forward(
-    mut from: impl AsyncReadExt + Unpin,
-    mut to: impl AsyncWriteExt + Unpin,
-    link: Arc<Mutex<Link>>,
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    (link, held): (Arc<Mutex<Link>>, Arc<AtomicUsize>),
     is_answer: bool,
 ) {
     let mut buffer = vec![0; 16 << 10];
+    let mut end_delay = Duration::ZERO;
     while let Ok(length @ 1..) = from.read(&mut buffer).await {
         let now = *link.lock().expect("no test panics while it holds a link");
         match now {
             Link::Open => {}
             Link::Delays(time) => tokio::time::sleep(time).await,
+            Link::Holds(start) => {
+                if buffer[..length].starts_with(start.as_bytes()) {
+                    held.fetch_add(1, Ordering::SeqCst);
+                    opened(&link).await;
+                }
+                if from.as_ref().take_error().is_ok_and(|error| error.is_some()) {
+                    return;
+                }
+                end_delay = END_DELAY;
+            }
             Link::Resets => return,
             Link::Floods(bytes) => {
                 if is_answer {
@@ -85,6 +115,14 @@
             return;
         }
     }
+    tokio::time::sleep(end_delay).await;
+}
+
+/// Waits until a link forwards bytes at once.
+async fn opened(link: &Mutex<Link>) {
+    while *link.lock().expect("no test panics while it holds a link") != Link::Open {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
 }
 
 /// Sends bytes again and again, at most as many as end a failing test in time.
--- a/tests/all/site/worker/mod.rs
+++ b/tests/all/site/worker/mod.rs
@@ -16,6 +16,7 @@
 pub(crate) use runs::{Run, Runs};
 
 use super::harness::until;
+use super::proxy::Proxy;
 use super::store::Store;
 use super::web::Server;
 use capacity::{Capacity, SharedCounts};
@@ -77,6 +78,8 @@
     capacity: Capacity,
     crashes: u64,
     event_ms: u64,
+    /// The address in its registry entry, if that is not the server's own.
+    link_address: Option<SocketAddr>,
     load_ms: u64,
     orders: u64,
     orders_seen: Vec<Value>,
@@ -109,6 +112,26 @@
 impl Worker {
     /// Starts a worker and registers it in the store.
     pub(crate) async fn start(store: &Store, runs: &Runs, service: &str, id: &str) -> Self {
+        let mut worker = Self::listen(store, runs, service, id).await;
+        worker.register("ready");
+        worker
+    }
+
+    /// Starts a worker that is reached only through the returned proxy, and registers it.
+    pub(crate) async fn start_behind_proxy(
+        store: &Store,
+        runs: &Runs,
+        service: &str,
+        id: &str,
+    ) -> (Self, Proxy) {
+        let mut worker = Self::listen(store, runs, service, id).await;
+        let link = Proxy::start(worker.address()).await;
+        worker.lock().link_address = Some(link.address);
+        worker.register("ready");
+        (worker, link)
+    }
+
+    async fn listen(store: &Store, runs: &Runs, service: &str, id: &str) -> Self {
         let versions = BTreeMap::from([("model-a".to_owned(), 1), ("model-b".to_owned(), 1)]);
         let state = Arc::new(Mutex::new(State {
             abandoned: 0,
@@ -120,6 +143,7 @@
             capacity: Capacity::unlimited(),
             crashes: 0,
             event_ms: 10,
+            link_address: None,
             load_ms: 200,
             orders: 0,
             orders_seen: Vec::new(),
@@ -136,9 +160,7 @@
             store: store.clone(),
         };
         listen(&state, &context, id, ANY_PORT).await;
-        let mut worker = Self { id: id.to_owned(), context, sequence: 0, state };
-        worker.register("ready");
-        worker
+        Self { id: id.to_owned(), context, sequence: 0, state }
     }
 
     /// Writes the worker's registry entry with this state, unless the worker is down.
--- a/tests/all/site/worker/registry.rs
+++ b/tests/all/site/worker/registry.rs
@@ -39,8 +39,9 @@
         .iter()
         .map(|(name, version)| json!({ "name": name, "version": version, "adapters": [] }))
         .collect();
+    let address = state.link_address.unwrap_or(server.address);
     let mut entry = json!({
-        "service": context.service, "address": server.address, "zone": state.zone, "version": "v1",
+        "service": context.service, "address": address, "zone": state.zone, "version": "v1",
         "slots": state.slots, "state": status, "coldLeftMs": state.cold_left_ms, "models": models, "seq": sequence,
     });
     if let Some(started_at_ms) = state.started_at_ms {
