A planned stop waits for the connections of its callers

Cause: a request counted as in flight until the head of its answer was ready; the guard was dropped when the handler returned. The process then found nothing in flight when the addresses given out had expired, and ended with the streams in it: its line "stopped" said in_flight 0, and no stream_broken was logged. A long plain answer that its caller had not read was not counted either.

Change: a request counts until its answer's body was passed to its connection, and the process waits until the connections of callers have ended, which they do after the last byte of an answer was written. Waiting longer while requests are still accepted would let in requests that the rest of the grace time is too short for, on a busy node without end. So no request is accepted once the last address has expired, 3 s after SIGTERM, whatever is in flight then. The hand-over of batches is waited for as well: the process could end in the middle of it. A new line "closing" and the connections in "leaving" and "stopped" show what a stop waits for.

--- a/crates/serve/src/caller.rs
+++ b/crates/serve/src/caller.rs
@@ -23,7 +23,6 @@
 use http_body_util::{Either, Full};
 use hyper::body::Incoming;
 use serde_json::json;
-use std::cell::Cell;
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
@@ -45,22 +44,6 @@
 /// Deadline of a request whose caller has set none.
 const DEFAULT_DEADLINE_MS: u64 = 60_000;
 
-/// Counts a request as in flight until it is dropped; a planned stop waits for these requests.
-struct ServingGuard<'a>(&'a Cell<usize>);
-
-impl<'a> ServingGuard<'a> {
-    fn begin(count: &'a Cell<usize>) -> Self {
-        count.set(count.get() + 1);
-        Self(count)
-    }
-}
-
-impl Drop for ServingGuard<'_> {
-    fn drop(&mut self) {
-        self.0.set(self.0.get().saturating_sub(1));
-    }
-}
-
 /// An error that this service answers itself, rather than a target.
 #[derive(Clone, Debug)]
 pub(crate) struct ErrorAnswer {
@@ -135,7 +118,6 @@
     node: Rc<Node<P>>,
     request: Request<Incoming>,
 ) -> Result<Answer<P>, Infallible> {
-    let serving = ServingGuard::begin(&node.in_flight);
     let started_at = clock::now();
     let (head, body) = request.into_parts();
     let mut answer = match P::batch_call(&head) {
@@ -146,7 +128,6 @@
     if node.leaving.get() {
         answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
-    drop(serving);
     Ok(answer)
 }
 
--- a/crates/serve/src/head_timer.rs
+++ b/crates/serve/src/head_timer.rs
@@ -4,12 +4,9 @@
 //! may keep an idle connection.
 
 use crate::followed_stream::Follower;
-use hyper::body::{Body, Frame, SizeHint};
 use std::cell::Cell;
 use std::io;
-use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep_until};
@@ -76,43 +73,9 @@
 #[derive(Debug)]
 pub(crate) struct Exchange(HeadTimer);
 
-impl Exchange {
-    /// Returns a body that ends the exchange when it is dropped.
-    pub(crate) const fn until_sent<B>(self, body: B) -> ExchangeBody<B> {
-        ExchangeBody { body, _exchange: self }
-    }
-}
-
 impl Drop for Exchange {
     fn drop(&mut self) {
         let exchanges = &self.0.0.exchanges;
         exchanges.set(exchanges.get().saturating_sub(1));
     }
 }
-
-/// The body of an answer.
-#[derive(Debug)]
-pub(crate) struct ExchangeBody<B> {
-    body: B,
-    _exchange: Exchange,
-}
-
-impl<B: Body + Unpin> Body for ExchangeBody<B> {
-    type Data = B::Data;
-    type Error = B::Error;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<B::Data>, B::Error>>> {
-        Pin::new(&mut self.body).poll_frame(cx)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
-    }
-}
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -15,6 +15,7 @@
 //! the store for all nodes.
 
 mod access;
+mod active;
 mod admission;
 mod batch_calls;
 mod batches;
--- a/crates/serve/src/listener.rs
+++ b/crates/serve/src/listener.rs
@@ -1,6 +1,7 @@
 //! Listeners for callers, peers, readiness checks with address lookups, and metrics, and the
 //! connections that they accept.
 
+use crate::active::GuardedBody;
 use crate::caller::{self, Answer};
 use crate::followed_stream::FollowedStream;
 use crate::head_timer::HeadTimer;
@@ -87,11 +88,12 @@
     let header_timeout_ms = limits.map_or(IDLE_MAX_MS, |limits| limits.header_timeout_ms);
     let timer = HeadTimer::new(Duration::from_millis(header_timeout_ms));
     let stream = TokioIo::new(FollowedStream::new(stream, timer.clone()));
+    let _open = node.caller_connections.begin();
     let exchanges = timer.clone();
     let handle = service_fn(move |request| {
-        let exchange = exchanges.begin_exchange();
+        let in_progress = (exchanges.begin_exchange(), node.in_flight.begin());
         let answer = caller::handle(Rc::clone(&node), request);
-        async move { answer.await.map(|answer| answer.map(|body| exchange.until_sent(body))) }
+        async move { answer.await.map(|answer| answer.map(|body| GuardedBody::new(body, in_progress))) }
     });
     let connection = builder(header_max_bytes, idle_ms).serve_connection(stream, handle);
     let mut connection = pin!(connection);
--- a/crates/serve/src/node.rs
+++ b/crates/serve/src/node.rs
@@ -1,5 +1,6 @@
 //! The state of one process, and its calls to the store and to peers.
 
+use crate::active::ActiveCount;
 use crate::admission::Gates;
 use crate::batches::Batches;
 use crate::clock;
@@ -74,6 +75,8 @@
     pub batches: Batches,
     /// Requests that were interrupted at targets that have sent nothing since.
     pub interrupted: RefCell<InterruptedRequests>,
+    /// Connections of callers that are open.
+    pub caller_connections: ActiveCount,
     /// Set when the process stops accepting connections and requests of callers.
     pub closing: watch::Sender<bool>,
     pub cold: Cold,
@@ -92,8 +95,8 @@
     /// Admits callers' requests to services.
     pub gates: Gates,
     pub hedging: RefCell<Hedging>,
-    /// Number of requests of callers that are being answered.
-    pub in_flight: Cell<usize>,
+    /// Requests of callers whose answers are not passed to their connections completely.
+    pub in_flight: ActiveCount,
     /// When this node joined the fleet; none before.
     pub joined_at: Cell<Option<UnixMs>>,
     /// Authenticates the datagrams between nodes.
@@ -147,6 +150,7 @@
         Self {
             batches: Batches::default(),
             interrupted: RefCell::new(InterruptedRequests::default()),
+            caller_connections: ActiveCount::default(),
             closing: watch::Sender::new(false),
             cold: Cold::default(),
             crashes_changed: Notify::new(),
@@ -158,7 +162,7 @@
             health: Health::open(&settings.node),
             gates: Gates::default(),
             hedging: RefCell::new(Hedging::default()),
-            in_flight: Cell::new(0),
+            in_flight: ActiveCount::default(),
             joined_at: Cell::new(None),
             // The platform provides no shared secret. With this fixed key the tag of a datagram
             // still rejects data that is not a frame.
--- a/crates/serve/src/process.rs
+++ b/crates/serve/src/process.rs
@@ -270,30 +270,35 @@
     }
 }
 
-/// Shuts down gracefully. The node leaves the directory at once, and serves until the last address
-/// given out has expired and all requests are answered, as far as the grace time allows.
+/// Shuts down gracefully. The node leaves the directory at once, and accepts requests until the last
+/// address given out has expired. The accepted ones are answered, as far as the grace time allows:
+/// their connections end once the last byte of the answer was sent.
 async fn leave<P: Platform>(node: &Rc<Node<P>>) {
     let began_at = clock::now();
     node.leaving.set(true);
-    node.note("leaving", json!({ "in_flight": node.in_flight.get() }));
+    note_progress(node, "leaving");
     peers::with_members(node, Membership::leave);
-    spawn_local(batches::hand_over_all(Rc::clone(node)));
-    let addresses_expire_at = began_at.plus(ADDRESS_TTL_FACTOR * ADDRESSES_TTL_MS);
+    let handover = spawn_local(batches::hand_over_all(Rc::clone(node)));
     let grace_until = began_at.plus(node.settings().grace_ms.saturating_sub(EXIT_RESERVE_MS));
-    while clock::now() < grace_until {
-        sleep(POLL_INTERVAL).await;
-        if clock::now() >= addresses_expire_at && node.in_flight.get() == 0 {
-            break;
-        }
-    }
-    // A request that arrived between the decision to stop and the exit would be cut. From here on
-    // no request is accepted, and the accepted ones are answered.
+    let addresses_expire_at = began_at.plus(ADDRESS_TTL_FACTOR * ADDRESSES_TTL_MS);
+    let close_at = addresses_expire_at.min(grace_until);
+    sleep(Duration::from_millis(close_at.since_ms(clock::now()))).await;
+    // A request that is accepted later may need more than the rest of the grace time.
     node.closing.send_replace(true);
+    note_progress(node, "closing");
     sleep(POLL_INTERVAL).await;
-    while clock::now() < grace_until && node.in_flight.get() > 0 {
+    while clock::now() < grace_until
+        && (node.caller_connections.get() > 0 || !handover.is_finished())
+    {
         sleep(POLL_INTERVAL).await;
     }
-    node.note("stopped", json!({ "in_flight": node.in_flight.get() }));
+    note_progress(node, "stopped");
     // Leaves the writer of the audit trail time to write the last lines.
     sleep(Duration::from_millis(300)).await;
 }
+
+/// Logs a step of a planned stop, with what is still in progress.
+fn note_progress<P: Platform>(node: &Node<P>, step: &'static str) {
+    let (in_flight, connections) = (node.in_flight.get(), node.caller_connections.get());
+    node.note(step, json!({ "in_flight": in_flight, "connections": connections }));
+}
--- a/tests/all/site/worker/mod.rs
+++ b/tests/all/site/worker/mod.rs
@@ -45,6 +45,8 @@
 /// How a worker responds.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Behaviour {
+    /// Answers with a text of this many bytes.
+    AnswersLong(usize),
     /// Rejects all requests because of overload.
     Full,
     /// Responds without the header that identifies the worker.
--- a/tests/all/site/worker/serving.rs
+++ b/tests/all/site/worker/serving.rs
@@ -147,7 +147,10 @@
     } else {
         tokio::time::sleep(work).await;
         guard.complete();
-        answer(200, format!("{request} by {id}"))
+        match behaviour {
+            Behaviour::AnswersLong(bytes) => answer(200, "x".repeat(bytes)),
+            _ => answer(200, format!("{request} by {id}")),
+        }
     };
     let echoed =
         if behaviour == Behaviour::WrongId { "another".to_owned() } else { request.clone() };
