A read's wait ends within a planned stop's grace time

What callers saw: a read of a batch that asks to wait for a result for longer than a few seconds was cut when its node was replaced. The platform's callers ask for 1 s; nothing limited it.

Cause: the wait had no limit, and a planned stop has one.

Change: a read waits 3 s at most, and the time that it has waited at a former owner counts. It then gets an empty page, as at the end of any wait.

--- a/crates/serve/src/batches/read.rs
+++ b/crates/serve/src/batches/read.rs
@@ -21,6 +21,10 @@
 /// How long a call to an owner may take beyond the wait that it asks for.
 pub(super) const OWNER_CALL_SLACK: Duration = Duration::from_millis(700);
 
+/// Longest wait of a caller's read for its first result. It lets a stopping node answer the last read
+/// that it accepts within its grace time.
+const READ_WAIT_MAX_MS: u64 = 3_000;
+
 /// Reads results of a batch that this node owns; waits up to `wait_ms` for the first one.
 pub(crate) async fn read_owned<P: Platform>(
     node: &Rc<Node<P>>,
@@ -68,7 +72,7 @@
 }
 
 /// Reads results of a batch: from its owner, or from the store where the owner cannot be reached.
-/// Returns the number of its items and a page of results.
+/// Waits up to `wait_ms`, and at most [`READ_WAIT_MAX_MS`], for the first one. Returns the number of its items and a page of results.
 pub(crate) async fn read<P: Platform>(
     node: &Rc<Node<P>>,
     batch: &str,
@@ -76,11 +80,14 @@
     after: usize,
     wait_ms: u64,
 ) -> Lookup<(usize, Vec<ItemResult>)> {
+    let wait_ms = wait_ms.min(READ_WAIT_MAX_MS);
+    let until = clock::now().plus(wait_ms);
     match read_owned(node, batch, scope, after, wait_ms).await {
         PeerAnswer::Page { results, total } => return Lookup::Found((total, results)),
         PeerAnswer::NoBatch => return Lookup::Missing,
         _ => {}
     }
+    let wait_ms = until.since_ms(clock::now());
     let call = PeerCall::Read { after, batch: batch.to_owned(), scope: scope.clone(), wait_ms };
     let asked = ask_owner(node, batch, &call, wait_ms).await;
     let record = match asked {
--- a/tests/all/site/stops.rs
+++ b/tests/all/site/stops.rs
@@ -204,6 +204,33 @@
     assert_eq!(length - head_bytes, ANSWER_BYTES);
 }
 
+// Guards against a read that a planned stop cuts while it waits for a result, at the owner of its
+// batch or at another node.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stopping_node_answers_reads_that_wait_for_long() {
+    let site = Site::start(3, 1, 1).await;
+    site.engines[0].set_pace(1_000, 5);
+    assert_eq!(site.submit(&site.nodes[0], "b1", &submission("b1", 1, 30, 1)).await, 202);
+    let owner = site.owner_of("b1").await;
+
+    for stopping in [owner, (owner + 1) % 3] {
+        let stop = async {
+            tokio::time::sleep(BEFORE_STOP).await;
+            site.nodes[stopping].signal("TERM");
+        };
+        let read = site.read_within(&site.nodes[stopping], "b1", 0, 20_000);
+        let (page, ()) = tokio::join!(read, stop);
+
+        assert_eq!(page, Some(Vec::new()), "at node {stopping}");
+        exit(&site.nodes[stopping]).await;
+        site.nodes[stopping].restart();
+        until("the new process is ready", || async {
+            site.is_ready(&site.nodes[stopping]).await.then_some(())
+        })
+        .await;
+    }
+}
+
 // Guards against a batch that is lost when the node to which it is handed over stops as well.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_batch_is_read_whole_when_its_owner_and_its_successor_stop() {
