catkinmast-node: requests that are given up never reach their target

A call that was answered "may have run" at its deadline ran when the link to its target delivered the held bytes, up to seconds later; the same holds for orders to engines, writes to the platform and calls between nodes.

Cause: as in crates/serve, connections were closed in order. reqwest, which made these calls, has no option for it.

Change: crates/client, a client on hyper-util's pool and connector whose connections have a linger of 0. It takes reqwest's place in crates/node and crates/platform; a deadline covers the whole answer as before. All of its closes are resets, those of idle connections too: the pool does not tell them apart, and an idle connection carries nothing. Calls to other nodes on TCP are reset likewise; each of them waits for its reply, so no wanted bytes are discarded. A caller that disconnects does not end its call here, as a repetition with the same ticket gets the recorded answer.

Test: the forwarder of the stand-ins holds bytes and delivers them later unless the connection was reset.

--- a/crates/node/src/api/call.rs
+++ b/crates/node/src/api/call.rs
@@ -7,6 +7,7 @@
 use crate::edge::calls::{Answer, AnswerBody, CallBody, CallRequest, call_service, find_call};
 use bytes::Bytes;
 use futures::{StreamExt, TryStreamExt};
+use http_body_util::BodyDataStream;
 use rocket::data::{Data, DataStream, ToByteUnit};
 use rocket::http::{Method, Status};
 use rocket::request::FromRequest;
@@ -118,9 +119,9 @@
     headers.map(|header| (header.name().to_string(), header.value().to_owned())).collect()
 }
 
-fn request_method(request: &Request<'_>) -> Result<reqwest::Method, Problem> {
+fn request_method(request: &Request<'_>) -> Result<http::Method, Problem> {
     let name = request.method().as_str();
-    reqwest::Method::from_bytes(name.as_bytes())
+    http::Method::from_bytes(name.as_bytes())
         .map_err(|_unknown| Problem::invalid("method", format!("'{name}' is not known")))
 }
 
@@ -162,9 +163,8 @@
     if buffered.len() < BUFFERED_BODY_MAX_BYTES {
         return Ok((CallBody::Buffered(Bytes::from(buffered)), None));
     }
-    let (sender, mut chunks) = mpsc::channel::<Result<Bytes, std::io::Error>>(4);
-    let chunk_stream = futures::stream::poll_fn(move |context| chunks.poll_recv(context));
-    let body = CallBody::Streamed(reqwest::Body::wrap_stream(chunk_stream));
+    let (sender, chunks) = mpsc::channel(4);
+    let body = CallBody::Streamed(chunks);
     Ok((body, Some(forward_body(stream, buffered, sender, max_bytes, content_length))))
 }
 
@@ -219,9 +219,9 @@
         AnswerBody::Buffered(bytes) => {
             response.sized_body(bytes.len(), Cursor::new(bytes));
         }
-        AnswerBody::Streamed { length_bytes, response: target } => {
+        AnswerBody::Streamed { body, length_bytes } => {
             let permit = answer.permit;
-            let chunks = target.bytes_stream().map_err(std::io::Error::other);
+            let chunks = BodyDataStream::new(body).map_err(std::io::Error::other);
             // The permit is released when the stream ends. With the content length, the caller
             // detects a truncated answer: the connection closes before all bytes are sent.
             let chunks = chunks.inspect(move |_| {
--- a/crates/node/src/api/ticket.rs
+++ b/crates/node/src/api/ticket.rs
@@ -1,9 +1,10 @@
 //! Calls with a ticket: run at most once, by the node and incarnation that the ticket names.
 
 use crate::api::answer::Problem;
-use crate::edge::calls::{Answer, AnswerBody, CallRequest, admit, call_service};
+use crate::edge::calls::{Answer, AnswerBody, CallRequest, admit, build_request, call_service};
 use crate::shared::{Shared, lock};
 use bytes::Bytes;
+use catkinmast_client::ClientError;
 use catkinmast_config::CallClass;
 use catkinmast_model::{Refusal, UnixMs, Verdict};
 use catkinmast_route::{RecordedAnswer, Ticket, TicketDecision};
@@ -155,23 +156,18 @@
     };
     let permit = admit(shared, call.workspace, CallClass::Act, shared.now().plus(2_000)).await?;
     let url = format!("http://{}{}", node.http, request.uri());
-    let mut outgoing = shared.clients.unpooled.request(call.method.clone(), url);
-    for (name, value) in &call.headers {
-        let excluded_headers = ["connection", "content-length", "host", "transfer-encoding"];
-        if !excluded_headers.contains(&name.to_ascii_lowercase().as_str()) {
-            outgoing = outgoing.header(name, value);
-        }
-    }
-    let body = match call.body {
-        crate::edge::calls::CallBody::Buffered(bytes) => reqwest::Body::from(bytes),
-        crate::edge::calls::CallBody::Streamed(stream) => stream,
-    };
-    let sent = outgoing.header(FORWARDED_HEADER, "1").body(body).timeout(FORWARD_TIMEOUT);
-    let failed = |error: reqwest::Error| {
-        let message = format!("node {} of the ticket broke off: {error}", ticket.node);
+    let excluded_headers = ["connection", "content-length", "host", "transfer-encoding"];
+    let mut call = call;
+    call.headers.push((FORWARDED_HEADER.to_owned(), "1".to_owned()));
+    let body = call.body.take();
+    let outgoing = build_request(&call, &url, &excluded_headers, body)
+        .map_err(|error| Refusal::may_have_run(format!("the request is invalid: {error}")))?;
+    let failed = |error: ClientError| {
+        let message = format!("node {} of the ticket broke off: {}", ticket.node, error.message);
         Problem::from(Refusal::may_have_run(message).retry_at(retry_at))
     };
-    let response = sent.send().await.map_err(failed)?;
+    let deadline = tokio::time::Instant::now() + FORWARD_TIMEOUT;
+    let response = shared.clients.unpooled.send(outgoing, deadline).await.map_err(failed)?;
     let status = response.status().as_u16();
     let headers = response
         .headers()
@@ -181,6 +177,6 @@
         })
         .filter_map(|(name, value)| Some((name.to_string(), value.to_str().ok()?.to_owned())))
         .collect();
-    let body = AnswerBody::Buffered(response.bytes().await.map_err(failed)?);
+    let body = AnswerBody::Buffered(response.into_body().bytes().await.map_err(failed)?);
     Ok(Answer { body, headers, permit, status })
 }
--- a/crates/node/src/edge/calls.rs
+++ b/crates/node/src/edge/calls.rs
@@ -10,13 +10,16 @@
 use crate::metrics::CallLabels;
 use crate::shared::{Shared, lock};
 use bytes::{Bytes, BytesMut};
+use catkinmast_client::{ClientError, RequestBody};
 use catkinmast_config::{Call, CallClass, PlainService};
 use catkinmast_model::{Name, Refusal, UnixMs, Verdict};
 use catkinmast_route::{AdmissionDecision, Choice, Dequeued, Outcome};
+use http::{Method, Response};
+use std::io;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
-use tokio::sync::oneshot;
+use tokio::sync::{mpsc, oneshot};
 
 /// Header by which a target states that it refused a request before running it.
 pub(crate) const VERDICT_HEADER: &str = "Catkinmast-Verdict";
@@ -46,7 +49,17 @@
     /// Complete in memory, so it can be sent again.
     Buffered(Bytes),
     /// Still being received, so it can be sent only once.
-    Streamed(reqwest::Body),
+    Streamed(mpsc::Receiver<io::Result<Bytes>>),
+}
+
+impl CallBody {
+    /// Returns the body to send. A streamed one is empty afterwards.
+    pub(crate) fn take(&mut self) -> Self {
+        match self {
+            Self::Buffered(bytes) => Self::Buffered(bytes.clone()),
+            Self::Streamed(chunks) => Self::Streamed(std::mem::replace(chunks, mpsc::channel(1).1)),
+        }
+    }
 }
 
 /// A call of a plain service.
@@ -54,7 +67,7 @@
 pub(crate) struct CallRequest<'a> {
     pub body: CallBody,
     pub headers: Vec<(String, String)>,
-    pub method: reqwest::Method,
+    pub method: Method,
     /// The path, including the query.
     pub path: String,
     pub service: &'a str,
@@ -68,7 +81,7 @@
         Self {
             body: CallBody::Buffered(body),
             headers: vec![("Content-Type".to_owned(), "application/json".to_owned())],
-            method: reqwest::Method::POST,
+            method: Method::POST,
             path: "/score".to_owned(),
             service: scorer.as_str(),
             workspace: "",
@@ -92,7 +105,7 @@
     /// Complete in memory.
     Buffered(Bytes),
     /// Too long to buffer. Its length is known, so that the receiver can detect truncation.
-    Streamed { length_bytes: u64, response: reqwest::Response },
+    Streamed { body: catkinmast_client::AnswerBody, length_bytes: u64 },
 }
 
 impl Answer {
@@ -104,7 +117,7 @@
     pub(crate) async fn into_bytes(self) -> Result<Bytes, Refusal> {
         match self.body {
             AnswerBody::Buffered(bytes) => Ok(bytes),
-            AnswerBody::Streamed { response, .. } => response
+            AnswerBody::Streamed { body, .. } => body
                 .bytes()
                 .await
                 .map_err(|error| Refusal::may_have_run(format!("the answer was cut: {error}"))),
@@ -409,26 +422,14 @@
     };
     let client = if call.idempotent { &shared.clients.pooled } else { &shared.clients.unpooled };
     let url = format!("http://{address}{}", request.path);
-    let mut sending = client.request(request.method.clone(), url);
-    for (name, value) in &request.headers {
-        if !DROPPED_HEADERS.contains(&name.to_ascii_lowercase().as_str()) {
-            sending = sending.header(name, value);
-        }
-    }
-    let body = std::mem::replace(&mut request.body, CallBody::Buffered(Bytes::new()));
-    sending = match body {
-        CallBody::Buffered(bytes) => {
-            request.body = CallBody::Buffered(bytes.clone());
-            sending.body(bytes)
-        }
-        CallBody::Streamed(stream) => {
-            request.body = CallBody::Streamed(reqwest::Body::from(""));
-            sending.body(stream)
-        }
-    };
+    let body = request.body.take();
+    let sending = build_request(request, &url, &DROPPED_HEADERS, body).map_err(|error| {
+        AttemptFailure::new(Verdict::NotRun, format!("the request is invalid: {error}"))
+    })?;
     let started = Instant::now();
     let timeout = Duration::from_millis(deadline.since_ms(shared.now()));
-    let response = sending.timeout(timeout).send().await.map_err(|error| classify(&error))?;
+    let sent = client.send(sending, tokio::time::Instant::now() + timeout).await;
+    let response = sent.map_err(|error| classify(&error))?;
     check_refusal(&response)?;
     let max_bytes =
         snapshot.document().map_or(0, |document| document.limits.unsized_answer_max_bytes);
@@ -436,14 +437,33 @@
     Ok((answer, started.elapsed().as_micros() as u64))
 }
 
+/// Builds the request that is sent to `url`, without the headers in `dropped_headers`.
+pub(crate) fn build_request(
+    request: &CallRequest<'_>,
+    url: &str,
+    dropped_headers: &[&str],
+    body: CallBody,
+) -> Result<http::Request<RequestBody>, http::Error> {
+    let mut builder = http::Request::builder().method(request.method.clone()).uri(url);
+    for (name, value) in &request.headers {
+        if !dropped_headers.contains(&name.to_ascii_lowercase().as_str()) {
+            builder = builder.header(name, value);
+        }
+    }
+    builder.body(match body {
+        CallBody::Buffered(bytes) => RequestBody::from(bytes),
+        CallBody::Streamed(chunks) => RequestBody::Streamed(chunks),
+    })
+}
+
 /// Converts a transport error. Only a failure to connect proves that nothing was sent.
-fn classify(error: &reqwest::Error) -> AttemptFailure {
-    let verdict = if error.is_connect() { Verdict::NotRun } else { Verdict::MayHaveRun };
-    AttemptFailure::new(verdict, error.to_string())
+fn classify(error: &ClientError) -> AttemptFailure {
+    let verdict = if error.is_connect { Verdict::NotRun } else { Verdict::MayHaveRun };
+    AttemptFailure::new(verdict, error.message.clone())
 }
 
 /// Returns an error if the target has refused the request before running it.
-fn check_refusal(response: &reqwest::Response) -> Result<(), AttemptFailure> {
+fn check_refusal(response: &Response<catkinmast_client::AnswerBody>) -> Result<(), AttemptFailure> {
     let verdict = response.headers().get(VERDICT_HEADER).and_then(|value| value.to_str().ok());
     let Some(verdict) = verdict.filter(|verdict| verdict.starts_with("not_run")) else {
         return Ok(());
@@ -461,19 +481,19 @@
 /// If the source of a streamed body of unknown length breaks off, the web framework ends the body
 /// as if it were complete. A body of unknown length is therefore never streamed.
 async fn read_answer(
-    response: reqwest::Response,
+    response: Response<catkinmast_client::AnswerBody>,
     max_bytes: u64,
 ) -> Result<BareAnswer, AttemptFailure> {
     let status = response.status().as_u16();
     let headers = forwarded_headers(&response);
-    let length_bytes = response.content_length();
+    let mut body = response.into_body();
+    let length_bytes = body.length_bytes();
     if let Some(length_bytes) = length_bytes.filter(|length| *length > max_bytes) {
-        let body = AnswerBody::Streamed { length_bytes, response };
+        let body = AnswerBody::Streamed { body, length_bytes };
         return Ok(BareAnswer { body, headers, status });
     }
-    let mut response = response;
     let mut buffer = BytesMut::new();
-    while let Some(chunk) = response.chunk().await.map_err(|error| classify(&error))? {
+    while let Some(chunk) = body.chunk().await.map_err(|error| classify(&error))? {
         if (buffer.len() + chunk.len()) as u64 > max_bytes {
             let message = format!("an answer of unknown length is longer than {max_bytes} bytes");
             return Err(AttemptFailure::new(Verdict::Ran, message));
@@ -483,7 +503,7 @@
     Ok(BareAnswer { body: AnswerBody::Buffered(buffer.freeze()), headers, status })
 }
 
-fn forwarded_headers(response: &reqwest::Response) -> Vec<(String, String)> {
+fn forwarded_headers(response: &Response<catkinmast_client::AnswerBody>) -> Vec<(String, String)> {
     let forwarded = response.headers().iter().filter(|(name, _)| {
         !DROPPED_HEADERS.contains(&name.as_str()) && name.as_str() != "upgrade"
     });
--- a/crates/node/src/edge/peer.rs
+++ b/crates/node/src/edge/peer.rs
@@ -17,6 +17,7 @@
 use displaydoc::Display;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
+use socket2::SockRef;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -129,8 +130,12 @@
         .await
         .map_err(|_elapsed| PeerError::TimedOut)?
         .map_err(PeerError::Unreachable)?;
-    if let Err(error) = stream.set_nodelay(true) {
-        log::debug!("cannot set TCP_NODELAY on the connection to {to}: {error}");
+    // A request that is given up is reset, so that bytes that the network holds never arrive.
+    let configured = stream
+        .set_nodelay(true)
+        .and_then(|()| SockRef::from(&stream).set_linger(Some(Duration::ZERO)));
+    if let Err(error) = configured {
+        log::debug!("cannot set the options of the connection to {to}: {error}");
     }
     write_frame(&mut stream, &shared.settings.shared_key, request).await?;
     Ok(stream)
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -73,15 +73,13 @@
     ///
     /// # Errors
     ///
-    /// Fails if an address cannot be bound, or the HTTP client, the HTTP server or a thread cannot
-    /// be started.
+    /// Fails if an address cannot be bound, or the HTTP server or a thread cannot be started.
     pub async fn spawn(settings: Settings) -> Result<Self, NodeError> {
         let (socket, listener) = bind_control(settings.control).await?;
         let control = socket.local_addr().map_err(start_error("control address"))?;
         let incarnation = Incarnation(UnixMs::from_wall_clock().0);
         let (inputs, received) = std::sync::mpsc::channel();
-        let clients = Clients::open(settings.platform)
-            .map_err(|message| NodeError { message, part: "HTTP client" })?;
+        let clients = Clients::open(settings.platform);
         let shared = Arc::new(Shared {
             clients,
             clock: Clock::start(),
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -8,6 +8,7 @@
 use crate::settings::Settings;
 use crate::snapshot::Snapshot;
 use arc_swap::ArcSwap;
+use catkinmast_client::{Client, ClientSettings};
 use catkinmast_model::{Incarnation, Name, Refusal, UnixMs};
 use catkinmast_platform::{HttpEngines, HttpPlatform};
 use catkinmast_route::{
@@ -22,7 +23,6 @@
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::mpsc::Sender;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
 use tokio::sync::{Notify, oneshot};
 
 /// The adapter for the platform's services; another platform needs another adapter.
@@ -31,7 +31,7 @@
 pub(crate) type EngineClient = HttpEngines;
 
 /// Time limit for establishing a connection to a target.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+const CONNECT_TIMEOUT_MS: u64 = 500;
 /// Limit on the total size of the answers recorded for tickets.
 const TICKET_ANSWERS_MAX_BYTES: usize = 8 << 20;
 /// Limit on the datagrams queued for the control thread. Further ones are dropped; gossip sends the
@@ -58,9 +58,9 @@
     /// Opens a new connection for each call and never retries by itself, for calls that may not be
     /// repeated. A pooled connection can break while the request is written, which leaves it
     /// unknown whether the target read the request.
-    pub unpooled: reqwest::Client,
+    pub unpooled: Client,
     /// Reuses connections, for calls that may be repeated.
-    pub pooled: reqwest::Client,
+    pub pooled: Client,
     pub store: Store,
 }
 
@@ -110,20 +110,19 @@
 }
 
 impl Clients {
-    pub(crate) fn open(platform: SocketAddr) -> Result<Self, String> {
-        let builder = || reqwest::Client::builder().no_proxy().connect_timeout(CONNECT_TIMEOUT);
-        let no_redirect = reqwest::redirect::Policy::none;
-        let unpooled = builder()
-            .pool_max_idle_per_host(0)
-            .retry(reqwest::retry::never())
-            .redirect(no_redirect())
-            .build()
-            .map_err(|error| error.to_string())?;
-        let pooled =
-            builder().redirect(no_redirect()).build().map_err(|error| error.to_string())?;
-        let engines = EngineClient::open().map_err(|error| error.to_string())?;
-        let store = Store::open(platform).map_err(|error| error.to_string())?;
-        Ok(Self { engines, unpooled, pooled, store })
+    pub(crate) fn open(platform: SocketAddr) -> Self {
+        let client = |reuses_connections| {
+            Client::open(&ClientSettings {
+                connect_timeout_ms: CONNECT_TIMEOUT_MS,
+                reuses_connections,
+            })
+        };
+        Self {
+            engines: EngineClient::open(),
+            unpooled: client(false),
+            pooled: client(true),
+            store: Store::open(platform),
+        }
     }
 }
 
--- a/crates/platform/src/engine.rs
+++ b/crates/platform/src/engine.rs
@@ -3,15 +3,19 @@
 //! Tokens arrive as lines of JSON in one HTTP response. The last line of a complete answer is
 //! [`EngineLine::End`], with the token count; a stream that ends without it was cut off.
 
-use crate::StoreError;
-use bytes::BytesMut;
+use bytes::{Bytes, BytesMut};
+use catkinmast_client::{Client, ClientError, ClientSettings, RequestBody};
 use catkinmast_model::{Fence, UnixMs, Verdict, Version};
 use displaydoc::Display;
 use futures::{Stream, StreamExt};
+use http::header::CONTENT_TYPE;
+use http::{Request, StatusCode};
+use http_body_util::BodyDataStream;
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::time::Duration;
+use tokio::time::Instant;
 
 /// Maximum length of a line from an engine.
 const LINE_MAX_BYTES: usize = 256 * 1024;
@@ -160,24 +164,14 @@
 /// A client of engines over HTTP, with lines of JSON.
 #[derive(Clone, Debug)]
 pub struct HttpEngines {
-    client: reqwest::Client,
+    client: Client,
 }
 
 impl HttpEngines {
     /// Creates a client. Nothing is sent yet.
-    ///
-    /// # Errors
-    /// Fails if the HTTP library cannot be initialised.
-    pub fn open() -> Result<Self, StoreError> {
-        let client = reqwest::Client::builder()
-            .no_proxy()
-            .connect_timeout(Duration::from_secs(1))
-            .build()
-            .map_err(|error| StoreError::Unavailable {
-                message: error.to_string(),
-                verdict: Verdict::NotRun,
-            })?;
-        Ok(Self { client })
+    pub fn open() -> Self {
+        let settings = ClientSettings { connect_timeout_ms: 1_000, reuses_connections: true };
+        Self { client: Client::open(&settings) }
     }
 
     async fn post(
@@ -185,16 +179,33 @@
         engine: SocketAddr,
         path: &str,
         body: &impl Serialize,
-    ) -> Result<reqwest::StatusCode, EngineError> {
-        let url = format!("http://{engine}{path}");
-        let sent = self.client.post(url).json(body).timeout(CONTROL_TIMEOUT).send().await;
-        sent.map(|response| response.status()).map_err(|error| broken(&error))
+    ) -> Result<StatusCode, EngineError> {
+        let request = post_request(engine, path, body)?;
+        let deadline = Instant::now() + CONTROL_TIMEOUT;
+        let response = self.client.send(request, deadline).await.map_err(|error| broken(&error))?;
+        let status = response.status();
+        // Read to its end, so that the connection can be used again.
+        response.into_body().bytes().await.map_err(|error| broken(&error))?;
+        Ok(status)
     }
 }
 
-fn broken(error: &reqwest::Error) -> EngineError {
-    let verdict = if error.is_connect() { Verdict::NotRun } else { Verdict::MayHaveRun };
-    EngineError::broken(verdict, error.to_string())
+fn post_request(
+    engine: SocketAddr,
+    path: &str,
+    body: &impl Serialize,
+) -> Result<Request<RequestBody>, EngineError> {
+    let invalid = |message: String| EngineError::broken(Verdict::NotRun, message);
+    let body = serde_json::to_vec(body).map_err(|error| invalid(error.to_string()))?;
+    Request::post(format!("http://{engine}{path}"))
+        .header(CONTENT_TYPE, "application/json")
+        .body(RequestBody::from(Bytes::from(body)))
+        .map_err(|error| invalid(error.to_string()))
+}
+
+fn broken(error: &ClientError) -> EngineError {
+    let verdict = if error.is_connect { Verdict::NotRun } else { Verdict::MayHaveRun };
+    EngineError::broken(verdict, error.message.clone())
 }
 
 /// A request to cancel another request.
@@ -213,8 +224,7 @@
         impl Stream<Item = Result<EngineLine, EngineError>> + Send + Unpin + use<>,
         EngineError,
     > {
-        let url = format!("http://{engine}/generate");
-        let sent = self.client.post(url).json(request).send();
+        let sent = self.client.open_stream(post_request(engine, "/generate", request)?);
         let response = tokio::time::timeout(STREAM_IDLE_TIMEOUT, sent)
             .await
             .map_err(|_elapsed| EngineError::broken(Verdict::MayHaveRun, "no answer in time"))?
@@ -225,7 +235,8 @@
         }
         let request_id = request.request_id.clone();
         Ok(Box::pin(
-            lines(response.bytes_stream()).map(move |line| check_request_id(line, &request_id)),
+            lines(BodyDataStream::new(response.into_body()))
+                .map(move |line| check_request_id(line, &request_id)),
         ))
     }
 
@@ -236,18 +247,26 @@
 
     async fn order(&self, engine: SocketAddr, order: &WeightOrder) -> Result<(), EngineError> {
         match self.post(engine, "/order", order).await? {
-            reqwest::StatusCode::CONFLICT => Err(EngineError::Fenced),
+            StatusCode::CONFLICT => Err(EngineError::Fenced),
             status if status.is_success() => Ok(()),
             status => Err(EngineError::broken(Verdict::MayHaveRun, format!("status {status}"))),
         }
     }
 
     async fn load(&self, engine: SocketAddr) -> Result<LoadReport, EngineError> {
-        let url = format!("http://{engine}/load");
-        let sent = self.client.get(url).timeout(CONTROL_TIMEOUT).send().await;
-        let response = sent.and_then(reqwest::Response::error_for_status);
-        let response = response.map_err(|error| broken(&error))?;
-        response.json().await.map_err(|error| broken(&error))
+        let request = Request::get(format!("http://{engine}/load"))
+            .body(RequestBody::from(Bytes::new()))
+            .map_err(|error| EngineError::broken(Verdict::NotRun, error.to_string()))?;
+        let deadline = Instant::now() + CONTROL_TIMEOUT;
+        let response = self.client.send(request, deadline).await.map_err(|error| broken(&error))?;
+        if !response.status().is_success() {
+            let message = format!("status {}", response.status());
+            return Err(EngineError::broken(Verdict::MayHaveRun, message));
+        }
+        let body = response.into_body().bytes().await.map_err(|error| broken(&error))?;
+        serde_json::from_slice(&body).map_err(|error| {
+            EngineError::broken(Verdict::MayHaveRun, format!("unreadable report: {error}"))
+        })
     }
 }
 
@@ -272,7 +291,7 @@
 /// without an error. A stream without data for [`STREAM_IDLE_TIMEOUT`], a line that is too long and
 /// one that cannot be parsed are errors.
 fn lines(
-    bytes: impl Stream<Item = Result<bytes::Bytes, reqwest::Error>> + Send,
+    bytes: impl Stream<Item = Result<Bytes, ClientError>> + Send,
 ) -> impl Stream<Item = Result<EngineLine, EngineError>> + Send {
     let start = (Box::pin(bytes), BytesMut::new(), false);
     futures::stream::unfold(start, |(mut bytes, mut buffer, failed)| async move {
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -1,13 +1,17 @@
 //! A client of the platform over HTTP.
 
 use crate::{Entry, Expect, InstanceList, KeyValue, LeaseId, StoreError};
+use bytes::Bytes;
 use catkinmast_adapter::UsersPlatform;
+use catkinmast_client::{Client, ClientError, ClientSettings, RequestBody};
 use catkinmast_model::{Instance, Verdict};
 use catkinmast_serve::{
     Expectation, Platform, Put, StoreAnswer, StoreCall, StoreEvent, StoreRequest, StoredItem,
 };
+use http::Request;
 use std::net::SocketAddr;
 use std::time::Duration;
+use tokio::time::Instant;
 
 /// Timeout of one call; a healthy service answers within milliseconds.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -16,30 +20,25 @@
 #[derive(Clone, Debug)]
 pub struct HttpPlatform {
     address: SocketAddr,
-    client: reqwest::Client,
+    client: Client,
 }
 
 impl HttpPlatform {
     /// Creates a client for the platform at `address`. Nothing is sent yet.
-    ///
-    /// # Errors
-    /// Fails if the HTTP library cannot be initialised.
-    pub fn open(address: SocketAddr) -> Result<Self, StoreError> {
-        let client = reqwest::Client::builder()
-            .no_proxy()
-            .connect_timeout(Duration::from_millis(500))
-            .build()
-            .map_err(|error| not_run(&error))?;
-        Ok(Self { address, client })
+    pub fn open(address: SocketAddr) -> Self {
+        let settings = ClientSettings { connect_timeout_ms: 500, reuses_connections: true };
+        Self { address, client: Client::open(&settings) }
     }
 
     async fn call(&self, call: &StoreCall, timeout: Duration) -> Result<StoreAnswer, StoreError> {
         let StoreRequest { body, method, path } = UsersPlatform::store_request(call);
         let url = format!("http://{}{path}", self.address);
-        let request = self.client.request(method, url).body(body).timeout(timeout);
-        let response = request.send().await.map_err(|error| classify(&error))?;
+        let request = Request::builder().method(method).uri(url).body(RequestBody::from(body));
+        let request = request.map_err(|error| not_run(error.to_string()))?;
+        let sent = self.client.send(request, Instant::now() + timeout).await;
+        let response = sent.map_err(|error| classify(&error))?;
         let status = response.status().as_u16();
-        let body = response.bytes().await.map_err(|error| classify(&error))?;
+        let body = response.into_body().bytes().await.map_err(|error| classify(&error))?;
         UsersPlatform::store_answer(call, status, &body).map_err(|refusal| {
             StoreError::Unavailable { message: refusal.message, verdict: refusal.verdict }
         })
@@ -77,15 +76,19 @@
 
 /// Classifies an error: if the connection failed, no byte of the request was sent; otherwise the
 /// request may have run.
-fn classify(error: &reqwest::Error) -> StoreError {
-    if error.is_connect() {
-        return not_run(error);
+fn classify(error: &ClientError) -> StoreError {
+    if error.is_connect {
+        return not_run(error.message.clone());
     }
-    StoreError::Unavailable { message: error.to_string(), verdict: Verdict::MayHaveRun }
+    may_have_run(error.message.clone())
+}
+
+fn not_run(message: String) -> StoreError {
+    StoreError::Unavailable { message, verdict: Verdict::NotRun }
 }
 
-fn not_run(error: &reqwest::Error) -> StoreError {
-    StoreError::Unavailable { message: error.to_string(), verdict: Verdict::NotRun }
+fn may_have_run(message: String) -> StoreError {
+    StoreError::Unavailable { message, verdict: Verdict::MayHaveRun }
 }
 
 fn unexpected(answer: &StoreAnswer) -> StoreError {
@@ -188,9 +191,14 @@
 impl InstanceList for HttpPlatform {
     async fn instances(&self) -> Result<Vec<Instance>, StoreError> {
         let url = format!("http://{}/instances", self.address);
-        let sent = self.client.get(url).timeout(CALL_TIMEOUT).send().await;
+        let request = Request::get(url).body(RequestBody::from(Bytes::new()));
+        let request = request.map_err(|error| not_run(error.to_string()))?;
+        let sent = self.client.send(request, Instant::now() + CALL_TIMEOUT).await;
         let response = sent.map_err(|error| classify(&error))?;
-        let listed = response.error_for_status().map_err(|error| classify(&error))?;
-        listed.json().await.map_err(|error| classify(&error))
+        if !response.status().is_success() {
+            return Err(may_have_run(format!("status {}", response.status())));
+        }
+        let body = response.into_body().bytes().await.map_err(|error| classify(&error))?;
+        serde_json::from_slice(&body).map_err(|error| may_have_run(error.to_string()))
     }
 }
--- a/crates/standin/src/forwarder.rs
+++ b/crates/standin/src/forwarder.rs
@@ -1,15 +1,23 @@
 //! A TCP forwarder that simulates network faults between two processes.
 //!
 //! [`Forwarder::cut`] closes all connections, including new ones. [`Forwarder::hold`] keeps
-//! connections open but forwards no bytes.
+//! connections open but forwards no bytes. It holds them as the kernel of a sender does whose
+//! network is down: they arrive later, unless the connection is reset.
 
 use crate::web::StandinError;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use tokio::io::copy_bidirectional;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt, copy_bidirectional};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
+/// How much later than held bytes the rest of their connection arrives. A server that reads the end
+/// of a connection together with a request may not run the request.
+const REST_DELAY: Duration = Duration::from_millis(100);
+/// Most held bytes of a connection that arrive before the rest.
+const HELD_MAX_BYTES: usize = 16 << 10;
+
 /// How the forwarder treats connections.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Mode {
@@ -55,7 +63,8 @@
         self.mode.send_replace(Mode::Cut);
     }
 
-    /// Keeps connections open without forwarding any bytes.
+    /// Keeps connections open without forwarding any bytes. Held bytes of a client that resets its
+    /// connection are lost.
     pub fn hold(&self) {
         self.mode.send_replace(Mode::Hold);
     }
@@ -75,16 +84,21 @@
 
 async fn forward(mut client: TcpStream, to: SocketAddr, mut mode: watch::Receiver<Mode>) {
     let Ok(mut server) = TcpStream::connect(to).await else { return };
+    let mut was_held = false;
     loop {
         let current = *mode.borrow_and_update();
         match current {
             Mode::Cut => return,
             Mode::Hold => {
+                was_held = true;
                 if mode.changed().await.is_err() {
                     return;
                 }
             }
             Mode::Pass => {
+                if std::mem::take(&mut was_held) && !deliver_held(&mut client, &mut server).await {
+                    return;
+                }
                 tokio::select! {
                     _ = copy_bidirectional(&mut client, &mut server) => return,
                     changed = mode.changed() => if changed.is_err() { return },
@@ -93,3 +107,17 @@
         }
     }
 }
+
+/// Forwards what a client sent while its connection was held. Returns whether the connection lasts.
+async fn deliver_held(client: &mut TcpStream, server: &mut TcpStream) -> bool {
+    if !client.take_error().is_ok_and(|error| error.is_none()) {
+        return false;
+    }
+    let mut held = vec![0; HELD_MAX_BYTES];
+    // A connection without held bytes is not waited for.
+    let read = tokio::time::timeout(REST_DELAY, client.read(&mut held)).await;
+    let Ok(Ok(length @ 1..)) = read else { return read.is_err() };
+    let delivered = server.write_all(&held[..length]).await.is_ok();
+    tokio::time::sleep(REST_DELAY).await;
+    delivered
+}
--- a/tests/all/processes/broken_network.rs
+++ b/tests/all/processes/broken_network.rs
@@ -99,3 +99,25 @@
     assert_eq!(next, 200);
     assert_eq!(answer, catkinmast_standin::answer_of("/progress", "next"));
 }
+
+/// Time in which held bytes reach their target.
+const DELIVERY: Duration = Duration::from_millis(500);
+
+// Guards against a call that runs after its caller was told that it is out of time: its connection to
+// the target stalls, and its bytes arrive later.
+#[tokio::test]
+async fn a_call_that_timed_out_never_arrives() {
+    let (fleet, forwarders) = start_behind_forwarders(1, "0").await;
+    // Leaves an idle connection to the target, which the second call uses.
+    let (warm_up, _) = call(&fleet, "/progress", "warm-up", 5_000).await;
+    forwarders[0].hold();
+
+    let (act, _) = call(&fleet, "/award", "act", 600).await;
+    let (lookup, _) = call(&fleet, "/progress", "lookup", 600).await;
+    forwarders[0].pass();
+    tokio::time::sleep(DELIVERY).await;
+
+    assert_eq!((warm_up, act, lookup), (200, 502, 502));
+    assert_eq!(fleet.count_runs("/award", "act").await, 0);
+    assert_eq!(fleet.count_runs("/progress", "lookup").await, 0);
+}
