Orders are sent only to engines that answer

Cause: an order that is on its way when its sender is killed is not given up by anyone.

Change: an order is sent after a report of the engine was read, also where the number of orders that it has accepted is known. Orders to an engine that does not answer are not sent at all, so that only the milliseconds between the report and the order remain. It costs one report an order.

--- a/crates/serve/src/orders.rs
+++ b/crates/serve/src/orders.rs
@@ -189,9 +189,13 @@
     let started_at_unix_ms = entry.started_at_unix_ms;
     let known = holder.accepted(&entry);
     let chosen = ChosenTarget { address: entry.address, id: entry.id };
+    // An order that is on its way as its sender is killed may arrive after the orders of a successor,
+    // so it is only sent to an engine that answers.
+    let report = read_report(node, &chosen).await;
     let expected_orders = match known {
+        Some(_) if report.is_err() => return LoadOutcome::Failed,
         Some(accepted) => accepted,
-        None => match read_report(node, &chosen).await {
+        None => match report {
             Ok(report) if report.busy => return LoadOutcome::Failed,
             Ok(report) => {
                 apply_report(node, holder, &chosen, &report);
--- a/tests/all/site/held_requests.rs
+++ b/tests/all/site/held_requests.rs
@@ -138,7 +138,7 @@
     link.set(Link::Holds(""));
     assert_eq!(site.submit(&site.nodes[0], "b", &submission("b", 2, 3, 1)).await, 202);
     let owner = site.owner_of("b").await;
-    until("both items are on their way", || async { (link.held() >= 2).then_some(()) }).await;
+    until("both items are on their way", || async { (link.held().len() >= 2).then_some(()) }).await;
 
     let ended = site.end(&site.nodes[(owner + 1) % 2], "b").await;
 
@@ -162,7 +162,7 @@
     site.read_all(&site.nodes[0], "a", 1).await;
     set_all(&links, Link::Holds(""));
     assert_eq!(site.submit(&site.nodes[0], "b", &submission("b", 1, 3, 1)).await, 202);
-    until("the call is on its way", || async { (links[0].held() > 0).then_some(()) }).await;
+    until("the call is on its way", || async { (!links[0].held().is_empty()).then_some(()) }).await;
 
     let ended = site.end(&site.nodes[0], "b").await;
 
@@ -180,7 +180,7 @@
         until("a node sends the orders", || async { site.nodes.iter().position(holder_of) }).await;
     link.set(Link::Holds("POST /-/order"));
     site.store.put("op/version/model-a", &json!({ "model": "model-a", "version": 2 }));
-    until("its order is on its way", || async { (link.held() > 0).then_some(()) }).await;
+    until("its order is on its way", || async { (!link.held().is_empty()).then_some(()) }).await;
 
     site.nodes[holder].signal("KILL");
     until("the other node sends the orders", || async {
@@ -198,3 +198,36 @@
         site.engines[0].orders_seen().iter().map(|order| order["holder"].clone()).collect();
     assert_eq!(holders, [json!(format!("node-{}", 1 - holder))]);
 }
+
+// Guards against an order that is on its way when its sender is killed: it is sent although the engine
+// does not answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_order_is_sent_to_an_engine_that_does_not_answer() {
+    const ORDER: &str = "POST /-/order";
+    let (site, link) = start_with_far_engine().await;
+    site.store.put("op/version/model-a", &json!({ "model": "model-a", "version": 2 }));
+    until("the engine has the version", || async {
+        (site.engines[0].version("model-a") == 2).then_some(())
+    })
+    .await;
+    until("the load is over", || async {
+        let known = |line: &Value| line["status"] == 202;
+        site.nodes.iter().any(|node| node.lines("order_sent").iter().any(known)).then_some(())
+    })
+    .await;
+    // The node reads the report until it shows the version.
+    tokio::time::sleep(Duration::from_secs(2)).await;
+
+    link.set(Link::Holds(""));
+    site.store.put("op/version/model-a", &json!({ "model": "model-a", "version": 3 }));
+    tokio::time::sleep(Duration::from_secs(3)).await;
+
+    let held = link.held();
+    assert!(!held.is_empty(), "nothing was sent");
+    assert!(!held.iter().any(|text| text.starts_with(ORDER)), "{held:?}");
+    link.set(Link::Open);
+    until("the engine has the next version", || async {
+        (site.engines[0].version("model-a") == 3).then_some(())
+    })
+    .await;
+}
--- a/tests/all/site/proxy.rs
+++ b/tests/all/site/proxy.rs
@@ -2,7 +2,6 @@
 //! directions.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -36,7 +35,7 @@
 #[derive(Clone)]
 pub(crate) struct Proxy {
     pub(crate) address: SocketAddr,
-    held: Arc<AtomicUsize>,
+    held: Arc<Mutex<Vec<String>>>,
     link: Arc<Mutex<Link>>,
 }
 
@@ -46,7 +45,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let address = listener.local_addr().expect("a bound address");
         let link = Arc::new(Mutex::new(Link::Open));
-        let held = Arc::new(AtomicUsize::new(0));
+        let held = Arc::default();
         let (shared, held_here) = (Arc::clone(&link), Arc::clone(&held));
         tokio::spawn(async move {
             while let Ok((caller, _)) = listener.accept().await {
@@ -62,9 +61,9 @@
         Self { address, held, link }
     }
 
-    /// Returns how often the proxy has held bytes.
-    pub(crate) fn held(&self) -> usize {
-        self.held.load(Ordering::SeqCst)
+    /// Returns the bytes that the proxy has held, as texts.
+    pub(crate) fn held(&self) -> Vec<String> {
+        self.held.lock().expect("no test panics while it holds texts").clone()
     }
 
     /// Changes what the proxy does, also on open connections.
@@ -76,7 +75,7 @@
 async fn forward(
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
-    (link, held): (Arc<Mutex<Link>>, Arc<AtomicUsize>),
+    (link, held): (Arc<Mutex<Link>>, Arc<Mutex<Vec<String>>>),
     is_answer: bool,
 ) {
     let mut buffer = vec![0; 16 << 10];
@@ -88,7 +87,8 @@
             Link::Delays(time) => tokio::time::sleep(time).await,
             Link::Holds(start) => {
                 if buffer[..length].starts_with(start.as_bytes()) {
-                    held.fetch_add(1, Ordering::SeqCst);
+                    let text = String::from_utf8_lossy(&buffer[..length]).into_owned();
+                    held.lock().expect("no test panics while it holds texts").push(text);
                     opened(&link).await;
                 }
                 if from.as_ref().take_error().is_ok_and(|error| error.is_some()) {
