Tests of held bytes deliver them once their connections are reset

The forwarder delivered what it held in the moment in which the caller got its 502; the node answers first and resets the connection right after, so beside load the bytes were let through before the reset came. site::held_requests had the same race.

A cut link does not come back within that moment; the fault is a request that arrives later. The forwarder and the proxy now report resets of connections that they hold, and the tests deliver once all of these are reset. A connection that is closed in order, or kept, fails the test.

--- a/crates/standin/src/forwarder.rs
+++ b/crates/standin/src/forwarder.rs
@@ -7,8 +7,9 @@
 use crate::web::StandinError;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt, copy_bidirectional};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest, copy_bidirectional};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
@@ -31,6 +32,7 @@
 pub struct Forwarder {
     address: SocketAddr,
     mode: Arc<watch::Sender<Mode>>,
+    resets: Arc<AtomicUsize>,
     task: tokio::task::JoinHandle<()>,
 }
 
@@ -44,8 +46,9 @@
         let listener = TcpListener::bind(address).await.map_err(start_error)?;
         let address = listener.local_addr().map_err(start_error)?;
         let mode = Arc::new(watch::channel(Mode::Pass).0);
-        let task = tokio::spawn(accept(listener, to, Arc::clone(&mode)));
-        Ok(Self { address, mode, task })
+        let resets = Arc::new(AtomicUsize::new(0));
+        let task = tokio::spawn(accept(listener, to, Arc::clone(&mode), Arc::clone(&resets)));
+        Ok(Self { address, mode, resets, task })
     }
 
     /// Returns the bound address.
@@ -53,6 +56,11 @@
         self.address
     }
 
+    /// Returns how many clients have reset a connection that was held.
+    pub fn resets(&self) -> usize {
+        self.resets.load(Ordering::SeqCst)
+    }
+
     /// Forwards connections in both directions; the initial mode.
     pub fn pass(&self) {
         self.mode.send_replace(Mode::Pass);
@@ -76,13 +84,23 @@
     }
 }
 
-async fn accept(listener: TcpListener, to: SocketAddr, mode: Arc<watch::Sender<Mode>>) {
+async fn accept(
+    listener: TcpListener,
+    to: SocketAddr,
+    mode: Arc<watch::Sender<Mode>>,
+    resets: Arc<AtomicUsize>,
+) {
     while let Ok((stream, _)) = listener.accept().await {
-        tokio::spawn(forward(stream, to, mode.subscribe()));
+        tokio::spawn(forward(stream, to, mode.subscribe(), Arc::clone(&resets)));
     }
 }
 
-async fn forward(mut client: TcpStream, to: SocketAddr, mut mode: watch::Receiver<Mode>) {
+async fn forward(
+    mut client: TcpStream,
+    to: SocketAddr,
+    mut mode: watch::Receiver<Mode>,
+    resets: Arc<AtomicUsize>,
+) {
     let Ok(mut server) = TcpStream::connect(to).await else { return };
     let mut was_held = false;
     loop {
@@ -91,8 +109,12 @@
             Mode::Cut => return,
             Mode::Hold => {
                 was_held = true;
-                if mode.changed().await.is_err() {
-                    return;
+                tokio::select! {
+                    changed = mode.changed() => if changed.is_err() { return },
+                    _ = client.ready(Interest::ERROR) => {
+                        resets.fetch_add(1, Ordering::SeqCst);
+                        return;
+                    }
                 }
             }
             Mode::Pass => {
--- a/tests/all/processes/broken_network.rs
+++ b/tests/all/processes/broken_network.rs
@@ -114,6 +114,11 @@
 
     let (act, _) = call(&fleet, "/award", "act", 600).await;
     let (lookup, _) = call(&fleet, "/progress", "lookup", 600).await;
+    fleet
+        .poll_until("the connections of both are reset", async || {
+            (forwarders[0].resets() == 2).then_some(())
+        })
+        .await;
     forwarders[0].pass();
     tokio::time::sleep(DELIVERY).await;
 
--- a/tests/all/site/held_requests.rs
+++ b/tests/all/site/held_requests.rs
@@ -54,8 +54,12 @@
     }
 }
 
-/// Delivers what is held, and returns the targets behind proxies at which a request ran.
+/// Waits until what is held was given up, delivers the rest, and returns the targets behind proxies
+/// at which a request ran.
 async fn late_runs(site: &Site, links: &[Proxy], request: &str) -> Vec<String> {
+    for link in links {
+        link.all_lost().await;
+    }
     set_all(links, Link::Open);
     tokio::time::sleep(DELIVERY).await;
     let runs = site.runs.of(request).into_iter().map(|run| run.worker);
@@ -112,8 +116,6 @@
     let left = tokio::time::timeout(Duration::from_millis(300), call).await;
 
     assert!(left.is_err(), "the request was answered");
-    // The node notices the disconnection within milliseconds.
-    tokio::time::sleep(DELIVERY).await;
     assert_eq!(late_runs(&site, &links, "q1").await, Vec::<String>::new());
 }
 
@@ -143,8 +145,6 @@
     let ended = site.end(&site.nodes[(owner + 1) % 2], "b").await;
 
     assert_eq!(ended, 200);
-    // The owner stops its runs within the time of a call between nodes.
-    tokio::time::sleep(DELIVERY).await;
     let links = [link];
     assert_eq!(late_runs(&site, &links, "bi0").await, Vec::<String>::new());
     assert_eq!(late_runs(&site, &links, "bi1").await, Vec::<String>::new());
@@ -167,7 +167,6 @@
     let ended = site.end(&site.nodes[0], "b").await;
 
     assert_eq!(ended, 200);
-    tokio::time::sleep(DELIVERY).await;
     assert_eq!(late_runs(&site, &links, "br0").await, Vec::<String>::new());
 }
 
--- a/tests/all/site/proxy.rs
+++ b/tests/all/site/proxy.rs
@@ -1,7 +1,9 @@
 //! A loopback TCP proxy that delays or holds bytes, closes connections, or blocks one or both
 //! directions.
 
+use super::harness::until;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -31,11 +33,19 @@
     Silent { answers: bool, requests: bool },
 }
 
+/// What a proxy has held.
+#[derive(Default)]
+struct Held {
+    /// How much of it was lost, because its sender reset the connection.
+    lost: AtomicUsize,
+    texts: Mutex<Vec<String>>,
+}
+
 /// A running proxy; its tasks end with the test's runtime.
 #[derive(Clone)]
 pub(crate) struct Proxy {
     pub(crate) address: SocketAddr,
-    held: Arc<Mutex<Vec<String>>>,
+    held: Arc<Held>,
     link: Arc<Mutex<Link>>,
 }
 
@@ -45,7 +55,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let address = listener.local_addr().expect("a bound address");
         let link = Arc::new(Mutex::new(Link::Open));
-        let held = Arc::default();
+        let held = Arc::<Held>::default();
         let (shared, held_here) = (Arc::clone(&link), Arc::clone(&held));
         tokio::spawn(async move {
             while let Ok((caller, _)) = listener.accept().await {
@@ -63,7 +73,15 @@
 
     /// Returns the bytes that the proxy has held, as texts.
     pub(crate) fn held(&self) -> Vec<String> {
-        self.held.lock().expect("no test panics while it holds texts").clone()
+        self.held.texts.lock().expect("no test panics while it holds texts").clone()
+    }
+
+    /// Waits until all that the proxy has held is lost.
+    pub(crate) async fn all_lost(&self) {
+        until("the connections of what is held are reset", || async {
+            (self.held().len() == self.held.lost.load(Ordering::SeqCst)).then_some(())
+        })
+        .await;
     }
 
     /// Changes what the proxy does, also on open connections.
@@ -75,7 +93,7 @@
 async fn forward(
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
-    (link, held): (Arc<Mutex<Link>>, Arc<Mutex<Vec<String>>>),
+    (link, held): (Arc<Mutex<Link>>, Arc<Held>),
     is_answer: bool,
 ) {
     let mut buffer = vec![0; 16 << 10];
@@ -88,13 +106,13 @@
             Link::Holds(start) => {
                 if buffer[..length].starts_with(start.as_bytes()) {
                     let text = String::from_utf8_lossy(&buffer[..length]).into_owned();
-                    held.lock().expect("no test panics while it holds texts").push(text);
-                    opened(&link).await;
+                    held.texts.lock().expect("no test panics while it holds texts").push(text);
+                    if !lasts_until_open(&from, &link).await {
+                        held.lost.fetch_add(1, Ordering::SeqCst);
+                        return;
+                    }
+                    end_delay = END_DELAY;
                 }
-                if from.as_ref().take_error().is_ok_and(|error| error.is_some()) {
-                    return;
-                }
-                end_delay = END_DELAY;
             }
             Link::Resets => return,
             Link::Floods(bytes) => {
@@ -118,11 +136,16 @@
     tokio::time::sleep(end_delay).await;
 }
 
-/// Waits until a link forwards bytes at once.
-async fn opened(link: &Mutex<Link>) {
+/// Waits until a link forwards bytes at once. Returns false if the sender resets its connection
+/// before that.
+async fn lasts_until_open(from: &OwnedReadHalf, link: &Mutex<Link>) -> bool {
     while *link.lock().expect("no test panics while it holds a link") != Link::Open {
+        if !from.as_ref().take_error().is_ok_and(|error| error.is_none()) {
+            return false;
+        }
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
+    from.as_ref().take_error().is_ok_and(|error| error.is_none())
 }
 
 /// Sends bytes again and again, at most as many as end a failing test in time.
