--- a/review/5/case.py
+++ b/review/5/case.py
@@ -14,8 +14,8 @@
 import standins as s
 
 FRONTS, TRIALS, LOTS = 6, 6, 4
-DOWN_S = 5.0
-FREEZE_BEFORE_S, FIRST_FREEZE_S, BETWEEN_S, SECOND_FREEZE_S = 1.15, 1.8, 2.0, 3.2
+DOWN_S = 4.5
+FREEZE_BEFORE_S, FIRST_FREEZE_S, BETWEEN_S, SECOND_FREEZE_S = 1.3, 1.8, 2.0, 3.2
 CANCEL_S, STABLE_S = 3.0, 3.0
 HOST, MODEL = "ficu95.example", "daka510000"
 
