A batch runs once at most at a node, and no run outlives it

Cause: while the store is silent, a node takes the paused owner of a batch for dead, cannot take the batch over and runs its items in the interim. The owner goes on and sends its copy again. When it seems dead a second time, `start_interim` inserted a second interim batch under the same id. Nothing knew the first any more, neither the takeover nor the end of the batch, so its items ran to their end and were scored. Besides, interim runs of a batch whose owner proved to be alive stopped only at the next search for orphans, which waits for the silent store.

Ruled out: a lost notice of the end (the second interim batch stopped with it), and an owner that runs on (its runs were stopped by the end).

Change: `LocalBatches` holds all batches whose items a node runs, owned or in the interim. An id is there once; a batch that becomes owned stops its interim runs, and a second interim batch is not begun. Interim runs stop as soon as the owner proves to be alive: with a change of its state in the membership, or with its copy. A takeover whose record is written is repeated although the former owner proves to be alive, so that eager stop leaves no batch without an owner.

--- a/crates/serve/src/batches/accept.rs
+++ b/crates/serve/src/batches/accept.rs
@@ -389,8 +389,10 @@
     node.note("batch_owned", line);
     node.batches.note_opening(local.batch.submission());
     let local = Rc::new(RefCell::new(local));
-    node.batches.owned.borrow_mut().insert(id.to_owned(), Rc::clone(&local));
-    node.metrics.batches_open.set(node.batches.owned.borrow().len() as i64);
+    if !node.batches.local.insert_owned(Rc::clone(&local)) {
+        return;
+    }
+    node.metrics.batches_open.set(node.batches.local.owned_count() as i64);
     let (model, work_tokens, items) = {
         let local = local.borrow();
         let submission = local.batch.submission();
--- a/crates/serve/src/batches/end.rs
+++ b/crates/serve/src/batches/end.rs
@@ -137,7 +137,7 @@
 
 /// Writes the ends that the store has not confirmed yet, once each; for a planned stop.
 pub(super) async fn write_pending_ends<P: Platform>(node: &Rc<Node<P>>) {
-    let all: Vec<Rc<RefCell<LocalBatch>>> = node.batches.owned.borrow().values().cloned().collect();
+    let all = node.batches.local.all_owned();
     for local in all {
         let is_pending = {
             let local = local.borrow();
@@ -210,7 +210,7 @@
 /// Deletes owned batches that were settled longer ago than [`SETTLED_RETENTION_MS`].
 pub(super) async fn delete_expired<P: Platform>(node: &Rc<Node<P>>) {
     let now = clock::now();
-    let all: Vec<Rc<RefCell<LocalBatch>>> = node.batches.owned.borrow().values().cloned().collect();
+    let all = node.batches.local.all_owned();
     for local in all {
         let old =
             local.borrow().settled_at.is_some_and(|at| now.since_ms(at) > SETTLED_RETENTION_MS);
@@ -239,7 +239,7 @@
     let call = StoreCall::Transaction { deletes, expected: Vec::new(), puts: Vec::new() };
     if node.store(&call).await.is_ok() {
         local.borrow_mut().owned = false;
-        node.batches.owned.borrow_mut().swap_remove(&id);
+        node.batches.local.remove_owned(&id);
         node.batches.owners.borrow_mut().swap_remove(&id);
         count(&node.metrics.item_runs, "batch_forgotten");
     }
--- a/crates/serve/src/batches/mod.rs
+++ b/crates/serve/src/batches/mod.rs
@@ -11,6 +11,7 @@
 mod accept;
 mod end;
 mod keys;
+mod local;
 mod ownership;
 mod read;
 mod standby;
@@ -24,7 +25,9 @@
 pub(crate) use ownership::{on_batch_ended, on_owner_reported, verify_ownership_of_all};
 pub(crate) use read::{Lookup, item_body, item_body_owned, read, read_owned};
 pub(crate) use standby::{BatchCopy, accept_copied_outputs, accept_copy};
-pub(crate) use takeover::{accept_handover, hand_over_all, on_batch_orphaned, take_over_orphans};
+pub(crate) use takeover::{
+    accept_handover, hand_over_all, on_batch_orphaned, stop_obsolete_interim, take_over_orphans,
+};
 
 use crate::clock;
 use crate::peers::Owner;
@@ -33,6 +36,7 @@
 use catkinmast_model::UnixMs;
 use indexmap::{IndexMap, IndexSet};
 use keys::Record;
+use local::{LocalBatches, SharedBatch};
 use standby::Standby;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -175,7 +179,7 @@
 pub(crate) struct Batches {
     reusable_outputs: RefCell<ReusableOutputs>,
     pub lookahead: RefCell<Lookahead>,
-    owned: RefCell<IndexMap<String, Rc<RefCell<LocalBatch>>>>,
+    local: LocalBatches,
     owners: RefCell<IndexMap<String, ReportedOwner>>,
     unconfirmed: RefCell<UnconfirmedSubmissions>,
     /// Speculative runs of items for a later batch, see [`SecondRuns`].
@@ -262,8 +266,7 @@
     /// Stops all runs on a target except those that are being scored; their items continue
     /// elsewhere from their output so far. Second runs there are dropped with their output.
     pub(crate) fn stop_runs_at(&self, target: &str) {
-        let owned: Vec<Rc<RefCell<LocalBatch>>> = self.owned.borrow().values().cloned().collect();
-        for local in owned.into_iter().chain(self.standby.interim()) {
+        for local in self.local.all() {
             let mut local = local.borrow_mut();
             let at_target =
                 local.runs.iter().filter(|(_, run)| run.target == target && !run.scoring);
@@ -275,19 +278,24 @@
         self.second_runs.stop_where(|second| second.target == target);
     }
 
-    pub(crate) fn get(&self, batch: &str) -> Option<Rc<RefCell<LocalBatch>>> {
-        self.owned.borrow().get(batch).cloned()
+    /// Returns a batch that this node owns.
+    pub(crate) fn get(&self, batch: &str) -> Option<SharedBatch> {
+        self.local.owned(batch)
+    }
+
+    /// Returns the batches whose items this node runs: the owned ones that have items left to run,
+    /// the most urgent first, and then those without an owner.
+    pub(crate) fn to_run(&self) -> Vec<SharedBatch> {
+        self.open().into_iter().chain(self.local.all_interim()).collect()
     }
 
     /// Returns the owned batches that have items left to run, the most urgent first.
-    pub(crate) fn open(&self) -> Vec<Rc<RefCell<LocalBatch>>> {
-        let mut open: Vec<Rc<RefCell<LocalBatch>>> = self
-            .owned
-            .borrow()
-            .values()
-            .filter(|local| !local.borrow().batch.is_settled() && !local.borrow().batch.is_ended())
-            .cloned()
-            .collect();
+    pub(crate) fn open(&self) -> Vec<SharedBatch> {
+        let mut open = self.local.all_owned();
+        open.retain(|local| {
+            let local = local.borrow();
+            !local.batch.is_settled() && !local.batch.is_ended()
+        });
         open.sort_by_key(|local| local.borrow().batch.policy().due_at);
         open
     }
--- a/crates/serve/src/batches/ownership.rs
+++ b/crates/serve/src/batches/ownership.rs
@@ -51,7 +51,7 @@
         local.owned = false;
         local.stop_runs();
         let id = local.id.clone();
-        node.batches.owned.borrow_mut().swap_remove(&id);
+        node.batches.local.remove_owned(&id);
         node.batches.note_owner(&id, record.owner.clone());
         node.note(
             "batch_lost",
@@ -73,7 +73,7 @@
 /// Handles a report that a batch is ended; such reports are sent only after the end is stored.
 pub(crate) fn on_batch_ended<P: Platform>(node: &Rc<Node<P>>, batch: &str) {
     node.batches.note_ended(batch);
-    node.batches.standby.discard(batch);
+    node.batches.discard_standby(batch);
     let Some(local) = node.batches.get(batch) else { return };
     if local.borrow().batch.is_ended() {
         return;
@@ -95,7 +95,7 @@
 /// Verifies with the store that this node still owns its batches, after a sign that others may have
 /// considered it dead.
 pub(crate) fn verify_ownership_of_all<P: Platform>(node: &Rc<Node<P>>) {
-    let all: Vec<Rc<RefCell<LocalBatch>>> = node.batches.owned.borrow().values().cloned().collect();
+    let all = node.batches.local.all_owned();
     node.note("ownership_doubted", json!({ "batches": all.len() }));
     for local in all {
         verify_ownership(node, &local);
--- a/crates/serve/src/batches/standby.rs
+++ b/crates/serve/src/batches/standby.rs
@@ -15,9 +15,9 @@
 
 use super::accept::{BatchSource, build_local_batch, policy, scoring_attempts};
 use super::keys::Record;
-use super::takeover::SKEW_MAX_MS;
+use super::takeover::{SKEW_MAX_MS, is_responsible};
 use super::write::SAVE_MIN_RUN_AGE_MS;
-use super::{ASSUMED_OPEN_MS, LocalBatch};
+use super::{ASSUMED_OPEN_MS, Batches, LocalBatch};
 use crate::clock;
 use crate::node::Node;
 use crate::peers::{self, Datagram, Owner, PeerAnswer, PeerCall};
@@ -63,41 +63,31 @@
     pub(super) outputs: Vec<(String, Progress)>,
 }
 
-/// The copies that this node holds, and the batches whose items it runs without owning them.
-#[derive(Debug, Default)]
-pub(crate) struct Standby {
-    copies: RefCell<IndexMap<String, ReceivedCopy>>,
-    interim: RefCell<IndexMap<String, Rc<RefCell<LocalBatch>>>>,
-}
-
-impl Standby {
-    /// Returns the batches whose items run here until the batch has an owner.
-    pub(crate) fn interim(&self) -> Vec<Rc<RefCell<LocalBatch>>> {
-        self.interim.borrow().values().cloned().collect()
-    }
-
-    /// Returns the ids of the batches in [`Self::interim`].
-    pub(super) fn interim_ids(&self) -> Vec<String> {
-        self.interim.borrow().keys().cloned().collect()
-    }
-
+impl Batches {
     /// Stops the interim runs of a batch and returns what they produced.
     pub(super) fn stop_interim(&self, batch: &str) -> InterimProgress {
-        let Some(local) = self.interim.borrow_mut().swap_remove(batch) else {
+        let Some(local) = self.local.stop_interim(batch) else {
             return InterimProgress::default();
         };
         let mut local = local.borrow_mut();
-        local.stop_runs();
         let results = local.batch.take_completed();
         InterimProgress { results, outputs: local.batch.take_progress() }
     }
 
     /// Drops the copy and the interim runs of a batch that is ended or has a live owner.
-    pub(super) fn discard(&self, batch: &str) {
-        self.copies.borrow_mut().swap_remove(batch);
-        drop(self.stop_interim(batch));
+    pub(super) fn discard_standby(&self, batch: &str) {
+        self.standby.copies.borrow_mut().swap_remove(batch);
+        drop(self.local.stop_interim(batch));
     }
+}
+
+/// The copies that this node holds.
+#[derive(Debug, Default)]
+pub(crate) struct Standby {
+    copies: RefCell<IndexMap<String, ReceivedCopy>>,
+}
 
+impl Standby {
     fn insert_copy(&self, now: UnixMs, batch: String, copy: BatchCopy) {
         let mut copies = self.copies.borrow_mut();
         copies.retain(|_, copy| now.since_ms(copy.received_at) < ASSUMED_OPEN_MS);
@@ -176,11 +166,15 @@
     }
 }
 
-/// Holds in memory the copy that an owner sent, unless the batch is known to be ended.
+/// Holds in memory the copy that an owner sent, unless the batch is known to be ended. Interim runs
+/// stop if the owner is alive.
 pub(crate) fn accept_copy<P: Platform>(node: &Node<P>, batch: String, copy: BatchCopy) {
     if node.batches.is_ended(&batch) {
         return;
     }
+    if !is_responsible(node, &batch, &copy.record.owner) {
+        drop(node.batches.local.stop_interim(&batch));
+    }
     node.batches.note_owner(&batch, copy.record.owner.clone());
     node.batches.standby.insert_copy(clock::now(), batch, copy);
 }
@@ -203,8 +197,12 @@
     }
 }
 
-/// Runs the items of a batch whose owner is dead until it has another one, if this node has a copy.
+/// Runs the items of a batch whose owner is dead until it has another one, if this node has a copy
+/// and does not run them yet.
 pub(super) fn start_interim<P: Platform>(node: &Rc<Node<P>>, batch: &str) {
+    if node.batches.local.runs(batch) {
+        return;
+    }
     let copy = node.batches.standby.copies.borrow_mut().swap_remove(batch);
     let Some(ReceivedCopy { copy: BatchCopy { record, submission }, outputs, .. }) = copy else {
         return;
@@ -230,8 +228,7 @@
         }),
     );
     local.owned = false;
-    let local = Rc::new(RefCell::new(local));
-    node.batches.standby.interim.borrow_mut().insert(batch.to_owned(), local);
+    node.batches.local.insert_interim(Rc::new(RefCell::new(local)));
     node.work.notify_one();
 }
 
--- a/crates/serve/src/batches/takeover.rs
+++ b/crates/serve/src/batches/takeover.rs
@@ -107,19 +107,19 @@
 
 /// Stops interim runs of batches for which this node is no longer responsible: another node owns
 /// them or succeeds their owner.
-fn stop_obsolete_interim<P: Platform>(node: &Rc<Node<P>>) {
-    for id in node.batches.standby.interim_ids() {
+pub(crate) fn stop_obsolete_interim<P: Platform>(node: &Node<P>) {
+    for id in node.batches.local.interim_ids() {
         let owner = node.batches.owner_of(&id);
         let is_responsible = owner.is_some_and(|owner| is_responsible(node, &id, &owner));
         if !is_responsible || node.leaving.get() {
-            node.batches.standby.discard(&id);
+            node.batches.discard_standby(&id);
         }
     }
 }
 
 /// Returns whether this node is to run a batch with this owner: it is the owner itself, or the first
 /// in rank to succeed it.
-fn is_responsible<P: Platform>(node: &Node<P>, id: &str, owner: &Owner) -> bool {
+pub(super) fn is_responsible<P: Platform>(node: &Node<P>, id: &str, owner: &Owner) -> bool {
     peers::me(node).is_some_and(|me| is_own_incarnation(&me, owner))
         || (is_dead(node, owner) && peers::is_first_for(node, id))
 }
@@ -209,7 +209,7 @@
             sleep(TAKEOVER_RETRY_PAUSE).await;
             node.batches.orphaned.notify_one();
         } else {
-            node.batches.standby.discard(&id);
+            node.batches.discard_standby(&id);
         }
         node.batches.takeovers.borrow_mut().swap_remove(&id);
     });
@@ -283,6 +283,8 @@
             return Ok(());
         }
     };
+    // If the next call fails, the takeover is repeated even if the former owner proves to be alive.
+    node.batches.note_owner(id, record.owner.clone());
     let StoredBatch { chunks, submission, outputs } = read_stored_batch(node, id).await?;
     let age_ms = UnixMs::from_wall_clock().since_ms(UnixMs(record.accepted_at_unix_ms));
     let now = clock::now();
@@ -296,7 +298,7 @@
         }),
     );
     let outputs = if handed_over_outputs.is_empty() { outputs } else { handed_over_outputs };
-    let InterimProgress { results, outputs: meanwhile } = node.batches.standby.stop_interim(id);
+    let InterimProgress { results, outputs: meanwhile } = node.batches.stop_interim(id);
     let outputs = longer_outputs(outputs, meanwhile);
     let source = BatchSource { record, record_revision: revision, results, submission, outputs };
     start_owning(node, id, source, accepted_at, SKEW_MAX_MS, &chunks);
@@ -319,8 +321,8 @@
 /// Hands over all batches with items left to run to live peers, with their output so far; for a
 /// planned stop.
 pub(crate) async fn hand_over_all<P: Platform>(node: Rc<Node<P>>) {
-    for id in node.batches.standby.interim_ids() {
-        node.batches.standby.discard(&id);
+    for id in node.batches.local.interim_ids() {
+        node.batches.discard_standby(&id);
     }
     write_pending_ends(&node).await;
     for local in node.batches.open() {
@@ -440,7 +442,7 @@
             start_interim(&node, &batch);
             sleep(TAKEOVER_RETRY_PAUSE).await;
         }
-        node.batches.standby.discard(&batch);
+        node.batches.discard_standby(&batch);
         node.batches.takeovers.borrow_mut().swap_remove(&batch);
     });
 }
--- a/crates/serve/src/peers/mod.rs
+++ b/crates/serve/src/peers/mod.rs
@@ -238,6 +238,8 @@
             "refutation": peer.refutation,
         }),
     );
+    // An owner that seemed dead may be alive.
+    batches::stop_obsolete_interim(node);
     if matches!(peer.state, NodeState::Gone) {
         node.pool.close_idle(peer.control);
         node.batches.orphaned.notify_one();
--- a/crates/serve/src/runs/mod.rs
+++ b/crates/serve/src/runs/mod.rs
@@ -40,7 +40,7 @@
 /// Starts and moves runs as targets become free, until the process ends.
 pub(crate) async fn schedule<P: Platform>(node: Rc<Node<P>>) {
     loop {
-        if node.batches.open().is_empty() && node.batches.standby.interim().is_empty() {
+        if node.batches.to_run().is_empty() {
             node.work.notified().await;
         } else {
             // After a time-out too, the batches are checked.
@@ -49,7 +49,7 @@
         if node.leaving.get() {
             continue;
         }
-        for local in node.batches.open().into_iter().chain(node.batches.standby.interim()) {
+        for local in node.batches.to_run() {
             start_items(&node, &local);
             move_slow_runs(&node, &local);
         }
--- a/tests/all/site/standby.rs
+++ b/tests/all/site/standby.rs
@@ -1,14 +1,20 @@
 //! Standby copies: the node that would take over an owner's batches holds copies of them, so that
 //! they run on during an outage of the store.
 
-use super::harness::{Site, complete_output, submission, until};
+use super::harness::{Node, Site, complete_output, submission, until};
 use super::store::{LastWrite, Outage, StoreMode};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Time within which outputs that take long are copied: those older than a second, every 0.6 s.
 const OUTPUT_COPY_TIME: Duration = Duration::from_secs(2);
 /// Time within which a copy arrives, with a large margin.
 const COPY_TIME: Duration = Duration::from_millis(500);
+/// Time within which an owner notices that its copy is gone and sends it again.
+const COPY_REPEAT_TIME: Duration = Duration::from_millis(1_400);
+/// Bound on the time from the end of a batch until no more requests of it reach a target.
+const CANCEL_BOUND: Duration = Duration::from_secs(3);
+/// Time within which an item of 250 events at 50 ms each is run and scored.
+const RUN_TIME: Duration = Duration::from_secs(14);
 
 fn set_store_mode(site: &Site, mode: StoreMode) {
     site.nodes.iter().for_each(|node| site.store.set_mode(node.store_endpoint, mode));
@@ -26,6 +32,17 @@
     (site, owner, others)
 }
 
+/// Waits until some other node sees the owner in this state.
+async fn until_owner_seems(site: &Site, owner: usize, state: &str) {
+    let name = format!("node-{owner}");
+    let sees = |node: &Node| {
+        let lines = node.lines("node_seen");
+        let last = lines.iter().rfind(|line| line["peer"] == name.as_str());
+        last.is_some_and(|line| line["state"] == state)
+    };
+    until("the owner seems so", || async { site.nodes.iter().any(sees).then_some(()) }).await;
+}
+
 async fn until_reported_gone(site: &Site, by: &[usize]) {
     for other in by {
         until("the owner is gone to the other nodes", || async {
@@ -204,3 +221,39 @@
         assert_eq!(site.runs.of(&reward).len(), 1, "{reward}");
     }
 }
+
+// Guards against interim runs that nothing stops: the owner seems dead twice in an outage, and the
+// second interim batch takes the place of the first, whose runs outlive the end of the batch.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_run_outlives_a_batch_whose_owner_seemed_dead_twice() {
+    let site = Site::start(4, 3, 1).await;
+    for engine in &site.engines {
+        engine.set_pace(50, 5);
+    }
+    assert_eq!(site.submit(&site.nodes[0], "b1", &submission("b1", 2, 250, 1)).await, 202);
+    let owner = site.owner_of("b1").await;
+    tokio::time::sleep(COPY_TIME).await;
+    // The first attempt to take the batch over ends while the owner is frozen again.
+    set_store_mode(&site, StoreMode::Unresponsive);
+    for frozen_ms in [250, 1_500] {
+        site.nodes[owner].signal("STOP");
+        until_owner_seems(&site, owner, "gone").await;
+        tokio::time::sleep(Duration::from_millis(frozen_ms)).await;
+        site.nodes[owner].signal("CONT");
+        until_owner_seems(&site, owner, "live").await;
+        tokio::time::sleep(COPY_REPEAT_TIME).await;
+    }
+    set_store_mode(&site, StoreMode::Normal);
+
+    until("the batch is ended", || async {
+        (site.end(&site.nodes[owner], "b1").await == 200).then_some(())
+    })
+    .await;
+
+    let ended_at = Instant::now();
+    tokio::time::sleep(RUN_TIME).await;
+    let late = site.runs.all().into_iter().filter(|run| run.at > ended_at + CANCEL_BOUND);
+    let late: Vec<String> = late.map(|run| run.request).collect();
+    let trails: Vec<String> = site.nodes.iter().map(Node::audit_trail).collect();
+    assert!(late.is_empty(), "{late:?} ran after the end\n{}", trails.join("\n"));
+}
