A connection carries no request to a target twice

Cause: an answer was taken for the answer to the request in progress if it had the id of that request. The id names the request, not the sending of it. A request that was refused or failed is sent to the same target again, and the pool handed it the connection of its first sending, where the second copy waited: a copy of a 500 was counted as the item's next failure while that run completed, and a copy of a 503 that says "not run" made the request go to another target while the first ran it.

Ruled out: a copy that arrives while its connection is idle (the connection is closed then), and one that meets another request (its id differs, and the connection is dropped).

Change: the pool remembers by their hashes the ids that a connection has carried to a target, and sends a request over a connection that has not carried its id. An answer with that id is then the answer to this sending. That holds for calls, hedges, streams, items, second runs and scoring calls, which all go through `forward::open`, and for reports and orders, which have no id: a connection carries one of them at most, and an answer with an id is none to them. An answer without an id counts only on a connection's first request; workers name the request in each answer. A connection carries 512 requests at most, which bounds what is remembered.

The test workers' refusals (503, 421) had no id, against the platform's protocol; they have one now.

--- a/crates/serve/src/forward.rs
+++ b/crates/serve/src/forward.rs
@@ -265,7 +265,8 @@
     }
     let request = build_request::<P>(chosen, outgoing)
         .map_err(|error| AttemptFailure::not_run(Cause::Request, error.to_string()))?;
-    let sent = node.pool.send_marked(chosen.address, request, handed_over).await;
+    let id = outgoing.request_id.as_deref();
+    let sent = node.pool.send_to_target(chosen.address, id, request, handed_over).await;
     let (response, connection) = sent.map_err(|error| {
         if error.verdict.may_have_run() && !error.over_limit {
             crashes::connection_broke(node, chosen, outgoing);
@@ -274,8 +275,8 @@
     })?;
     let metadata = P::response_metadata(response.headers());
     cold::mark(node, &chosen.id, metadata.cold_left_ms.unwrap_or(0));
-    // A late answer to an abandoned request may arrive in place of the expected one.
-    if metadata.request_id.is_some() && metadata.request_id != outgoing.request_id {
+    // An extra answer to an earlier request may arrive in place of the expected one.
+    if !connection.may_answer(id, metadata.request_id.as_deref()) {
         return Err(AttemptFailure::may_have_run("the answer belongs to another request"));
     }
     Ok((response, connection, metadata))
--- a/crates/serve/src/orders.rs
+++ b/crates/serve/src/orders.rs
@@ -24,7 +24,7 @@
 use http_body_util::Full;
 use indexmap::IndexMap;
 use serde_json::json;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{sleep, timeout};
@@ -346,8 +346,14 @@
     };
     P::set_request_metadata(request.headers_mut(), &metadata);
     let exchange = async {
-        let (response, connection) = node.pool.send(chosen.address, request).await?;
+        let handed_over = Cell::new(false);
+        let sent = node.pool.send_to_target(chosen.address, None, request, &handed_over);
+        let (response, connection) = sent.await?;
         let (head, body) = response.into_parts();
+        let answered = P::response_metadata(&head.headers).request_id;
+        if !connection.may_answer(None, answered.as_deref()) {
+            return Err(CallError::may_have_run("the answer belongs to a request"));
+        }
         let body = node.pool.read_body(body, REPORT_MAX_BYTES).await?;
         node.pool.release(connection, &head.headers);
         Ok((head.status, body))
--- a/crates/serve/src/pool.rs
+++ b/crates/serve/src/pool.rs
@@ -19,7 +19,7 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use prometheus_client::metrics::counter::Counter;
 use socket2::{SockRef, TcpKeepalive};
 use std::cell::{Cell, RefCell};
@@ -30,6 +30,7 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Time-out for opening a connection. Within a region a round trip takes 1 ms; a lost SYN packet is
 /// retransmitted after 1 s, which is too late for a short request.
@@ -49,6 +50,8 @@
 /// within one iteration of the event loop, unless it is still sending a body that its target did
 /// not read.
 const READY_TIMEOUT: Duration = Duration::from_millis(10);
+/// Most requests to a target that one connection carries: what is remembered of them takes 12 KB.
+const REQUESTS_PER_CONNECTION_MAX: usize = 512;
 /// Size limit of the head of an answer. Usual heads have some hundred bytes.
 const HEAD_MAX_BYTES: usize = 16 << 10;
 /// Size limit of a connection's read buffer: 300 connections with full buffers take a tenth of the
@@ -151,10 +154,34 @@
     }
 }
 
+/// Hashes of the ids of the requests that a connection has carried to a target.
+///
+/// A target may send an answer a second time, where the answer to a later request is due. The id in
+/// it names the request, not the sending. So no connection carries a request twice: an answer with
+/// the id of the request in progress then belongs to this sending of it.
+#[derive(Debug, Default)]
+struct CarriedIds(IndexSet<u64>);
+
+impl CarriedIds {
+    /// Records a request. One without an id counts like one with an id of its own.
+    fn insert(&mut self, id: Option<&str>) {
+        self.0.insert(Self::hash(id));
+    }
+
+    fn allows(&self, id: Option<&str>) -> bool {
+        self.0.len() < REQUESTS_PER_CONNECTION_MAX && !self.0.contains(&Self::hash(id))
+    }
+
+    fn hash(id: Option<&str>) -> u64 {
+        id.map_or(0, |id| xxh3_64(id.as_bytes()))
+    }
+}
+
 /// A connection in use; dropping it resets it.
 #[derive(Debug)]
 pub(crate) struct Connection {
     address: SocketAddr,
+    carried: CarriedIds,
     exchange: Exchange,
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
@@ -162,6 +189,14 @@
     reused: bool,
 }
 
+impl Connection {
+    /// Returns whether an answer with this id can belong to the request in progress, which has the
+    /// id `request`. An answer without an id may be an extra one to any earlier request.
+    pub(crate) fn may_answer(&self, request: Option<&str>, answer: Option<&str>) -> bool {
+        answer == request || (answer.is_none() && !self.reused)
+    }
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
         self.task.abort();
@@ -195,7 +230,8 @@
         }
     }
 
-    /// Sends a request and returns the head of its answer.
+    /// Sends a request to a peer or to the platform and returns the head of its answer. The other
+    /// side is trusted to answer each request once.
     ///
     /// The verdict of an error depends on how far the request got: it cannot have run if the
     /// connection never opened, or had closed before the request was handed to it.
@@ -204,20 +240,37 @@
         address: SocketAddr,
         request: Request<Full<Bytes>>,
     ) -> Result<(Response<Incoming>, Connection), CallError> {
-        self.send_marked(address, request, &Cell::new(false)).await
+        self.exchange(address, request, &Cell::new(false), |_| true).await
     }
 
-    /// Like [`send`](Self::send); sets `handed_over` while a connection may carry the request. A
-    /// request that is cancelled before that has not run.
-    pub(crate) async fn send_marked(
+    /// Sends a request to a target, on a connection that has not carried a request with this id. The
+    /// caller must check that the answer [may belong](Connection::may_answer) to it. Sets
+    /// `handed_over` while a connection may carry the request: a request that is cancelled before
+    /// that has not run.
+    pub(crate) async fn send_to_target(
         &self,
         address: SocketAddr,
+        id: Option<&str>,
         request: Request<Full<Bytes>>,
         handed_over: &Cell<bool>,
+    ) -> Result<(Response<Incoming>, Connection), CallError> {
+        let is_usable = |connection: &Connection| connection.carried.allows(id);
+        let (response, mut connection) =
+            self.exchange(address, request, handed_over, is_usable).await?;
+        connection.carried.insert(id);
+        Ok((response, connection))
+    }
+
+    async fn exchange(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        handed_over: &Cell<bool>,
+        is_usable: impl Fn(&Connection) -> bool,
     ) -> Result<(Response<Incoming>, Connection), CallError> {
         let mut request = request;
         loop {
-            let mut connection = match self.take_idle(address).await {
+            let mut connection = match self.take_idle(address, &is_usable).await {
                 Some(connection) => connection,
                 None => self.connect(address).await?,
             };
@@ -283,10 +336,20 @@
         self.idle.borrow_mut().swap_remove(&address);
     }
 
-    async fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
+    /// Takes the idle connection that was released last among those that are usable.
+    async fn take_idle(
+        &self,
+        address: SocketAddr,
+        is_usable: impl Fn(&Connection) -> bool,
+    ) -> Option<Connection> {
         loop {
             let now = clock::now();
-            let idle = self.idle.borrow_mut().get_mut(&address).and_then(Vec::pop)?;
+            let idle = {
+                let mut idle = self.idle.borrow_mut();
+                let idle_here = idle.get_mut(&address)?;
+                let last = idle_here.iter().rposition(|idle| is_usable(&idle.connection))?;
+                idle_here.remove(last)
+            };
             let Idle { mut connection, until } = idle;
             if until <= now || connection.sender.is_closed() {
                 continue;
@@ -334,7 +397,14 @@
             handshake.map_err(|error| CallError::not_run(error.to_string()))?;
         // Errors of the connection are reported to the request that it carries.
         let task = tokio::task::spawn_local(async move { drop(connection.await) });
-        Ok(Connection { address, exchange, reused: false, sender, task: task.abort_handle() })
+        Ok(Connection {
+            address,
+            carried: CarriedIds::default(),
+            exchange,
+            reused: false,
+            sender,
+            task: task.abort_handle(),
+        })
     }
 }
 
--- a/tests/all/site/mod.rs
+++ b/tests/all/site/mod.rs
@@ -27,6 +27,7 @@
 mod interrupted_items;
 mod orders;
 mod refusals;
+mod repeated_answers;
 mod requests;
 mod soak;
 mod soak_keys;
--- a/tests/all/site/worker/endless.rs
+++ b/tests/all/site/worker/endless.rs
@@ -90,7 +90,7 @@
     }
 }
 
-fn register(store: &Store, service: &str, id: &str, address: SocketAddr) {
+pub(super) fn register(store: &Store, service: &str, id: &str, address: SocketAddr) {
     let models = json!([{ "name": "model-a", "version": 1, "adapters": [] },
                         { "name": "model-b", "version": 1, "adapters": [] }]);
     let entry = json!({
@@ -147,7 +147,7 @@
 }
 
 /// Reads a request with its body, and returns its head.
-async fn read_request(stream: &mut TcpStream) -> Option<String> {
+pub(super) async fn read_request(stream: &mut TcpStream) -> Option<String> {
     let mut bytes = Vec::new();
     loop {
         if stream.read_buf(&mut bytes).await.ok()? == 0 {
@@ -162,7 +162,7 @@
     }
 }
 
-fn header(head: &str, name: &str) -> Option<String> {
+pub(super) fn header(head: &str, name: &str) -> Option<String> {
     let mut lines = head.lines().filter_map(|line| line.split_once(':'));
     lines.find(|(key, _)| key.eq_ignore_ascii_case(name)).map(|(_, value)| value.trim().to_owned())
 }
--- a/tests/all/site/worker/mod.rs
+++ b/tests/all/site/worker/mod.rs
@@ -8,11 +8,13 @@
 mod endless;
 mod orders;
 mod registry;
+mod repeating;
 mod runs;
 mod serving;
 
 pub(crate) use capacity::RequestCounts;
 pub(crate) use endless::{EndlessWorker, Reply};
+pub(crate) use repeating::{Exchange, RepeatingWorker, Scripted};
 pub(crate) use runs::{Run, Runs};
 
 use super::harness::until;
--- a/tests/all/site/worker/serving.rs
+++ b/tests/all/site/worker/serving.rs
@@ -57,7 +57,9 @@
     let (head, body) = request.into_parts();
     let body = body.collect().await.ok()?.to_bytes();
     if header_text(&head, "x-catkinmast-expect-instance").is_some_and(|expected| expected != id) {
-        return Some(answer(421, ""));
+        let mut refusal = answer(421, "");
+        echo_id(&mut refusal, &head)?;
+        return Some(refusal);
     }
     match head.uri.path() {
         "/-/report" => return Some(report(state)),
@@ -71,22 +73,31 @@
         (state.behaviour, state.busy_until.is_some(), state.capacity.clone())
     };
     if behaviour == Behaviour::Full || (busy && is_stream(&head)) {
-        return refuse(context);
+        return refuse(context, &head);
     }
-    let Some(slot) = capacity.acquire().await else { return refuse(context) };
+    let Some(slot) = capacity.acquire().await else { return refuse(context, &head) };
     context.counts.update(|counts| counts.runs += 1);
     context.runs.push(new_run(&head, &body, id));
     run(state, context, id, &head, &body, behaviour, slot).await
 }
 
 /// Refuses a request for load, with the header that says that it did not run.
-fn refuse(context: &SharedContext) -> Answer {
+fn refuse(context: &SharedContext, head: &http::request::Parts) -> Answer {
     context.counts.update(|counts| counts.refusals += 1);
     let mut refusal = answer(503, "");
+    echo_id(&mut refusal, head)?;
     refusal.headers_mut().insert("x-catkinmast-not-run", "1".parse().ok()?);
     Some(refusal)
 }
 
+/// Names the request in the answer to it, if it has an id.
+fn echo_id(answer: &mut http::Response<AnswerBody>, head: &http::request::Parts) -> Option<()> {
+    if let Some(id) = header_text(head, "x-catkinmast-request-id") {
+        answer.headers_mut().insert("x-catkinmast-request-id", id.parse().ok()?);
+    }
+    Some(())
+}
+
 fn is_stream(head: &http::request::Parts) -> bool {
     head.headers.contains_key("x-catkinmast-model")
 }
