A node's own loss of the store is no outage of it

Cause: entries of live targets lapse in an outage of the store and are back about two seconds after it, so a removal that comes with the store's return takes effect 2.2 s later. Every reader whose own read had failed took that for an outage, whatever its peers had heard from the store meanwhile and however short it was, and its mark went to all nodes with its changes. The grace also began with the read, up to 1.2 s after the return, and was looked at every 400 ms.

Change: `RegistryOutage` holds when the store is last known to have answered any node: this node's own calls, the watchers' reports and what is pulled. Only 1.875 s without any answer count as an outage, and a removal is waited for only if neither this node nor the source of the change knows better. A node that was cut off from everything hears from the first peer that it was alone. The grace begins with the return, however many changes follow; the pause before the next read ends with the outage, and the grace ends when it is over, not at the next look: a node that cannot ask anyone is done 2.2 s and some ten milliseconds after the store answers it again, before it counts as in touch.

The rule that several entries that vanish at once are an outage, too, is gone: it kept targets that leave together, as in a release, for longer than a removal may take, and an outage is known now.

--- a/crates/dispatch/src/freshness.rs
+++ b/crates/dispatch/src/freshness.rs
@@ -40,6 +40,13 @@
         self.ms * 5 / 8
     }
 
+    /// Returns the time without an answer of the store to any node from which the store counts as
+    /// away, in milliseconds. Nodes read it themselves well before, so that it is not mistaken for
+    /// away while it answers; a live target's entry lapses only in a longer outage.
+    pub const fn outage_min_ms(self) -> u64 {
+        self.ms * 15 / 16
+    }
+
     /// Returns the time between two groups of ranks, in milliseconds. It is several times what the
     /// store takes to answer and a report to arrive. After seven intervals, 512 nodes have tried.
     const fn rank_group_interval_ms(self) -> u64 {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`Document`]: the operators' routes and services, and the route of a request.
 //! - [`TargetTable`]: which targets may receive work, as listed by a registry that lags and has
 //!   outages.
+//! - [`RegistryOutage`]: whether the registry was away, or only this node's way to it.
 //! - [`LoadBalancer`]: the load of each target as observed from this process's own calls, and the
 //!   choice among targets.
 //! - [`Batch`]: a batch submission, its items, and the results at their fixed positions.
@@ -24,6 +25,7 @@
 mod freshness;
 mod load;
 mod lookahead;
+mod outage;
 mod rollout;
 mod run_time;
 mod shares;
@@ -39,6 +41,7 @@
 pub use freshness::{ChangeBound, ConfirmationSource, Freshness, WATCHERS};
 pub use load::{CallOutcome, CallPreference, Candidate, LoadBalancer, LoadBalancerSettings};
 pub use lookahead::Lookahead;
+pub use outage::RegistryOutage;
 pub use rollout::{LoadOrder, LoadOutcome, RolloutSettings, RolloutTarget, WeightRollout};
 pub use run_time::RunTimeEstimator;
 pub use shares::{Demand, interleave};
--- a/crates/dispatch/src/targets.rs
+++ b/crates/dispatch/src/targets.rs
@@ -7,9 +7,9 @@
 //!   requests then fail, or run past the time allowed for draining. A drain is therefore final for
 //!   an incarnation, and an entry with an old sequence number is ignored.
 //! - *All targets disappear when the registry returns*, because it lost their entries while it was
-//!   away. All requests would be refused for seconds. A removal that comes with the registry's
-//!   return therefore takes effect only if the entry is still missing [`RETURN_GRACE_MS`] later;
-//!   any other removal takes effect at once.
+//!   away. All requests would be refused for seconds. A removal that [an outage](crate::RegistryOutage) may
+//!   explain therefore takes effect only if the entry does not come back; any other removal takes
+//!   effect at once.
 //! - *A target that the registry lost keeps getting work.* Without an entry it must not be used;
 //!   only an entry that is not older than the last one brings it back.
 //! - *A target that restarted under its id is mistaken for its earlier incarnation.* Its heartbeats
@@ -28,10 +28,6 @@
 use std::net::SocketAddr;
 use xxhash_rust::xxh3::{Xxh3Default, xxh3_64, xxh3_64_with_seed};
 
-/// How long after the registry's return a missing entry may still reappear. The platform states
-/// that entries are back within about two seconds.
-const RETURN_GRACE_MS: u64 = 2_200;
-
 /// A target as the registry lists it.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub struct TargetEntry {
@@ -263,19 +259,18 @@
         if has_left { TargetChange::None } else { TargetChange::Joined(id) }
     }
 
-    /// Applies the removal of an entry. With `may_return`, the entry disappeared with an outage of
-    /// the registry, and the target is used until it has had time to reappear.
-    pub fn apply_removal(&mut self, now: UnixMs, id: &str, may_return: bool) -> TargetChange {
-        self.update_counted(id, |table| table.remove_entry(now, id, may_return))
+    /// Applies the removal of an entry. An entry that disappeared with an outage of the registry may
+    /// be back until `return_by`, and its target is used until then.
+    pub fn apply_removal(&mut self, id: &str, return_by: Option<UnixMs>) -> TargetChange {
+        self.update_counted(id, |table| table.remove_entry(id, return_by))
     }
 
-    fn remove_entry(&mut self, now: UnixMs, id: &str, may_return: bool) -> TargetChange {
+    fn remove_entry(&mut self, id: &str, return_by: Option<UnixMs>) -> TargetChange {
         let Some(known) = self.known.get_mut(id) else { return TargetChange::None };
         let was_present = known.is_present();
-        known.presence = if may_return {
-            Presence::MayReturn { until: now.plus(RETURN_GRACE_MS) }
-        } else {
-            Presence::Missing
+        known.presence = match return_by {
+            Some(until) => Presence::MayReturn { until },
+            None => Presence::Missing,
         };
         if was_present && !known.is_present() {
             return TargetChange::Left(id.to_owned());
@@ -297,6 +292,15 @@
         changes
     }
 
+    /// Returns when the next target's time to reappear has passed.
+    pub fn next_expiry(&self) -> Option<UnixMs> {
+        let until = self.known.values().filter_map(|known| match known.presence {
+            Presence::MayReturn { until } => Some(until),
+            Presence::Listed | Presence::Missing => None,
+        });
+        until.min()
+    }
+
     /// Applies a start time that a target reported itself; its registry entry lags behind that.
     ///
     /// Returns whether the report counts: `false` if it is from an earlier incarnation than the
--- a/crates/feed/src/message.rs
+++ b/crates/feed/src/message.rs
@@ -11,8 +11,8 @@
 pub struct Changes {
     /// The revision after which the changes begin.
     pub after: u64,
-    /// Whether the store was unavailable before the changes, so that removed targets may register
-    /// again soon.
+    /// Whether the store has just returned from an outage, as far as the sender knows, so that removed
+    /// targets may register again soon.
     pub after_outage: bool,
     /// The revision up to which the changes are complete.
     pub as_of: u64,
--- a/crates/serve/src/feed/apply.rs
+++ b/crates/serve/src/feed/apply.rs
@@ -2,20 +2,16 @@
 //! join or leave.
 
 use super::state::{Source, Subject};
-use crate::clock;
 use crate::cold;
 use crate::node::Node;
 use crate::platform::{OperatorRemoval, OperatorUpdate, Platform};
 use crate::store::{StoreEvent, StoredItem};
 use catkinmast_dispatch::Document;
+use catkinmast_model::UnixMs;
 use serde_json::json;
 use std::rc::Rc;
 use xxhash_rust::xxh3::xxh3_64;
 
-/// If at least two targets, and more than one in this many, are removed at once, the registry
-/// counts as having lost its entries: targets that really leave do so one by one.
-const LOSS_DIVISOR: usize = 3;
-
 /// Applies a key that an operator or a trainer has written.
 pub(super) fn apply_operator_item<P: Platform>(node: &Node<P>, item: &StoredItem, source: Source) {
     match P::operator_update(&item.key, &item.value) {
@@ -103,22 +99,17 @@
     node.work.notify_one();
 }
 
-/// Applies changes of targets' entries. After an outage of the store, or if the registry has lost
-/// its entries, a removed target may register again soon, so it stays in use for a while.
+/// Applies changes of targets' entries. After an outage of the store, a removed target may register
+/// again until `return_by`, and stays in use until then.
 pub(super) fn apply_target_events<P: Platform>(
     node: &Node<P>,
     events: &[StoreEvent],
-    after_outage: bool,
+    return_by: Option<UnixMs>,
 ) {
-    let now = clock::now();
-    let removed = events.iter().filter(|event| matches!(event, StoreEvent::Deleted { .. })).count();
-    let registry_lost =
-        removed > 1 && removed * LOSS_DIVISOR > node.targets.borrow().serving_count();
     for event in events {
         let change = match event {
             StoreEvent::Deleted { key, .. } => {
-                let id = P::target_id(key);
-                node.targets.borrow_mut().apply_removal(now, id, after_outage || registry_lost)
+                node.targets.borrow_mut().apply_removal(P::target_id(key), return_by)
             }
             StoreEvent::Written(item) => match decode_target(node, item) {
                 Some(entry) => {
@@ -127,9 +118,7 @@
                 }
                 // The entry cannot be decoded, so it may no longer describe the target that is
                 // known by this id. That target may have left unnoticed, so it is removed.
-                None => {
-                    node.targets.borrow_mut().apply_removal(now, P::target_id(&item.key), false)
-                }
+                None => node.targets.borrow_mut().apply_removal(P::target_id(&item.key), None),
             },
         };
         node.target_changed(&change, "registry");
--- a/crates/serve/src/feed/mod.rs
+++ b/crates/serve/src/feed/mod.rs
@@ -47,7 +47,7 @@
 /// The name by which nodes are ranked as watchers; the first two watch the store. No lease is held.
 const DUTY: &str = "feeds";
 /// Interval of a watcher's heartbeats, by which nodes notice that they have missed a datagram.
-const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(400);
+const HEARTBEAT_INTERVAL_MS: u64 = 400;
 /// Changes of targets within this time are coalesced into one call and one datagram. The time is
 /// bounded because a leaving target must be out of use within two seconds.
 const TARGETS_COALESCE_TIME: Duration = Duration::from_millis(300);
@@ -94,7 +94,6 @@
 /// Follows a subject until the process ends.
 pub(crate) async fn follow<P: Platform>(node: Rc<Node<P>>, subject: Subject) {
     let mut backoff_ms = BACKOFF_FIRST_MS;
-    let mut after_outage = false;
     loop {
         let idle_ms = own_read_in_ms(&node, subject);
         if idle_ms > 0 {
@@ -106,20 +105,16 @@
         }
         let began_at = clock::now();
         let failed = match read_hedged(&node, prefix::<P>(subject)).await {
-            Err(_) => {
-                after_outage = true;
-                true
-            }
+            Err(_) => true,
             Ok((items, as_of)) => {
                 backoff_ms = BACKOFF_FIRST_MS;
                 let events = node.feeds.of(subject).state.borrow().table.difference(&items, as_of);
-                let after_outage = std::mem::take(&mut after_outage);
                 let confirmed_at = Some(began_at);
                 let source = Source::Store;
                 apply_and_forward(
                     &node,
                     subject,
-                    FeedUpdate { after_outage, as_of, confirmed_at, events, source },
+                    FeedUpdate { after_outage: true, as_of, confirmed_at, events, source },
                 );
                 // A failed watch alone is no outage: the next read may go via a peer.
                 watch(&node, subject).await.is_some_and(|refusal| {
@@ -219,8 +214,7 @@
         }
         state.table.as_of()
     };
-    let after_outage = update.after_outage;
-    apply_update(node, subject, update);
+    let after_outage = apply_update(node, subject, update);
     if !watches(node, subject) {
         return;
     }
@@ -243,16 +237,22 @@
     }
 }
 
-fn apply_update<P: Platform>(node: &Node<P>, subject: Subject, update: FeedUpdate) {
+/// Applies changes. Returns whether removals among them count as caused by an outage of the store:
+/// neither their source nor this node may know that the store was available.
+fn apply_update<P: Platform>(node: &Node<P>, subject: Subject, update: FeedUpdate) -> bool {
     let FeedUpdate { after_outage, as_of, confirmed_at, events, source } = update;
     let confirmation_source = confirmation_source(node, source);
-    let events = {
+    let bound = node.settings().change_bound;
+    let now = clock::now();
+    let (events, return_by) = {
         let mut state = node.feeds.of(subject).state.borrow_mut();
-        state.heard_at = clock::now();
+        state.heard_at = now;
         if let Some(at) = confirmed_at {
             state.freshness.confirm(at, confirmation_source);
+            state.outage.record_answer(now, at, bound);
         }
-        state.table.apply(events, as_of, |item| digest::<P>(subject, item))
+        let return_by = state.outage.entries_return_by(now, bound).filter(|_| after_outage);
+        (state.table.apply(events, as_of, |item| digest::<P>(subject, item)), return_by)
     };
     match subject {
         Subject::Operators => {
@@ -263,8 +263,9 @@
                 }
             }
         }
-        Subject::Targets => apply_target_events(node, &events, after_outage),
+        Subject::Targets => apply_target_events(node, &events, return_by),
     }
+    return_by.is_some()
 }
 
 fn confirmation_source<P: Platform>(node: &Node<P>, source: Source) -> ConfirmationSource {
@@ -277,9 +278,10 @@
     }
 }
 
+/// Waits before the store is called again, at most until an outage of it ends.
 async fn back_off<P: Platform>(node: &Node<P>, backoff_ms: u64) -> u64 {
     let jittered_ms = backoff_ms / 2 + node.random_u64() % backoff_ms;
-    sleep(Duration::from_millis(jittered_ms)).await;
+    drop(timeout(Duration::from_millis(jittered_ms), node.outage.ended.notified()).await);
     (backoff_ms * 2).min(BACKOFF_MAX_MS)
 }
 
@@ -421,16 +423,28 @@
     }
 }
 
-/// Sends heartbeats while this node watches and the store answers it. Each round also removes
-/// targets that did not register again after an outage and checks the age of the views.
+/// Removes targets that did not register again after an outage of the registry.
+fn expire_targets<P: Platform>(node: &Node<P>) {
+    let expired = node.targets.borrow_mut().expire(clock::now());
+    for change in &expired {
+        node.target_changed(change, "did not register again after an outage of the registry");
+    }
+}
+
+/// Sends heartbeats while this node watches and the store answers it. Each round also checks the age
+/// of the views. Targets that did not register again after an outage are removed in time.
 pub(crate) async fn run_heartbeats<P: Platform>(node: Rc<Node<P>>) {
+    let mut due_at = clock::now().plus(HEARTBEAT_INTERVAL_MS);
     loop {
-        sleep(HEARTBEAT_INTERVAL).await;
-        node.cold.expire();
-        let expired = node.targets.borrow_mut().expire(clock::now());
-        for change in &expired {
-            node.target_changed(change, "did not register again after an outage of the registry");
+        let expiry = node.targets.borrow().next_expiry();
+        let wake_at = expiry.map_or(due_at, |expiry| expiry.min(due_at));
+        sleep(Duration::from_millis(wake_at.since_ms(clock::now()))).await;
+        expire_targets(&node);
+        if clock::now() < due_at {
+            continue;
         }
+        due_at = clock::now().plus(HEARTBEAT_INTERVAL_MS);
+        node.cold.expire();
         for subject in [Subject::Operators, Subject::Targets] {
             report_age(&node, subject);
             if !node.leaving.get() && watches(&node, subject) {
--- a/crates/serve/src/feed/pull.rs
+++ b/crates/serve/src/feed/pull.rs
@@ -124,7 +124,8 @@
     };
     let confirmed_at = Some(UnixMs(began_at.since_ms(UnixMs(confirmed_ms_ago))));
     let source = Source::Pull(peer);
-    let update = FeedUpdate { after_outage: false, as_of, confirmed_at, events, source };
+    // A list does not say whether its sender knows of an outage.
+    let update = FeedUpdate { after_outage: true, as_of, confirmed_at, events, source };
     apply_update(node, subject, update);
     pull_changes(node, subject, peer).await;
     true
@@ -191,9 +192,11 @@
     let events = Some(state.table.changes_after(after)?);
     // The age of the whole view, whoever confirmed it: the peer counts it from before its call, so
     // a view does not get younger by being passed on.
-    let confirmed_ms_ago = state.freshness.age_ms(clock::now());
+    let now = clock::now();
+    let confirmed_ms_ago = state.freshness.age_ms(now);
+    let after_outage = state.outage.entries_return_by(now, node.settings().change_bound).is_some();
     let as_of = state.table.as_of();
-    Some(Changes { after, after_outage: false, as_of, confirmed_ms_ago, events })
+    Some(Changes { after, after_outage, as_of, confirmed_ms_ago, events })
 }
 
 /// Asks [`catch_up`] to pull the changes up to a revision from a peer.
--- a/crates/serve/src/feed/state.rs
+++ b/crates/serve/src/feed/state.rs
@@ -2,7 +2,7 @@
 
 use crate::metrics::Label;
 use crate::store::StoreEvent;
-use catkinmast_dispatch::Freshness;
+use catkinmast_dispatch::{Freshness, RegistryOutage};
 use catkinmast_feed::KeyTable;
 use catkinmast_model::UnixMs;
 use serde::{Deserialize, Serialize};
@@ -50,7 +50,8 @@
 /// Changes as a node applies them.
 #[derive(Debug)]
 pub(super) struct FeedUpdate {
-    /// Whether the store was unavailable before the changes.
+    /// Whether removals among the changes may stem from an outage of the store, as far as their source
+    /// knows.
     pub(super) after_outage: bool,
     /// The revision up to which the changes are complete.
     pub(super) as_of: u64,
@@ -67,6 +68,8 @@
     /// When a report or the store's answer last arrived, or this node last pulled changes because
     /// none had. A watcher's reports arrive more often than the store answers it, so this is no age of the view.
     pub(super) heard_at: UnixMs,
+    /// Outages of the store itself, as far as any node knows.
+    pub(super) outage: RegistryOutage,
     /// Whether a complete list of keys was read.
     pub(super) started: bool,
     pub(super) table: KeyTable,
--- a/tests/all/dispatch/mod.rs
+++ b/tests/all/dispatch/mod.rs
@@ -5,6 +5,7 @@
 mod freshness;
 mod load;
 mod lookahead;
+mod outage;
 mod rollout;
 mod routes;
 mod shares;
--- a/tests/all/dispatch/targets.rs
+++ b/tests/all/dispatch/targets.rs
@@ -53,7 +53,7 @@
     let mut table = TargetTable::default();
     table.apply_entry(entry("a", 5, false));
 
-    let removed = table.apply_removal(UnixMs(0), "a", false);
+    let removed = table.apply_removal("a", None);
 
     assert_eq!(removed, TargetChange::Left("a".to_owned()));
     assert!(usable(&table).is_empty());
@@ -66,8 +66,8 @@
     let mut table = TargetTable::default();
     table.apply_entry(entry("a", 5, false));
     table.apply_entry(entry("b", 5, false));
-    table.apply_removal(UnixMs(1_000), "a", true);
-    table.apply_removal(UnixMs(1_000), "b", true);
+    table.apply_removal("a", Some(UnixMs(3_200)));
+    table.apply_removal("b", Some(UnixMs(3_200)));
 
     assert_eq!(usable(&table), ["a", "b"]);
     table.apply_entry(entry("b", 6, false));
@@ -201,7 +201,7 @@
         for (sequence, (number, has_start, is_removed)) in (1_u64..).zip(steps) {
             let id = format!("{}{number}", if has_start { "started-" } else { "without-" });
             if is_removed {
-                table.apply_removal(UnixMs(0), &id, false);
+                table.apply_removal(&id, None);
                 listed.remove(&id);
             } else {
                 let without_start = entry(&id, sequence, false);
--- a/tests/all/site/mod.rs
+++ b/tests/all/site/mod.rs
@@ -27,6 +27,7 @@
 mod interrupted_items;
 mod orders;
 mod refusals;
+mod registry;
 mod repeated_answers;
 mod requests;
 mod soak;
--- a/tests/all/site/store.rs
+++ b/tests/all/site/store.rs
@@ -332,6 +332,12 @@
         self.changed.notify_waiters();
     }
 
+    /// Cuts the watches.
+    pub(crate) fn cut_watches(&self) {
+        self.state().watch_epoch += 1;
+        self.changed.notify_waiters();
+    }
+
     async fn serve(&self, endpoint: usize, request: http::Request<Incoming>) -> Answer {
         let (head, body) = request.into_parts();
         let body = body.collect().await.ok()?.to_bytes();
