A batch's next owner knows its items' failures

Cause: failures of items were known to the owner's memory only. Results are listed by whole groups, so the result of an item that was given up stays unlisted while its group runs, and what an owner saved and copied for its successor were texts: `unlisted_texts` and `take_completed` left out results that are errored, and the counts of failures were not part of anything.

Change: `UnlistedWork` is what an owner knows of a batch's items beside the listed results: output and failures (runs and scoring calls that failed, and whether the item was given up). It is saved to the store, copied to the standby, handed over, and taken from interim runs; a new owner combines all of these, taking the larger count, so that nothing is counted twice. Failures are saved and copied within 50 ms, at most about three times a second for a batch. A takeover uses the copy that the node holds also where no item ran in the interim.

The value that is saved has one more field, and so have three messages between nodes. A node of an earlier version reads the stored output as before; a later one reads an earlier value as if there were none, which costs the output so far.

--- a/crates/dispatch/src/batch/mod.rs
+++ b/crates/dispatch/src/batch/mod.rs
@@ -24,6 +24,7 @@
 pub use groups::group_of;
 
 use crate::submission::{Item, ItemResult, ItemState, Progress, Submission};
+use crate::unlisted::ItemFailures;
 use catkinmast_model::UnixMs;
 use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
@@ -133,7 +134,7 @@
 pub struct Batch {
     next_chunk_number: u32,
     ended: bool,
-    failures: Vec<u32>,
+    failures: Vec<ItemFailures>,
     unlisted: Vec<UnlistedResult>,
     pending_chunk: Option<Chunk>,
     groups: Groups,
@@ -165,7 +166,7 @@
         Self {
             next_chunk_number: 0,
             ended: false,
-            failures: vec![0; submission.items.len()],
+            failures: vec![ItemFailures::default(); submission.items.len()],
             unlisted: Vec::new(),
             pending_chunk: None,
             groups: Groups::open(&submission, carried),
@@ -256,10 +257,50 @@
         }
     }
 
-    /// Counts a failed answer. Returns whether that was the last attempt.
+    /// Counts a run that was answered with a failure. Returns whether that was the last attempt.
     pub fn record_failure(&mut self, index: usize) -> bool {
-        self.failures[index] += 1;
-        self.failures[index] >= self.policy.attempts
+        self.failures[index].runs += 1;
+        self.failures[index].runs >= self.policy.attempts
+    }
+
+    /// Counts a scoring call that was answered with a failure. Returns whether that was the last
+    /// attempt.
+    pub fn record_score_failure(&mut self, index: usize) -> bool {
+        self.failures[index].scores += 1;
+        self.failures[index].scores >= self.policy.attempts
+    }
+
+    /// Returns the failures of the items without a durable result.
+    pub fn unlisted_failures(&self) -> Vec<(String, ItemFailures)> {
+        let pending = self.pending_chunk.iter().flat_map(|chunk| &chunk.results);
+        let unlisted = self.unlisted.iter().map(|held| &held.result).chain(pending);
+        let given_up: IndexSet<&str> = unlisted
+            .filter(|result| result.state == ItemState::Errored)
+            .map(|result| result.id.as_str())
+            .collect();
+        let open = self
+            .index_by_id
+            .iter()
+            .filter(|(_, index)| !matches!(self.phases[**index], Phase::Listed));
+        let failures = open.map(|(id, index)| {
+            let is_given_up = given_up.contains(id.as_str());
+            (id.clone(), ItemFailures { is_given_up, ..self.failures[*index] })
+        });
+        failures.filter(|(_, failures)| failures.is_any()).collect()
+    }
+
+    /// Adds failures that an earlier owner has counted, and gives up the items that have no attempt
+    /// left.
+    pub fn restore_failures(&mut self, now: UnixMs, failures: Vec<(String, ItemFailures)>) {
+        for (id, failures) in failures {
+            let Some(index) = self.index_by_id.get(&id).copied() else { continue };
+            let known = self.failures[index].combined_with(failures);
+            self.failures[index] = known;
+            let attempts = self.policy.attempts;
+            if known.is_given_up || known.runs >= attempts || known.scores >= attempts {
+                self.record_result(now, ItemResult::errored(id));
+            }
+        }
     }
 
     /// Counts a run that broke off, and returns how many runs of its item in a row have done so
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -32,6 +32,7 @@
 mod stream;
 mod submission;
 mod targets;
+mod unlisted;
 
 pub use batch::{Batch, BatchPolicy, Chunk, Merge, NextItem, group_of};
 pub use copies::{CopiedTexts, SentTexts, TextUpdate};
@@ -50,3 +51,4 @@
     Item, ItemResult, ItemState, Progress, ProgressMark, RewardRequest, Submission,
 };
 pub use targets::{TargetChange, TargetEntry, TargetTable};
+pub use unlisted::{ItemFailures, UnlistedWork};
--- a/crates/serve/src/batches/accept.rs
+++ b/crates/serve/src/batches/accept.rs
@@ -7,15 +7,17 @@
 use super::standby::send_copies;
 use super::takeover::{is_own_incarnation, start_takeover};
 use super::unconfirmed::SubmissionAttempt;
-use super::write::{RETRY_PAUSE, save_partial_outputs, write_results};
-use super::{LocalBatch, REUSABLE_OUTPUT_TTL_MS};
+use super::write::{RETRY_PAUSE, save_unlisted_work, write_results};
+use super::{FailureNoted, LocalBatch, REUSABLE_OUTPUT_TTL_MS};
 use crate::clock;
 use crate::node::Node;
 use crate::peers::{self, Datagram, Owner, PeerAnswer, PeerCall};
 use crate::platform::Platform;
 use crate::pool::CallError;
 use crate::store::{Expectation, Put, StoreAnswer, StoreCall, StoreRefusal, StoredItem};
-use catkinmast_dispatch::{Batch, BatchPolicy, Chunk, ItemResult, Progress, Route, Submission};
+use catkinmast_dispatch::{
+    Batch, BatchPolicy, Chunk, ItemResult, Progress, Route, Submission, UnlistedWork,
+};
 use catkinmast_model::{UnixMs, Verdict};
 use indexmap::IndexMap;
 use serde_json::json;
@@ -199,7 +201,7 @@
                 record_revision: revision,
                 results: Vec::new(),
                 submission,
-                outputs: Vec::new(),
+                work: UnlistedWork::default(),
             };
             start_owning(node, id, source, accepted_at, 0, &[]);
             Acceptance::Accepted
@@ -313,7 +315,7 @@
                 record_revision: item.revision,
                 results: Vec::new(),
                 submission,
-                outputs: Vec::new(),
+                work: UnlistedWork::default(),
             };
             start_owning(node, id, source, accepted_at, 0, &[]);
         } else {
@@ -335,7 +337,7 @@
         }
         return;
     }
-    let call = PeerCall::Adopt { batch: id.to_owned(), texts: Vec::new() };
+    let call = PeerCall::Adopt { batch: id.to_owned(), work: UnlistedWork::default() };
     let (node, id, owner) = (Rc::clone(node), id.to_owned(), owner.clone());
     tokio::task::spawn_local(async move {
         if let Err(error) = node.ask_peer(owner.address, &call, PEER_SUBMIT_TIMEOUT).await {
@@ -352,8 +354,8 @@
     /// Results that are not stored yet.
     pub(super) results: Vec<ItemResult>,
     pub(super) submission: Submission,
-    /// The output that a former owner had of its items.
-    pub(super) outputs: Vec<(String, Progress)>,
+    /// What a former owner knew of its items beside the listed results.
+    pub(super) work: UnlistedWork,
 }
 
 /// Opens a batch as its owner and starts the tasks that write its results, copies and output.
@@ -406,7 +408,7 @@
     node.work.notify_one();
     tokio::task::spawn_local(write_results(Rc::clone(node), Rc::clone(&local)));
     tokio::task::spawn_local(send_copies(Rc::clone(node), Rc::clone(&local)));
-    tokio::task::spawn_local(save_partial_outputs(Rc::clone(node), local));
+    tokio::task::spawn_local(save_unlisted_work(Rc::clone(node), local));
 }
 
 /// Builds a batch from what is known of it; returns with it how many items go on from earlier
@@ -419,18 +421,21 @@
     policy: BatchPolicy,
     chunks: &[Chunk],
 ) -> (LocalBatch, usize) {
-    let BatchSource { record, record_revision, results, submission, outputs } = source;
+    let BatchSource { record, record_revision, results, submission, work } = source;
     let workspace = record.origin.workspace.as_deref();
+    let UnlistedWork { outputs, failures } = work;
     let (mut batch, resumed) = open_batch(node, workspace, submission, policy, chunks, outputs);
     for result in results {
         batch.record_result(clock::now(), result);
     }
+    batch.restore_failures(clock::now(), failures);
     let local = LocalBatch {
         accepted_at,
         batch,
         changed: Rc::new(Notify::new()),
         unverified: false,
         results_pending: Rc::new(Notify::new()),
+        failure_noted: FailureNoted::default(),
         group_targets: IndexMap::new(),
         record,
         record_revision,
--- a/crates/serve/src/batches/end.rs
+++ b/crates/serve/src/batches/end.rs
@@ -3,8 +3,8 @@
 use super::LocalBatch;
 use super::accept::STORE_ATTEMPTS;
 use super::keys::{
-    Record, RecordWrite, Scope, TRANSACTION_MAX_KEYS, chunk_key, encode, outputs_key, part_key,
-    part_max_bytes, record_key, write_record,
+    Record, RecordWrite, Scope, TRANSACTION_MAX_KEYS, chunk_key, encode, part_key, part_max_bytes,
+    record_key, work_key, write_record,
 };
 use super::ownership::{apply_record, stop_batch};
 use super::read::{Lookup, OwnerReply, ask_owner};
@@ -226,7 +226,7 @@
     let (id, chunks) = (local.borrow().id.clone(), local.borrow().batch.next_chunk());
     let parts = encode(local.borrow().batch.submission())
         .map_or(1, |body| body.len().div_ceil(part_max_bytes(node)));
-    let keys = (0..parts).map(|number| part_key(&id, number)).chain([outputs_key(&id)]);
+    let keys = (0..parts).map(|number| part_key(&id, number)).chain([work_key(&id)]);
     let keys: Vec<String> = keys.chain((0..chunks).map(|number| chunk_key(&id, number))).collect();
     for deletes in keys.chunks(TRANSACTION_MAX_KEYS) {
         let deletes = deletes.to_vec();
--- a/crates/serve/src/batches/keys.rs
+++ b/crates/serve/src/batches/keys.rs
@@ -5,7 +5,7 @@
 use crate::peers::Owner;
 use crate::platform::Platform;
 use crate::store::{Expectation, Put, StoreAnswer, StoreCall, StoreRefusal, StoredItem};
-use catkinmast_dispatch::{Chunk, Progress, Submission};
+use catkinmast_dispatch::{Chunk, Submission, UnlistedWork};
 use catkinmast_model::Verdict;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
@@ -13,7 +13,7 @@
 /// Prefix of the records' keys; the batch's id follows.
 pub(super) const RECORD_PREFIX: &str = "cm/h/";
 
-/// Prefix of the keys of submissions (`p`, in parts), partial output (`t`) and chunks of results
+/// Prefix of the keys of submissions (`p`, in parts), unlisted work (`t`) and chunks of results
 /// (`c`); the batch's id and the letter follow. A chunk holds the results of one write; chunks are
 /// numbered from 0.
 pub(super) const DATA_PREFIX: &str = "cm/d/";
@@ -74,7 +74,7 @@
     format!("{DATA_PREFIX}{batch}/p{number:03}")
 }
 
-pub(super) fn outputs_key(batch: &str) -> String {
+pub(super) fn work_key(batch: &str) -> String {
     format!("{DATA_PREFIX}{batch}/t")
 }
 
@@ -172,29 +172,29 @@
 pub(super) struct StoredBatch {
     pub(super) chunks: Vec<Chunk>,
     pub(super) submission: Submission,
-    pub(super) outputs: Vec<(String, Progress)>,
+    pub(super) work: UnlistedWork,
 }
 
-/// Reads a batch's submission, results and partial output from the store.
+/// Reads a batch's submission, results and unlisted work from the store.
 pub(super) async fn read_stored_batch<P: Platform>(
     node: &Node<P>,
     batch: &str,
 ) -> Result<StoredBatch, StoreRefusal> {
     let (items, _) = feed::read_all(node, &format!("{DATA_PREFIX}{batch}/")).await?;
-    let (chunk_prefix, outputs_key) = (chunk_prefix(batch), outputs_key(batch));
+    let (chunk_prefix, work_key) = (chunk_prefix(batch), work_key(batch));
     let (chunks, others): (Vec<StoredItem>, Vec<StoredItem>) =
         items.into_iter().partition(|item| item.key.starts_with(&chunk_prefix));
-    let (outputs, parts): (Vec<StoredItem>, Vec<StoredItem>) =
-        others.into_iter().partition(|item| item.key == outputs_key);
+    let (work, parts): (Vec<StoredItem>, Vec<StoredItem>) =
+        others.into_iter().partition(|item| item.key == work_key);
     let body: Vec<u8> = parts.into_iter().flat_map(|part| part.value).collect();
     let submission = postcard::from_bytes(&body).map_err(|error| StoreRefusal {
         message: format!("batch {batch}: {error}"),
         verdict: Verdict::Ran,
     })?;
-    let outputs = outputs.first().and_then(|item| {
-        let outputs = postcard::from_bytes(&item.value);
-        outputs.inspect_err(|error| report_unreadable(node, item, error)).ok()
+    let work = work.first().and_then(|item| {
+        let work = postcard::from_bytes(&item.value);
+        work.inspect_err(|error| report_unreadable(node, item, error)).ok()
     });
-    let outputs = outputs.unwrap_or_default();
-    Ok(StoredBatch { chunks: decode_chunks(node, &chunks), submission, outputs })
+    let work = work.unwrap_or_default();
+    Ok(StoredBatch { chunks: decode_chunks(node, &chunks), submission, work })
 }
--- a/crates/serve/src/batches/mod.rs
+++ b/crates/serve/src/batches/mod.rs
@@ -32,7 +32,7 @@
 use crate::clock;
 use crate::peers::Owner;
 use crate::runs::SecondRuns;
-use catkinmast_dispatch::{Batch, Lookahead, Progress, Submission};
+use catkinmast_dispatch::{Batch, Lookahead, Progress, Submission, UnlistedWork};
 use catkinmast_model::UnixMs;
 use indexmap::{IndexMap, IndexSet};
 use keys::Record;
@@ -64,6 +64,8 @@
     pub changed: Rc<Notify>,
     /// Wakes the task that writes results: an item has a result, or the batch is ended.
     pub results_pending: Rc<Notify>,
+    /// Wake the tasks that save and copy what is not listed, when an item has failed.
+    failure_noted: FailureNoted,
     /// The target on which an item of each group ran last.
     pub group_targets: IndexMap<String, String>,
     record: Record,
@@ -93,6 +95,19 @@
         self.owned && !self.batch.is_ended() && !self.batch.is_settled()
     }
 
+    /// Notes that an item has failed: a later owner must know of it soon.
+    pub(crate) fn note_failure(&self) {
+        self.failure_noted.to_copy.notify_one();
+        self.failure_noted.to_save.notify_one();
+    }
+
+    /// Returns what a later owner needs beside the listed results: the failures of items, and the
+    /// output of runs of at least this age and of finished items.
+    fn unlisted_work(&self, min_age_ms: u64) -> UnlistedWork {
+        let failures = self.batch.unlisted_failures();
+        UnlistedWork { outputs: self.partial_outputs(min_age_ms), failures }
+    }
+
     /// Returns the output so far of runs of at least this age, by item, and the output of items
     /// that are finished but not listed.
     fn partial_outputs(&self, min_age_ms: u64) -> Vec<(String, Progress)> {
@@ -125,6 +140,13 @@
     }
 }
 
+/// Wakes the tasks that pass the failures of items on.
+#[derive(Clone, Debug, Default)]
+struct FailureNoted {
+    to_copy: Rc<Notify>,
+    to_save: Rc<Notify>,
+}
+
 /// A run of an item in progress.
 #[derive(Debug)]
 pub(crate) struct Run {
--- a/crates/serve/src/batches/standby.rs
+++ b/crates/serve/src/batches/standby.rs
@@ -16,13 +16,15 @@
 use super::accept::{BatchSource, build_local_batch, policy, scoring_attempts};
 use super::keys::Record;
 use super::takeover::{SKEW_MAX_MS, is_responsible};
-use super::write::SAVE_MIN_RUN_AGE_MS;
+use super::write::{FAILURES_COALESCE_TIME, SAVE_MIN_RUN_AGE_MS};
 use super::{ASSUMED_OPEN_MS, Batches, LocalBatch};
 use crate::clock;
 use crate::node::Node;
 use crate::peers::{self, Datagram, Owner, PeerAnswer, PeerCall};
 use crate::platform::Platform;
-use catkinmast_dispatch::{CopiedTexts, ItemResult, Progress, SentTexts, Submission, TextUpdate};
+use catkinmast_dispatch::{
+    CopiedTexts, ItemFailures, ItemResult, SentTexts, Submission, TextUpdate, UnlistedWork,
+};
 use catkinmast_model::UnixMs;
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
@@ -30,7 +32,7 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 /// How long the other node may take to accept a copy, which has some hundred KB.
 const COPY_TIMEOUT: Duration = Duration::from_secs(1);
@@ -39,9 +41,10 @@
 /// younger runs are not sent.
 const COPY_INTERVAL: Duration = Duration::from_millis(600);
 
-/// A submission, and the batch's record.
+/// A submission, the batch's record, and the failures of its items so far.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub(crate) struct BatchCopy {
+    failures: Vec<(String, ItemFailures)>,
     record: Record,
     submission: Submission,
 }
@@ -54,13 +57,19 @@
     outputs: CopiedTexts,
 }
 
+impl ReceivedCopy {
+    fn into_work(self) -> UnlistedWork {
+        UnlistedWork { outputs: self.outputs.into_texts(), failures: self.copy.failures }
+    }
+}
+
 /// What interim runs produced while a batch had no owner.
 #[derive(Debug, Default)]
 pub(super) struct InterimProgress {
     /// Results with their scores; scoring them again would cost the step another 0.2 to 0.8 s.
     pub(super) results: Vec<ItemResult>,
-    /// The output so far of the other items.
-    pub(super) outputs: Vec<(String, Progress)>,
+    /// The output so far of the other items, and the failures of items.
+    pub(super) work: UnlistedWork,
 }
 
 impl Batches {
@@ -70,8 +79,16 @@
             return InterimProgress::default();
         };
         let mut local = local.borrow_mut();
+        let failures = local.batch.unlisted_failures();
         let results = local.batch.take_completed();
-        InterimProgress { results, outputs: local.batch.take_progress() }
+        let outputs = local.batch.take_progress();
+        InterimProgress { results, work: UnlistedWork { outputs, failures } }
+    }
+
+    /// Takes the copy of a batch and returns what it holds beside the submission.
+    pub(super) fn take_copied_work(&self, batch: &str) -> UnlistedWork {
+        let copy = self.standby.copies.borrow_mut().swap_remove(batch);
+        copy.map(ReceivedCopy::into_work).unwrap_or_default()
     }
 
     /// Drops the copy and the interim runs of a batch that is ended or has a live owner.
@@ -102,7 +119,8 @@
 /// output for as long as it is open. Ends for good as soon as there is no other node.
 pub(super) async fn send_copies<P: Platform>(node: Rc<Node<P>>, local: Rc<RefCell<LocalBatch>>) {
     let id = local.borrow().id.clone();
-    let mut sent = SentTexts::default();
+    let failure_noted = Rc::clone(&local.borrow().failure_noted.to_copy);
+    let mut sent = SentWork::default();
     let mut sent_to = None;
     loop {
         if !local.borrow().is_open() {
@@ -110,21 +128,38 @@
         }
         let Some(successor) = peers::successor_for(&node, &id) else { return };
         if sent_to.as_ref() != Some(&successor) {
-            sent.forget();
-            let accepted = send_copy(&node, &local, &successor).await;
+            sent = SentWork::default();
+            let accepted = send_copy(&node, &local, &successor, &mut sent).await;
             sent_to = accepted.then_some(successor);
         } else if !send_outputs(&node, &local, &successor, &mut sent).await {
             sent_to = None;
         }
-        sleep(COPY_INTERVAL).await;
+        if timeout(COPY_INTERVAL, failure_noted.notified()).await.is_ok() {
+            sleep(FAILURES_COALESCE_TIME).await;
+        }
     }
 }
 
-async fn send_copy<P: Platform>(node: &Node<P>, local: &RefCell<LocalBatch>, to: &Owner) -> bool {
+/// What was sent of a batch to the node that holds its copy.
+#[derive(Debug, Default)]
+struct SentWork {
+    failures: Vec<(String, ItemFailures)>,
+    texts: SentTexts,
+}
+
+async fn send_copy<P: Platform>(
+    node: &Node<P>,
+    local: &RefCell<LocalBatch>,
+    to: &Owner,
+    sent: &mut SentWork,
+) -> bool {
+    sent.failures = local.borrow().batch.unlisted_failures();
     let (batch, copy) = {
         let local = local.borrow();
         let submission = local.batch.submission().clone();
-        (local.id.clone(), Box::new(BatchCopy { record: local.record.clone(), submission }))
+        let failures = sent.failures.clone();
+        let copy = BatchCopy { failures, record: local.record.clone(), submission };
+        (local.id.clone(), Box::new(copy))
     };
     send_to_standby(node, to, &batch, &PeerCall::KeepCopy { batch: batch.clone(), copy }).await
 }
@@ -133,18 +168,20 @@
     node: &Node<P>,
     local: &RefCell<LocalBatch>,
     to: &Owner,
-    sent: &mut SentTexts,
+    sent: &mut SentWork,
 ) -> bool {
-    let outputs = sent.updates(&local.borrow().partial_outputs(SAVE_MIN_RUN_AGE_MS));
-    if outputs.is_empty() {
+    let UnlistedWork { outputs, failures } = local.borrow().unlisted_work(SAVE_MIN_RUN_AGE_MS);
+    let texts = sent.texts.updates(&outputs);
+    if texts.is_empty() && failures == sent.failures {
         return true;
     }
+    sent.failures.clone_from(&failures);
     let batch = local.borrow().id.clone();
     send_to_standby(
         node,
         to,
         &batch,
-        &PeerCall::KeepOutputs { batch: batch.clone(), texts: outputs },
+        &PeerCall::KeepOutputs { batch: batch.clone(), failures, texts },
     )
     .await
 }
@@ -179,14 +216,17 @@
     node.batches.standby.insert_copy(clock::now(), batch, copy);
 }
 
-/// Adds new output to a copy; returns false if an earlier part is missing.
+/// Adds new output and failures to a copy; returns false if an earlier part is missing.
 pub(crate) fn accept_copied_outputs<P: Platform>(
     node: &Node<P>,
     batch: &str,
+    failures: Vec<(String, ItemFailures)>,
     outputs: Vec<TextUpdate>,
 ) -> bool {
     let mut copies = node.batches.standby.copies.borrow_mut();
-    copies.get_mut(batch).is_some_and(|copy| copy.outputs.apply(outputs))
+    let Some(held) = copies.get_mut(batch) else { return false };
+    held.copy.failures = failures;
+    held.outputs.apply(outputs)
 }
 
 /// Notifies the node that holds the copy of a batch that the batch is ended.
@@ -204,9 +244,8 @@
         return;
     }
     let copy = node.batches.standby.copies.borrow_mut().swap_remove(batch);
-    let Some(ReceivedCopy { copy: BatchCopy { record, submission }, outputs, .. }) = copy else {
-        return;
-    };
+    let Some(ReceivedCopy { copy, outputs, .. }) = copy else { return };
+    let BatchCopy { failures, record, submission } = copy;
     let document = node.document();
     let route = document
         .as_ref()
@@ -215,10 +254,9 @@
     let age_ms = UnixMs::from_wall_clock().since_ms(UnixMs(record.accepted_at_unix_ms));
     let accepted_at = UnixMs(clock::now().0.saturating_sub(age_ms));
     let policy = policy(route, scoring_attempts(node, &submission), accepted_at, SKEW_MAX_MS);
-    let outputs = outputs.into_texts();
+    let work = UnlistedWork { outputs: outputs.into_texts(), failures };
     // This node does not own the batch, so the record's revision is not needed: it writes nothing.
-    let source =
-        BatchSource { record, record_revision: 0, results: Vec::new(), submission, outputs };
+    let source = BatchSource { record, record_revision: 0, results: Vec::new(), submission, work };
     let (mut local, resumed) = build_local_batch(node, batch, source, accepted_at, policy, &[]);
     node.note(
         "batch_run_in_interim",
@@ -231,22 +269,3 @@
     node.batches.local.insert_interim(Rc::new(RefCell::new(local)));
     node.work.notify_one();
 }
-
-/// Returns for each item the longer of its outputs.
-pub(super) fn longer_outputs(
-    outputs: Vec<(String, Progress)>,
-    others: Vec<(String, Progress)>,
-) -> Vec<(String, Progress)> {
-    let mut longest: IndexMap<String, Progress> = IndexMap::new();
-    for (item, progress) in outputs.into_iter().chain(others) {
-        let reach = |progress: &Progress| (progress.complete, progress.last_event_id);
-        match longest.get_mut(&item) {
-            Some(current) if reach(current) >= reach(&progress) => {}
-            Some(current) => *current = progress,
-            None => {
-                longest.insert(item, progress);
-            }
-        }
-    }
-    longest.into_iter().collect()
-}
--- a/crates/serve/src/batches/takeover.rs
+++ b/crates/serve/src/batches/takeover.rs
@@ -9,14 +9,14 @@
 };
 use super::ownership::apply_record;
 use super::read::OWNER_CALL_SLACK;
-use super::standby::{InterimProgress, longer_outputs, start_interim};
+use super::standby::{InterimProgress, start_interim};
 use super::write::write_chunk;
 use crate::clock;
 use crate::node::Node;
 use crate::peers::{self, Datagram, Owner, OwnerStatus, PeerCall};
 use crate::platform::Platform;
 use crate::store::{StoreAnswer, StoreCall, StoreRefusal, StoredItem};
-use catkinmast_dispatch::Progress;
+use catkinmast_dispatch::UnlistedWork;
 use catkinmast_model::{UnixMs, Verdict};
 use serde_json::json;
 use std::cell::RefCell;
@@ -221,7 +221,7 @@
     node: &Rc<Node<P>>,
     id: &str,
 ) -> Result<(), StoreRefusal> {
-    let mut takeover = pin!(take_over(node, id, Vec::new()));
+    let mut takeover = pin!(take_over(node, id, UnlistedWork::default()));
     if let Ok(taken) = timeout(INTERIM_AFTER, &mut takeover).await {
         if taken.is_err() {
             start_interim(node, id);
@@ -252,11 +252,11 @@
 }
 
 /// Becomes the owner of a batch, unless its record in the store shows that it is ended or has a
-/// live owner. `handed_over_outputs` are used in place of the stored output, if there are any.
+/// live owner. `handed_over` is what its owner has handed over.
 pub(super) async fn take_over<P: Platform>(
     node: &Rc<Node<P>>,
     id: &str,
-    handed_over_outputs: Vec<(String, Progress)>,
+    handed_over: UnlistedWork,
 ) -> Result<(), StoreRefusal> {
     let Some(me) = peers::me(node) else { return Ok(()) };
     let Some((record, revision)) = read_record(node, id).await? else { return Ok(()) };
@@ -285,7 +285,7 @@
     };
     // If the next call fails, the takeover is repeated even if the former owner proves to be alive.
     node.batches.note_owner(id, record.owner.clone());
-    let StoredBatch { chunks, submission, outputs } = read_stored_batch(node, id).await?;
+    let StoredBatch { chunks, submission, work } = read_stored_batch(node, id).await?;
     let age_ms = UnixMs::from_wall_clock().since_ms(UnixMs(record.accepted_at_unix_ms));
     let now = clock::now();
     let accepted_at = UnixMs(now.0.saturating_sub(age_ms));
@@ -297,10 +297,10 @@
             "record_revision": revision,
         }),
     );
-    let outputs = if handed_over_outputs.is_empty() { outputs } else { handed_over_outputs };
-    let InterimProgress { results, outputs: meanwhile } = node.batches.stop_interim(id);
-    let outputs = longer_outputs(outputs, meanwhile);
-    let source = BatchSource { record, record_revision: revision, results, submission, outputs };
+    let copied = node.batches.take_copied_work(id);
+    let InterimProgress { results, work: meanwhile } = node.batches.stop_interim(id);
+    let work = handed_over.combined_with(work).combined_with(copied).combined_with(meanwhile);
+    let source = BatchSource { record, record_revision: revision, results, submission, work };
     start_owning(node, id, source, accepted_at, SKEW_MAX_MS, &chunks);
     Ok(())
 }
@@ -331,11 +331,11 @@
 }
 
 pub(super) async fn hand_over<P: Platform>(node: &Rc<Node<P>>, local: &Rc<RefCell<LocalBatch>>) {
-    let outputs = {
+    let work = {
         let mut local = local.borrow_mut();
-        let outputs = local.partial_outputs(0);
+        let work = local.unlisted_work(0);
         local.stop_runs();
-        outputs
+        work
     };
     while local.borrow_mut().batch.chunk_of_all_results(part_max_bytes(node)).is_some() {
         if !write_chunk(node, local).await {
@@ -352,7 +352,7 @@
     };
     let Some(successor) = peers::successor_for(node, &duty) else { return };
     if write_successor(node, local, &successor).await {
-        tell_successor(node, &successor, PeerCall::Adopt { batch: id, texts: outputs }).await;
+        tell_successor(node, &successor, PeerCall::Adopt { batch: id, work }).await;
     }
 }
 
@@ -417,11 +417,7 @@
 
 /// Accepts a batch that its owner hands over to this node; repeats the takeover while the store does
 /// not answer, because no other node would take over a batch whose record names a live owner.
-pub(crate) fn accept_handover<P: Platform>(
-    node: &Rc<Node<P>>,
-    batch: String,
-    outputs: Vec<(String, Progress)>,
-) {
+pub(crate) fn accept_handover<P: Platform>(node: &Rc<Node<P>>, batch: String, work: UnlistedWork) {
     if node.batches.get(&batch).is_some()
         || !node.batches.takeovers.borrow_mut().insert(batch.clone())
     {
@@ -433,7 +429,7 @@
     }
     let node = Rc::clone(node);
     tokio::task::spawn_local(async move {
-        while let Err(refusal) = take_over(&node, &batch, outputs.clone()).await {
+        while let Err(refusal) = take_over(&node, &batch, work.clone()).await {
             node.note("batch_untaken", json!({ "request": batch, "why": refusal.message }));
             let is_unreadable = refusal.verdict == Verdict::Ran;
             if node.leaving.get() || is_unreadable {
--- a/crates/serve/src/batches/write.rs
+++ b/crates/serve/src/batches/write.rs
@@ -2,8 +2,8 @@
 
 use super::LocalBatch;
 use super::keys::{
-    RECORD_PREFIX, Record, chunk_key, encode, outputs_key, part_max_bytes, record_key,
-    report_unreadable, unexpected_answer,
+    RECORD_PREFIX, Record, chunk_key, encode, part_max_bytes, record_key, report_unreadable,
+    unexpected_answer, work_key,
 };
 use super::ownership::apply_record;
 use crate::clock;
@@ -34,7 +34,14 @@
 /// restore it.
 pub(super) const SAVE_MIN_RUN_AGE_MS: u64 = 1_000;
 
-/// Saves the output of runs in progress at intervals, for a later owner.
+/// Failures of items within this time are saved and copied together.
+pub(super) const FAILURES_COALESCE_TIME: Duration = Duration::from_millis(50);
+
+/// The least time between two saves because of failures.
+const FAILURES_SAVE_PAUSE: Duration = Duration::from_millis(300);
+
+/// Saves the output of runs in progress at intervals, and failures of items at once, for a later
+/// owner.
 ///
 /// The write expects the batch's record as this node knows it. An owner may have been replaced, or
 /// its batch ended, without being notified: datagrams get lost, or it has no processor time to read
@@ -42,23 +49,28 @@
 /// next result. The conflict on this write stops it within about [`SAVE_INTERVAL`].
 ///
 /// Output that does not fit into one value of the store is not saved.
-pub(super) async fn save_partial_outputs<P: Platform>(
+pub(super) async fn save_unlisted_work<P: Platform>(
     node: Rc<Node<P>>,
     local: Rc<RefCell<LocalBatch>>,
 ) {
     // The size of the output at the last save: output of the same size is taken as unchanged.
     let mut saved_bytes = 0;
+    let mut saved_failures = Vec::new();
+    let failure_noted = Rc::clone(&local.borrow().failure_noted.to_save);
     loop {
-        sleep(SAVE_INTERVAL).await;
-        let (id, outputs) = {
+        if timeout(SAVE_INTERVAL, failure_noted.notified()).await.is_ok() {
+            sleep(FAILURES_COALESCE_TIME).await;
+        }
+        let (id, work) = {
             let local = local.borrow();
             if !local.is_open() {
                 return;
             }
-            (local.id.clone(), local.partial_outputs(SAVE_MIN_RUN_AGE_MS))
+            (local.id.clone(), local.unlisted_work(SAVE_MIN_RUN_AGE_MS))
         };
-        let size_bytes: usize = outputs.iter().map(|(_, progress)| progress.text.len()).sum();
-        if size_bytes == saved_bytes {
+        let size_bytes: usize = work.outputs.iter().map(|(_, progress)| progress.text.len()).sum();
+        let has_new_failures = work.failures != saved_failures;
+        if size_bytes == saved_bytes && !has_new_failures {
             continue;
         }
         saved_bytes = size_bytes;
@@ -66,19 +78,22 @@
             let revision = local.borrow().record_revision;
             vec![Expectation { key: record_key(&id), revision }]
         };
-        let Ok(value) = encode(&outputs) else { return };
+        let Ok(value) = encode(&work) else { return };
         if value.len() > part_max_bytes(&node) {
             continue;
         }
-        let puts = vec![Put { key: outputs_key(&id), lease: None, value }];
+        let puts = vec![Put { key: work_key(&id), lease: None, value }];
         let call = StoreCall::Transaction { deletes: Vec::new(), expected, puts };
         match node.store(&call).await {
             Ok(StoreAnswer::Conflict { items }) => resolve_conflict(&node, &local, &items),
-            Ok(_) => {}
+            Ok(_) => saved_failures = work.failures,
             Err(refusal) => {
                 node.note("texts_unsaved", json!({ "request": id, "why": refusal.message }));
             }
         }
+        if has_new_failures {
+            sleep(FAILURES_SAVE_PAUSE).await;
+        }
     }
 }
 
--- a/crates/serve/src/peers/messages.rs
+++ b/crates/serve/src/peers/messages.rs
@@ -5,7 +5,7 @@
 use crate::batches::{BatchCopy, Origin, Scope};
 use crate::feed::Subject;
 use crate::store::{StoreAnswer, StoreCall, StoreRefusal, StoredItem};
-use catkinmast_dispatch::{ItemResult, Progress, Submission, TextUpdate};
+use catkinmast_dispatch::{ItemFailures, ItemResult, Submission, TextUpdate, UnlistedWork};
 use catkinmast_fairness::Half;
 use catkinmast_feed::{Changes, HashSpan};
 use catkinmast_health::TargetHint;
@@ -19,15 +19,16 @@
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub(crate) enum PeerCall {
     /// Hands a batch over to the receiver, which is its owner in the store already.
-    Adopt { batch: String, texts: Vec<(String, Progress)> },
+    Adopt { batch: String, work: UnlistedWork },
     /// Asks for the changes of a feed after a revision.
     Changes { after: u64, subject: Subject },
     /// Ends a batch that the receiver owns.
     End { batch: String, scope: Scope },
     /// Sends a copy of a batch to the receiver, which takes the batch over if its owner dies.
     KeepCopy { batch: String, copy: Box<BatchCopy> },
-    /// Sends the new generated output of a batch of which the receiver has a copy.
-    KeepOutputs { batch: String, texts: Vec<TextUpdate> },
+    /// Sends the new generated output of a batch of which the receiver has a copy, and all failures of
+    /// its items.
+    KeepOutputs { batch: String, failures: Vec<(String, ItemFailures)>, texts: Vec<TextUpdate> },
     /// Reads the body of an item of a batch that the receiver owns.
     ItemBody { batch: String, item: String, scope: Scope },
     /// Reads results of a batch that the receiver owns.
--- a/crates/serve/src/peers/mod.rs
+++ b/crates/serve/src/peers/mod.rs
@@ -350,16 +350,16 @@
         PeerCall::Read { after, batch, scope, wait_ms } => {
             batches::read_owned(&node, &batch, &scope, after, wait_ms).await
         }
-        PeerCall::Adopt { batch, texts } => {
-            batches::accept_handover(&node, batch, texts);
+        PeerCall::Adopt { batch, work } => {
+            batches::accept_handover(&node, batch, work);
             PeerAnswer::Adopting
         }
         PeerCall::KeepCopy { batch, copy } => {
             batches::accept_copy(&node, batch, *copy);
             PeerAnswer::Accepted
         }
-        PeerCall::KeepOutputs { batch, texts } => {
-            if batches::accept_copied_outputs(&node, &batch, texts) {
+        PeerCall::KeepOutputs { batch, failures, texts } => {
+            if batches::accept_copied_outputs(&node, &batch, failures, texts) {
                 PeerAnswer::Accepted
             } else {
                 PeerAnswer::Unavailable
--- a/crates/serve/src/runs/mod.rs
+++ b/crates/serve/src/runs/mod.rs
@@ -13,7 +13,7 @@
 use crate::forward::{ChosenTarget, InFlight};
 use crate::node::Node;
 use crate::platform::Platform;
-use catkinmast_dispatch::{ItemResult, NextItem};
+use catkinmast_dispatch::{ItemResult, ItemState, NextItem};
 use catkinmast_model::UnixMs;
 use indexmap::IndexSet;
 use placement::{choose, move_slow_runs, service_of, service_of_split};
@@ -137,6 +137,9 @@
     let now = clock::now();
     let ms = now.since_ms(local.accepted_at);
     node.metrics.item_seconds.observe(ms as f64 / 1_000.0);
+    if result.state == ItemState::Errored {
+        local.note_failure();
+    }
     local.batch.record_result(now, result);
     local.results_pending.notify_one();
 }
--- a/crates/serve/src/runs/score.rs
+++ b/crates/serve/src/runs/score.rs
@@ -59,7 +59,7 @@
 ) {
     let score = match &item.reward {
         None => None,
-        Some(reward) => match score(node, local, reward).await {
+        Some(reward) => match score(node, local, index, reward).await {
             Some(score) => Some(score),
             None => return finish(node, local, ItemResult::errored(&*item.id)),
         },
@@ -86,10 +86,9 @@
 async fn score<P: Platform>(
     node: &Rc<Node<P>>,
     local: &RefCell<LocalBatch>,
+    index: usize,
     reward: &RewardRequest,
 ) -> Option<String> {
-    let attempts = local.borrow().batch.policy().attempts;
-    let mut failures = 0;
     let mut pause_ms = SCORE_RETRY_PAUSE_MS;
     let mut tried: Vec<String> = Vec::new();
     loop {
@@ -109,14 +108,15 @@
                 // The target's signature of its answer is the score.
                 Ok(answer) if answer.status.is_success() => return answer.metadata.signature,
                 Ok(answer) if answer.status == StatusCode::INTERNAL_SERVER_ERROR => {
-                    failures += 1;
+                    let was_last = local.borrow_mut().batch.record_score_failure(index);
                     let line = json!({
-                        "request": reward.id, "target": answer.target, "failures": failures,
+                        "request": reward.id, "target": answer.target, "was_last": was_last,
                     });
                     node.note("score_failed", line);
-                    if failures >= attempts {
+                    if was_last {
                         return None;
                     }
+                    local.borrow().note_failure();
                 }
                 Ok(answer) => {
                     let status = answer.status.as_u16();
--- a/crates/serve/src/runs/stream.rs
+++ b/crates/serve/src/runs/stream.rs
@@ -142,6 +142,7 @@
             if local.borrow_mut().batch.record_failure(index) {
                 finish(&node, &local, ItemResult::errored(item.id));
             } else {
+                local.borrow().note_failure();
                 let from = clock::now().plus(FAILED_RETRY_PAUSE_MS);
                 local.borrow_mut().batch.put_back(index, from, Progress::default());
             }
--- a/tests/all/dispatch/batch.rs
+++ b/tests/all/dispatch/batch.rs
@@ -1,7 +1,8 @@
 //! Items, texts and result positions of a batch.
 
 use catkinmast_dispatch::{
-    Batch, BatchPolicy, Chunk, Item, ItemResult, ItemState, Merge, Progress, Submission,
+    Batch, BatchPolicy, Chunk, Item, ItemFailures, ItemResult, ItemState, Merge, Progress,
+    Submission, UnlistedWork,
 };
 use catkinmast_model::UnixMs;
 use proptest::prelude::*;
@@ -430,3 +431,71 @@
         }
     }
 }
+
+// Guards against a new owner that counts an item's failures from zero.
+#[test]
+fn failures_of_an_earlier_owner_count() {
+    let mut first = batch(2);
+    first.record_failure(0);
+    first.record_score_failure(1);
+    let mut next = batch(2);
+
+    next.restore_failures(UnixMs(0), first.unlisted_failures());
+
+    assert!(next.record_failure(0), "the second of two attempts");
+    assert!(next.record_score_failure(1), "the second of two attempts");
+    assert_eq!(next.counts(), (2, 0, 0), "both have an attempt left");
+}
+
+// Guards against a new owner that runs an item that was given up, with its result not durable yet.
+#[yare::parameterized(
+    waiting_to_be_written = { false },
+    being_written = { true },
+)]
+fn an_item_that_an_earlier_owner_gave_up_stays_given_up(is_being_written: bool) {
+    let mut first = batch(4);
+    first.record_result(UnixMs(0), ItemResult::errored("i0"));
+    if is_being_written {
+        assert!(first.chunk_to_write(LATE, 1 << 20).is_some());
+    }
+    let mut next = batch(4);
+
+    next.restore_failures(UnixMs(0), first.unlisted_failures());
+
+    assert_eq!(next.counts(), (3, 0, 1));
+    let chunk = next.chunk_to_write(LATE, 1 << 20).expect("its result");
+    assert_eq!(chunk.results, [ItemResult::errored("i0")]);
+}
+
+#[test]
+fn failures_of_items_with_durable_results_are_not_passed_on() {
+    let mut batch = batch(2);
+    batch.record_failure(0);
+    batch.record_result(UnixMs(0), result("i0"));
+    batch.record_result(UnixMs(0), result("i1"));
+    let chunk = batch.chunk_to_write(LATE, 1 << 20).expect("a chunk").clone();
+
+    batch.merge(&chunk);
+
+    assert!(batch.unlisted_failures().is_empty());
+}
+
+#[test]
+fn what_two_nodes_know_of_an_item_is_combined() {
+    let output = |last: u64| Progress { last_event_id: Some(last), ..Progress::default() };
+    let failures = |runs, is_given_up| ItemFailures { is_given_up, runs, scores: 0 };
+    let one = UnlistedWork {
+        outputs: vec![("i0".to_owned(), output(4)), ("i1".to_owned(), output(2))],
+        failures: vec![("i2".to_owned(), failures(2, false))],
+    };
+    let other = UnlistedWork {
+        outputs: vec![("i1".to_owned(), output(3))],
+        failures: vec![("i2".to_owned(), failures(1, true)), ("i3".to_owned(), failures(1, false))],
+    };
+
+    let both = one.combined_with(other);
+
+    assert_eq!(both.outputs, [("i0".to_owned(), output(4)), ("i1".to_owned(), output(3))]);
+    let known = [("i2".to_owned(), failures(2, true)), ("i3".to_owned(), failures(1, false))];
+    assert_eq!(both.failures, known);
+}
--- a/tests/all/site/mod.rs
+++ b/tests/all/site/mod.rs
@@ -20,6 +20,7 @@
 mod duties;
 mod endless;
 mod evacuation;
+mod failing_items;
 mod fairness;
 mod health;
 mod hedges;
--- a/tests/all/site/worker/mod.rs
+++ b/tests/all/site/worker/mod.rs
@@ -41,6 +41,10 @@
 const UNLUCKY_TEXT: &[u8] = b"unlucky";
 /// How many runs of an unlucky request meet a crash.
 pub(crate) const UNLUCKY_RUNS: usize = 3;
+/// A request whose body is one byte and this text is run and answered with 500.
+pub(crate) const FAILING_TEXT: &[u8] = b"failing";
+/// A request whose body is one byte and this text is run and answered with 422.
+pub(crate) const UNPROCESSABLE_TEXT: &[u8] = b"unprocessable";
 /// Delay of a late crash.
 const LATE_CRASH_DELAY: Duration = Duration::from_millis(1_200);
 
--- a/tests/all/site/worker/serving.rs
+++ b/tests/all/site/worker/serving.rs
@@ -5,8 +5,8 @@
 use super::registry::crash_by_request;
 use super::runs::Run;
 use super::{
-    Behaviour, CRASHING_BODY, CRASHING_LATE_BODY, LATE_CRASH_DELAY, SharedContext, State,
-    UNLUCKY_RUNS, UNLUCKY_TEXT, lock,
+    Behaviour, CRASHING_BODY, CRASHING_LATE_BODY, FAILING_TEXT, LATE_CRASH_DELAY, SharedContext,
+    State, UNLUCKY_RUNS, UNLUCKY_TEXT, UNPROCESSABLE_TEXT, lock,
 };
 use crate::site::web::{Answer, AnswerBody, answer};
 use bytes::Bytes;
@@ -151,7 +151,10 @@
         std::future::pending::<()>().await;
     }
     let request = request_id(head);
-    let mut response = if body.starts_with(CRASHING_LATE_BODY.as_bytes()) {
+    let mut response = if let Some(status) = failure_status(body) {
+        guard.complete();
+        answer(status, "")
+    } else if body.starts_with(CRASHING_LATE_BODY.as_bytes()) {
         http::Response::new(crashing_body(state, context, id))
     } else if is_stream(head) {
         stream_events(state, head, body, behaviour, guard)?
@@ -195,6 +198,15 @@
     Some(response)
 }
 
+/// Returns the status with which each run of a request with this body is answered, if it fails.
+fn failure_status(body: &[u8]) -> Option<u16> {
+    match body.get(1..)? {
+        FAILING_TEXT => Some(500),
+        UNPROCESSABLE_TEXT => Some(422),
+        _ => None,
+    }
+}
+
 /// Returns whether the first runs of a request with this body meet a crash.
 fn is_unlucky(body: &[u8]) -> bool {
     body.get(1..).is_some_and(|text| text.starts_with(UNLUCKY_TEXT))
