An answer with a status that is none of HTTP's is no answer

Asked by the users, who saw on a system of this kind that a worker's answer with status 000 reached the client as an answer.

Change: an answer whose status is not in 200 to 599 fails the attempt, with the verdict that the request may have run. Items and scoring calls already did so.

Also a lint of the test worker.

--- a/crates/serve/src/forward.rs
+++ b/crates/serve/src/forward.rs
@@ -273,6 +273,11 @@
         }
         AttemptFailure::of(error)
     })?;
+    let status = response.status();
+    if !is_final(status) {
+        let message = format!("the answer's status {} is none of HTTP's", status.as_u16());
+        return Err(AttemptFailure::may_have_run(message));
+    }
     let metadata = P::response_metadata(response.headers());
     cold::mark(node, &chosen.id, metadata.cold_left_ms.unwrap_or(0));
     // An extra answer to an earlier request may arrive in place of the expected one.
@@ -302,6 +307,11 @@
     Ok(request)
 }
 
+/// Returns whether a status ends an exchange. Callers could read no other as that of an answer.
+fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Returns the failure that an answer stands for, if it is a refusal: the target did not run the
 /// request.
 pub(crate) fn refusal(
--- a/tests/all/site/mod.rs
+++ b/tests/all/site/mod.rs
@@ -26,6 +26,7 @@
 mod hedges;
 mod held_requests;
 mod interrupted_items;
+mod invalid_statuses;
 mod orders;
 mod refusals;
 mod registry;
--- a/tests/all/site/worker/mod.rs
+++ b/tests/all/site/worker/mod.rs
@@ -14,7 +14,7 @@
 
 pub(crate) use capacity::RequestCounts;
 pub(crate) use endless::{EndlessWorker, Reply};
-pub(crate) use repeating::{Exchange, RepeatingWorker, Scripted};
+pub(crate) use repeating::{Exchange, RepeatingWorker, Script, Scripted};
 pub(crate) use runs::{Run, Runs};
 
 use super::harness::until;
--- a/tests/all/site/worker/repeating.rs
+++ b/tests/all/site/worker/repeating.rs
@@ -45,7 +45,8 @@
     }
 }
 
-type Script = fn(Exchange<'_>) -> Scripted;
+/// Returns how a worker answers a request.
+pub(crate) type Script = fn(Exchange<'_>) -> Scripted;
 
 #[derive(Clone)]
 struct Shared {
@@ -146,7 +147,7 @@
         _ => format!("{id} by {}", shared.name),
     };
     let answer = format!(
-        "HTTP/1.1 {status} Status\r\nX-Catkinmast-Request-Id: {id}\r\n\
+        "HTTP/1.1 {status:03} Status\r\nX-Catkinmast-Request-Id: {id}\r\n\
          X-Catkinmast-Server-Stamp: stamp.{}.{id}\r\nX-Catkinmast-Weight-Versions: 1\r\n\
          Content-Length: {}\r\n\r\n{body}",
         shared.name,
@@ -156,7 +157,8 @@
 }
 
 fn events(id: &str) -> String {
-    (1..=EVENTS).map(|number| format!("id: {number}\ndata: {id}-{number}\n\n")).collect()
+    let events = (1..=EVENTS).map(|number| format!("id: {number}\ndata: {id}-{number}\n\n"));
+    events.collect::<Vec<_>>().concat()
 }
 
 /// Answers a request for the report, or an order.
