Requests that outlast a stop's grace time are answered

Change: at the end of the grace time, 1 s before the process must have ended, requests without an answer are answered with 504, which says that they may have run, and their connections end before the process does. Streams that have begun cannot be answered and end with it as before.

--- a/crates/serve/src/caller.rs
+++ b/crates/serve/src/caller.rs
@@ -120,9 +120,22 @@
 ) -> Result<Answer<P>, Infallible> {
     let started_at = clock::now();
     let (head, body) = request.into_parts();
-    let mut answer = match P::batch_call(&head) {
-        Some(call) => batch_calls::answer(&node, &head.headers, call).await,
-        None => route_request(&node, head, body, started_at).await,
+    let id = P::caller_options(&head.headers).request_id;
+    let work = async {
+        match P::batch_call(&head) {
+            Some(call) => batch_calls::answer(&node, &head.headers, call).await,
+            None => route_request(&node, head, body, started_at).await,
+        }
+    };
+    let mut grace_over = node.grace_over.subscribe();
+    let mut answer = tokio::select! {
+        biased;
+        answer = work => answer,
+        _ = grace_over.wait_for(|is_over| *is_over) => {
+            let message = "this node stops before the request has ended";
+            let error = ErrorAnswer::new(StatusCode::GATEWAY_TIMEOUT, message);
+            end_with_error(&node, id.as_deref(), None, &error)
+        }
     };
     node.metrics.request_seconds.observe(clock::now().since_ms(started_at) as f64 / 1_000.0);
     if node.leaving.get() {
--- a/crates/serve/src/node.rs
+++ b/crates/serve/src/node.rs
@@ -79,6 +79,8 @@
     pub caller_connections: ActiveCount,
     /// Set when the process stops accepting connections and requests of callers.
     pub closing: watch::Sender<bool>,
+    /// Set at the end of a stop's grace time, when requests in progress are answered as they are.
+    pub grace_over: watch::Sender<bool>,
     pub cold: Cold,
     /// Wakes the background task that stores the evidence against requests that crash targets.
     pub crashes_changed: Notify,
@@ -152,6 +154,7 @@
             interrupted: RefCell::new(InterruptedRequests::default()),
             caller_connections: ActiveCount::default(),
             closing: watch::Sender::new(false),
+            grace_over: watch::Sender::new(false),
             cold: Cold::default(),
             crashes_changed: Notify::new(),
             datagrams,
--- a/crates/serve/src/process.rs
+++ b/crates/serve/src/process.rs
@@ -36,6 +36,8 @@
 const ADDRESS_TTL_FACTOR: u64 = 3;
 /// Part of the grace time that is reserved for the exit itself.
 const EXIT_RESERVE_MS: u64 = 1_000;
+/// How long the answers to requests in progress at the end of the grace time may take to be sent.
+const LAST_ANSWERS_MS: u64 = 300;
 /// Interval of the summary lines: rare enough to cost little, frequent enough to show
 /// when an incident began.
 const SUMMARY_INTERVAL: Duration = Duration::from_secs(10);
@@ -272,7 +274,8 @@
 
 /// Shuts down gracefully. The node leaves the directory at once, and accepts requests until the last
 /// address given out has expired. The accepted ones are answered, as far as the grace time allows:
-/// their connections end once the last byte of the answer was sent.
+/// their connections end once the last byte of the answer was sent. Those that are still in progress
+/// at its end are told that they may have run.
 async fn leave<P: Platform>(node: &Rc<Node<P>>) {
     let began_at = clock::now();
     node.leaving.set(true);
@@ -292,6 +295,11 @@
     {
         sleep(POLL_INTERVAL).await;
     }
+    node.grace_over.send_replace(true);
+    let answered_by = clock::now().plus(LAST_ANSWERS_MS);
+    while clock::now() < answered_by && node.caller_connections.get() > 0 {
+        sleep(POLL_INTERVAL).await;
+    }
     note_progress(node, "stopped");
     // Leaves the writer of the audit trail time to write the last lines.
     sleep(Duration::from_millis(300)).await;
--- a/tests/all/site/stops.rs
+++ b/tests/all/site/stops.rs
@@ -1,7 +1,8 @@
 //! Planned stops cut no requests, and the directory lists no node that is stopping.
 
-use super::harness::{HOST, Node, Site, complete_output, submission, until};
+use super::harness::{HOST, Node, Site, complete_output, document, submission, until};
 use super::worker::Behaviour;
+use serde_json::json;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
@@ -257,3 +258,32 @@
         assert!(result["score"].is_string(), "{result}");
     }
 }
+
+// Guards against a request that gets no answer, because its target runs it for longer than the grace
+// time of a planned stop lasts.
+#[yare::parameterized(
+    repeatable = { "/lookup/a", 3 },
+    not_repeatable = { "/check/a", 1 },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread"))]
+async fn a_request_that_outlasts_the_grace_time_of_a_stop_is_answered(path: &str, attempts: usize) {
+    let site = Site::start(2, 0, 1).await;
+    let mut document = document(4);
+    for route in document["routes"].as_array_mut().expect("the routes") {
+        route["timeoutMs"] = json!(20_000);
+    }
+    site.store.put("op/config", &document);
+    until("the configuration is in force", || async {
+        (site.nodes[0].lines("document_in_force").len() >= 2).then_some(())
+    })
+    .await;
+    site.plain[0].set_pace(10, 12_000);
+    site.nodes[0].signal("TERM");
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+
+    let answer = site.call_within(&site.nodes[0], path, "q1", "question", 15_000).await;
+
+    let status = answer.expect("an answer").status();
+    assert_eq!(status, 504, "whether it ran is unknown");
+    assert!((1..=attempts).contains(&site.runs.of("q1").len()));
+}
