No odd entry ends a task of a node

Here no entry ends the process, and such entries are skipped: sixteen were tried. But one of them, whose model has the version 2^64 - 1, ended the task that orders engines to load weights where arithmetic is checked (debug builds), by an overflow in `current_counts`; without checks the sum wraps, and the engine counts as outdated. The test waited in vain for an order before (1 of 16 cases).

Change: that sum saturates, and so do the others that use numbers of targets or trainers as they are: slots, orders accepted, a stated idle time, the oldest version of a batch. The test harness records panics of the nodes, which are lost in tasks.

--- a/crates/dispatch/src/lookahead.rs
+++ b/crates/dispatch/src/lookahead.rs
@@ -33,6 +33,6 @@
     /// than that of the step before.
     pub fn next_oldest_version(&self, model: &str, oldest_version: u64) -> u64 {
         let ahead = self.recent.get(model).and_then(|recent| recent.iter().max().copied());
-        oldest_version + 1 + ahead.unwrap_or(0)
+        oldest_version.saturating_add(1).saturating_add(ahead.unwrap_or(0))
     }
 }
--- a/crates/dispatch/src/rollout.rs
+++ b/crates/dispatch/src/rollout.rs
@@ -274,7 +274,7 @@
         for target in targets {
             let Some(model) = self.assigned.get(target.id) else { continue };
             let published = self.published.get(model).copied().unwrap_or(0);
-            if target.version(model) + slack >= published {
+            if target.version(model).saturating_add(slack) >= published {
                 *counts.entry(model.clone()).or_insert(0) += 1;
             }
         }
--- a/crates/serve/src/orders.rs
+++ b/crates/serve/src/orders.rs
@@ -234,7 +234,8 @@
     holder.accepted.borrow_mut().swap_remove(&chosen.id);
     match sent {
         Ok((StatusCode::ACCEPTED, _)) => {
-            holder.record_accepted(&chosen.id, started_at_unix_ms, expected_orders + 1);
+            let accepted = expected_orders.saturating_add(1);
+            holder.record_accepted(&chosen.id, started_at_unix_ms, accepted);
             sleep(FIRST_REPORT_DELAY).await;
         }
         Ok((StatusCode::OK, _)) => {
--- a/crates/serve/src/pool.rs
+++ b/crates/serve/src/pool.rs
@@ -429,7 +429,7 @@
         .and_then(|value| value.to_str().ok())
         .and_then(|text| text.split(',').find_map(|part| part.trim().strip_prefix("timeout=")))
         .and_then(|seconds| seconds.trim().parse::<u64>().ok());
-    stated_s.map_or(IDLE_MAX_MS, |seconds| (seconds * 1_000).saturating_sub(1_000))
+    stated_s.map_or(IDLE_MAX_MS, |seconds| seconds.saturating_sub(1).saturating_mul(1_000))
 }
 
 /// Reads the complete body of an answer of the store or a peer, of at most `max_bytes`. It counts
--- a/crates/serve/src/runs/second.rs
+++ b/crates/serve/src/runs/second.rs
@@ -221,7 +221,10 @@
 /// Returns a candidate with fewer slots, so that the rest stay free for runs that trainers wait
 /// for.
 fn reserve_slots<'a>(candidate: &Candidate<'a>) -> Candidate<'a> {
-    Candidate { slots: candidate.slots * SECOND_RUN_SLOTS_PERCENT / 100, ..*candidate }
+    Candidate {
+        slots: candidate.slots.saturating_mul(SECOND_RUN_SLOTS_PERCENT) / 100,
+        ..*candidate
+    }
 }
 
 /// Chooses a free target, other than that of the item's first run, whose weights are new enough for
--- a/tests/all/site/bad_input.rs
+++ b/tests/all/site/bad_input.rs
@@ -1,7 +1,8 @@
 //! Bad input gets an error status or a closed connection, uses bounded memory, and does not stop
 //! the node from serving.
 
-use super::harness::{CHANGE_BOUND_MS, HOST, Site, settings};
+use super::harness::{CHANGE_BOUND_MS, HOST, PANICKED, Site, settings, submission, until};
+use serde_json::{Value, json};
 use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::time::Duration;
@@ -113,3 +114,85 @@
 
     assert!(error.contains("bounds.configMs is 0"), "field and value are named: {error}");
 }
+
+/// Returns an entry like those of targets, with some fields replaced.
+fn entry_with(fields: &Value) -> Vec<u8> {
+    let mut entry = json!({
+        "service": "llm", "address": "127.0.0.1:9", "zone": "zone-a", "version": "v1", "slots": 4,
+        "state": "ready", "coldLeftMs": 0, "seq": 1,
+        "models": [{ "name": "model-a", "version": 1, "adapters": [] }],
+    });
+    let fields = fields.as_object().expect("an object").clone();
+    entry.as_object_mut().expect("an object").extend(fields);
+    entry.to_string().into_bytes()
+}
+
+/// Returns an entry in which a number is replaced by this text.
+fn entry_with_number(field: &str, number: &str) -> Vec<u8> {
+    let entry = String::from_utf8(entry_with(&json!({ field: 12_345 }))).expect("text");
+    entry.replace("12345", number).into_bytes()
+}
+
+/// Returns an entry with arrays in arrays.
+fn nested_entry(depth: usize) -> Vec<u8> {
+    let models = format!("{}{}", "[".repeat(depth), "]".repeat(depth));
+    entry_with_number("models", &models)
+}
+
+// Guards against one odd entry among those of the targets, by which nodes end or stop following the
+// others.
+#[yare::parameterized(
+    nested = { nested_entry(100) },
+    deeply_nested = { nested_entry(200_000) },
+    unknown_nested = { entry_with_number("other", &"[".repeat(100_000)) },
+    port_out_of_range = { entry_with(&json!({ "address": "127.0.0.1:70000" })) },
+    port_zero = { entry_with(&json!({ "address": "127.0.0.1:0" })) },
+    slots_too_large = { entry_with_number("slots", "4294967296") },
+    slots_largest = { entry_with_number("slots", "4294967295") },
+    slots_endless = { entry_with_number("slots", &"9".repeat(5_000)) },
+    slots_exponent = { entry_with_number("slots", "1e400") },
+    sequence_largest = { entry_with_number("seq", "18446744073709551615") },
+    start_time_largest = { entry_with_number("born", "18446744073709551615") },
+    cold_exponent = { entry_with_number("coldLeftMs", "1e400") },
+    cold_largest = { entry_with_number("coldLeftMs", "1e300") },
+    model_version_largest = {
+        entry_with(&json!({ "models": [{ "name": "model-a", "version": u64::MAX }] }))
+    },
+    no_text = { b"\xff\xfe\x00".to_vec() },
+    nothing = { Vec::new() },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread"))]
+async fn an_odd_entry_keeps_no_node_from_following_the_others(value: Vec<u8>) {
+    let mut site = Site::start(2, 1, 1).await;
+
+    site.store.put_bytes("servers/odd", value);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    site.add_engine("engine-late").await;
+    for node in &site.nodes {
+        node.restart();
+    }
+
+    for node in &site.nodes {
+        until("the later target is known", || async {
+            let joined = node.lines("target_joined");
+            joined.iter().any(|line| line["target"] == "engine-late").then_some(())
+        })
+        .await;
+        assert!(node.exit_status().is_none(), "the process runs");
+    }
+    site.wait_until_all_listed(2).await;
+    site.store.put("op/version/model-a", &json!({ "model": "model-a", "version": 2 }));
+    until("an engine has the later weights", || async {
+        site.engines.iter().any(|engine| engine.version("model-a") == 2).then_some(())
+    })
+    .await;
+    let batch = submission("b1", 4, 3, 1);
+    assert_eq!(site.submit(&site.nodes[0], "b1", &batch).await, 202);
+    assert_eq!(site.read_all(&site.nodes[1], "b1", 4).await.len(), 4);
+    let answer = site.call(&site.nodes[1], "/lookup/a", "q1").await.expect("an answer");
+    assert_eq!(answer.status(), 200);
+    for node in &site.nodes {
+        assert_eq!(node.exit_status(), None, "the process runs");
+        assert_eq!(node.lines(PANICKED), Vec::<Value>::new());
+    }
+}
--- a/tests/all/site/harness.rs
+++ b/tests/all/site/harness.rs
@@ -27,6 +27,9 @@
 /// all nodes that reach the store.
 pub(crate) const CHANGE_BOUND_MS: u64 = 2_000;
 
+/// The event under which the log has a panic of the process. It may have ended a task only.
+pub(crate) const PANICKED: &str = "panicked";
+
 const FRONT_PORT: u16 = 8149;
 const READY_PORT: u16 = 8141;
 const DIRECTORY_PORT: u16 = 8143;
@@ -341,8 +344,20 @@
     let mut child = Command::new(env!("CARGO_BIN_EXE_catkinmast-front"))
         .env("CATKINMAST_BOOT", folder.path().join("settings.toml"))
         .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
         .spawn()
         .expect("the binary starts");
+    let errors = child.stderr.take().expect("standard error is piped");
+    let panics = Arc::clone(log);
+    std::thread::spawn(move || {
+        for line in BufReader::new(errors).lines().map_while(Result::ok) {
+            eprintln!("{line}");
+            if line.contains("panicked at") {
+                let line = json!({ "event": PANICKED, "why": line });
+                panics.lock().expect("no test panics while it holds the log").push(line);
+            }
+        }
+    });
     let output = child.stdout.take().expect("standard output is piped");
     let log = Arc::clone(log);
     std::thread::spawn(move || {
