--- a/crates/node/src/edge/calls.rs
+++ b/crates/node/src/edge/calls.rs
@@ -14,7 +14,7 @@
 use catkinmast_config::{Call, CallClass, PlainService};
 use catkinmast_model::{Name, Refusal, UnixMs, Verdict};
 use catkinmast_route::{AdmissionDecision, Choice, Dequeued, Outcome};
-use http::{Method, Response};
+use http::{Method, Response, StatusCode};
 use std::io;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -431,6 +431,7 @@
     let sent = client.send(sending, tokio::time::Instant::now() + timeout).await;
     let response = sent.map_err(|error| classify(&error))?;
     check_refusal(&response)?;
+    check_status(response.status())?;
     let max_bytes =
         snapshot.document().map_or(0, |document| document.limits.unsized_answer_max_bytes);
     let answer = read_answer(response, max_bytes).await?;
@@ -476,6 +477,15 @@
     })
 }
 
+/// Returns an error if a status does not end an exchange: callers could not read it as an answer's.
+fn check_status(status: StatusCode) -> Result<(), AttemptFailure> {
+    if (200..600).contains(&status.as_u16()) {
+        return Ok(());
+    }
+    let message = format!("the answer's status {} is none of HTTP's", status.as_u16());
+    Err(AttemptFailure::new(Verdict::MayHaveRun, message))
+}
+
 /// Reads an answer of up to `max_bytes` into memory; a longer one of known length is streamed.
 ///
 /// If the source of a streamed body of unknown length breaks off, the web framework ends the body
--- a/tests/all/processes/broken_network.rs
+++ b/tests/all/processes/broken_network.rs
@@ -1,8 +1,10 @@
-//! Closed, stalled and slow connections between a node and its targets.
+//! Closed, stalled and slow connections between a node and its targets, and answers that are none.
 
 use crate::support::fleet::{CALLER, Fleet, FleetSize, verdict};
 use catkinmast_standin::Forwarder;
 use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
 
 /// Starts one node whose targets are reached only through TCP forwarders.
 async fn start_behind_forwarders(count: u32, answer_after_ms: &str) -> (Fleet, Vec<Forwarder>) {
@@ -39,6 +41,49 @@
     (status, response.text().await.expect("a complete body"))
 }
 
+/// Starts a target that answers each request with a status line, and lists it as the only one.
+async fn start_with_status_line(line: &'static str) -> Fleet {
+    let fleet = Fleet::start(&FleetSize { engines: 0, nodes: 1, services: 1 }).await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("a bound address");
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let mut request = [0; 4_096];
+                while stream.read(&mut request).await.is_ok_and(|count| count > 0) {
+                    let answer = format!("{line}\r\nContent-Length: 0\r\n\r\n");
+                    stream.write_all(answer.as_bytes()).await.expect("the node reads");
+                }
+            });
+        }
+    });
+    fleet.set_instance("service-0", "service", fleet.services[0].1, "gone").await;
+    fleet.set_instance("odd", "service", address, "live").await;
+    let only_odd = async || {
+        let status = fleet.status(0).await;
+        let targets = status["targets"].as_array()?;
+        (targets.len() == 1 && targets[0]["name"] == "odd").then_some(())
+    };
+    fleet.poll_until("the node lists the target", only_odd).await;
+    fleet
+}
+
+// Guards against an answer whose status is none of HTTP's and that its caller gets as an answer.
+#[yare::parameterized(
+    zero = { "HTTP/1.1 000 None" },
+    switching_protocols = { "HTTP/1.1 101 Switching Protocols" },
+    six_hundred = { "HTTP/1.1 600 None" },
+    largest = { "HTTP/1.1 999 None" },
+)]
+#[test_macro(tokio::test)]
+async fn a_call_that_is_answered_with_an_invalid_status_may_have_run(line: &'static str) {
+    let fleet = start_with_status_line(line).await;
+
+    let (status, body) = call(&fleet, "/award", "odd", 2_000).await;
+
+    assert_eq!((status, verdict(&body).as_str()), (502, "may_have_run"), "{body}");
+}
+
 // Guards against a call that is answered `not_run`, or never: its connection to the target stalls,
 // which the node takes for a connection on which nothing was sent.
 #[tokio::test]
