--- a/crates/dispatch/src/targets.rs
+++ b/crates/dispatch/src/targets.rs
@@ -7,9 +7,9 @@
 //!   requests then fail, or run past the time allowed for draining. A drain is therefore final for
 //!   an incarnation, and an entry with an old sequence number is ignored.
 //! - *All targets disappear when the registry returns*, because it lost their entries while it was
-//!   away. All requests would be refused for seconds. A removal that [an outage](crate::RegistryOutage) may
-//!   explain therefore takes effect only if the entry does not come back; any other removal takes
-//!   effect at once.
+//!   away. All requests would be refused for seconds. A removal that
+//!   [an outage](crate::RegistryOutage) may explain therefore takes effect only if the entry does
+//!   not come back; any other removal takes effect at once.
 //! - *A target that the registry lost keeps getting work.* Without an entry it must not be used;
 //!   only an entry that is not older than the last one brings it back.
 //! - *A target that restarted under its id is mistaken for its earlier incarnation.* Its heartbeats
